--- /dev/null
+++ b/zone.go
@@ -0,0 +1,4 @@
+package clementinewind
+
+// Zone is the name of an availability zone.
+type Zone string
