Add control links between routers and an in-memory network

Cause: routers need one control stream a peer, and the fault tests need a network whose links can be cut in one direction, silenced or reset in virtual time.

Ruled out: one shared two-way stream a pair; which side opens it would have to be agreed, and a one-way cut would be seen late. gRPC's own retries and service configuration are off, since a request must not be sent twice unseen.

Change: package peer (links with merged control frames, heartbeats, reconnect with backoff, keepalive of 10 s and 5 s) and stand.Network.

--- /dev/null
+++ b/peer/fleet.go
@@ -0,0 +1,202 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/wire/peerv1"
+)
+
+const (
+	// pingInterval and pingTimeout bound how long a connection that has gone silent stays in use.
+	pingInterval = 10 * time.Second
+	pingTimeout  = 5 * time.Second
+	// connectTimeout bounds one attempt to connect.
+	connectTimeout = 2 * time.Second
+	// sessionKey is the metadata key that names the session of the calling router.
+	sessionKey = "session"
+)
+
+// ErrUnknownPeer is returned for a session that is not in the set of peers.
+var ErrUnknownPeer = errors.New("unknown peer session")
+
+// Config configures a Fleet.
+type Config struct {
+	// Dial opens a connection to a peer address. Required.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Credentials secure the connections; nil sends plain text.
+	Credentials credentials.TransportCredentials
+	// Session returns the session of this router.
+	Session func() clementinewind.Session
+	// Heartbeat builds the heartbeat for a peer, or returns nil when the peer is not a neighbour. Called once per
+	// HeartbeatInterval and peer.
+	Heartbeat         func(session clementinewind.Session) *peerv1.Heartbeat
+	HeartbeatInterval time.Duration
+	// Stamp returns the value of the hybrid logical clock that is sent with control frames.
+	Stamp func() uint64
+	// Connected is called when a control link has been opened, so that standing messages can be sent again.
+	Connected func(session clementinewind.Session)
+	// Sent is called with the encoded size, in bytes, of each control frame sent.
+	Sent func(bytes int)
+	// MaxMessageBytes is the largest message accepted from a peer.
+	MaxMessageBytes int
+	Logger          hclog.Logger
+}
+
+// Fleet keeps the connections of a router to its peers. Each peer has one goroutine that sends its control frames.
+type Fleet struct {
+	config Config
+
+	mu     sync.Mutex
+	links  map[clementinewind.Session]*link
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+// NewFleet returns a Fleet without peers.
+func NewFleet(config Config) *Fleet {
+	if config.Credentials == nil {
+		config.Credentials = insecure.NewCredentials()
+	}
+	if config.Logger == nil {
+		config.Logger = hclog.NewNullLogger()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Fleet{config: config, links: map[clementinewind.Session]*link{}, ctx: ctx, cancel: cancel}
+}
+
+// SetPeers replaces the set of peers. Links to peers that stay are kept.
+func (fleet *Fleet) SetPeers(addresses map[clementinewind.Session]string) error {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if fleet.ctx.Err() != nil {
+		return nil
+	}
+	for session, link := range fleet.links {
+		if addresses[session] != link.address {
+			link.close()
+			delete(fleet.links, session)
+		}
+	}
+	for session, address := range addresses {
+		if fleet.links[session] != nil {
+			continue
+		}
+		link, err := fleet.open(session, address)
+		if err != nil {
+			return err
+		}
+		fleet.links[session] = link
+	}
+	return nil
+}
+
+func (fleet *Fleet) open(session clementinewind.Session, address string) (*link, error) {
+	conn, err := fleet.Connect(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(fleet.ctx)
+	opened := &link{
+		config:  &fleet.config,
+		session: session,
+		address: address,
+		conn:    conn,
+		client:  peerv1.NewPeerServiceClient(conn),
+		cancel:  cancel,
+		ready:   make(chan struct{}, 1),
+	}
+	fleet.wait.Go(func() { opened.run(ctx) })
+	return opened, nil
+}
+
+// Connect returns a gRPC connection to an address that is not necessarily a peer yet. The caller closes it.
+func (fleet *Fleet) Connect(address string) (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(fleet.config.Credentials),
+		grpc.WithContextDialer(fleet.config.Dial),
+		grpc.WithNoProxy(),
+		grpc.WithDisableServiceConfig(),
+		// A request must not be sent twice without the knowledge of the router.
+		grpc.WithDisableRetry(),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: connectTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(fleet.config.MaxMessageBytes)),
+	)
+	return conn, errors.Wrapf(err, "peer %s", address)
+}
+
+// Send queues a control frame for a peer. Frames that wait together are sent as one. A frame for an unknown peer, or for
+// a peer whose link breaks before it is sent, is dropped.
+func (fleet *Fleet) Send(session clementinewind.Session, frame *peerv1.ControlFrame) {
+	fleet.mu.Lock()
+	link := fleet.links[session]
+	fleet.mu.Unlock()
+	if link != nil {
+		link.queue(frame)
+	}
+}
+
+// Sessions returns the sessions of the peers.
+func (fleet *Fleet) Sessions() []clementinewind.Session {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	sessions := make([]clementinewind.Session, 0, len(fleet.links))
+	for session := range fleet.links {
+		sessions = append(sessions, session)
+	}
+	return sessions
+}
+
+// Client returns the gRPC client of a peer and a context that names the session of this router.
+func (fleet *Fleet) Client(ctx context.Context, session clementinewind.Session) (context.Context, peerv1.PeerServiceClient, error) {
+	fleet.mu.Lock()
+	link := fleet.links[session]
+	fleet.mu.Unlock()
+	if link == nil {
+		return ctx, nil, errors.Wrapf(ErrUnknownPeer, "session %d", session)
+	}
+	return withSession(ctx, fleet.config.Session()), link.client, nil
+}
+
+// Close ends all links and waits for their goroutines.
+func (fleet *Fleet) Close() {
+	fleet.mu.Lock()
+	fleet.cancel()
+	for session, link := range fleet.links {
+		link.close()
+		delete(fleet.links, session)
+	}
+	fleet.mu.Unlock()
+	fleet.wait.Wait()
+}
+
+func withSession(ctx context.Context, session clementinewind.Session) context.Context {
+	return metadata.AppendToOutgoingContext(ctx, sessionKey, strconv.FormatInt(int64(session), 10))
+}
+
+// SessionOf returns the session that the calling router named, or NoSession.
+func SessionOf(ctx context.Context) clementinewind.Session {
+	values := metadata.ValueFromIncomingContext(ctx, sessionKey)
+	if len(values) != 1 {
+		return clementinewind.NoSession
+	}
+	session, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil {
+		return clementinewind.NoSession
+	}
+	return clementinewind.Session(session)
+}
--- /dev/null
+++ b/stand/network.go
@@ -0,0 +1,205 @@
+package stand
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// windowBytes bounds the bytes in flight in one direction of a connection, as socket buffers do.
+const windowBytes = 256 << 10
+
+// LinkFaults are the faults from one host to another. They act on one direction only.
+type LinkFaults struct {
+	// Delay is the time that bytes travel.
+	Delay time.Duration
+	// Cut drops all bytes and refuses new connections after a time-out.
+	Cut bool
+}
+
+// Network connects hosts in memory. A host is named by the IP address of its listeners. It runs in real time and in a
+// testing/synctest bubble.
+type Network struct {
+	mu        sync.Mutex
+	delay     time.Duration
+	faults    map[[2]string]LinkFaults
+	listeners map[string]*listener
+	conns     map[*conn]struct{}
+}
+
+// NewNetwork returns a network in which bytes travel for delay.
+func NewNetwork(delay time.Duration) *Network {
+	return &Network{
+		delay:     delay,
+		faults:    map[[2]string]LinkFaults{},
+		listeners: map[string]*listener{},
+		conns:     map[*conn]struct{}{},
+	}
+}
+
+// SetFaults replaces the faults of the direction from one host to another.
+func (network *Network) SetFaults(from, to string, faults LinkFaults) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	network.faults[[2]string{from, to}] = faults
+}
+
+// Heal removes all faults. Connections that have been silenced stay silent.
+func (network *Network) Heal() {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	clear(network.faults)
+}
+
+// Silence makes the connections that are open between two hosts silent for good, while new ones work.
+func (network *Network) Silence(first, second string) {
+	network.each(first, second, func(conn *conn) { conn.out.silence() })
+}
+
+// Reset breaks the connections that are open between two hosts.
+func (network *Network) Reset(first, second string) {
+	network.each(first, second, func(conn *conn) { conn.Close() })
+}
+
+func (network *Network) each(first, second string, do func(conn *conn)) {
+	network.mu.Lock()
+	var found []*conn
+	for conn := range network.conns {
+		local, remote := conn.local.host(), conn.remote.host()
+		if (local == first && remote == second) || (local == second && remote == first) {
+			found = append(found, conn)
+		}
+	}
+	network.mu.Unlock()
+	for _, conn := range found {
+		do(conn)
+	}
+}
+
+// Listen opens a listener at host:port.
+func (network *Network) Listen(hostport string) (net.Listener, error) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	if network.listeners[hostport] != nil {
+		return nil, errors.Errorf("address %s is in use", hostport)
+	}
+	opened := &listener{network: network, local: addr(hostport), accept: make(chan *conn, 128), done: make(chan struct{})}
+	network.listeners[hostport] = opened
+	return opened, nil
+}
+
+// Dialer returns a function that opens connections from a host.
+func (network *Network) Dialer(host string) func(ctx context.Context, hostport string) (net.Conn, error) {
+	return func(ctx context.Context, hostport string) (net.Conn, error) {
+		return network.dial(ctx, addr(net.JoinHostPort(host, "0")), addr(hostport))
+	}
+}
+
+func (network *Network) dial(ctx context.Context, local, remote addr) (net.Conn, error) {
+	there, back := network.link(local.host(), remote.host()), network.link(remote.host(), local.host())
+	if there.Cut || back.Cut {
+		<-ctx.Done()
+		return nil, errors.Wrapf(ctx.Err(), "dial %s", remote)
+	}
+	if err := sleep(ctx, there.Delay+back.Delay); err != nil {
+		return nil, err
+	}
+	network.mu.Lock()
+	listener := network.listeners[string(remote)]
+	network.mu.Unlock()
+	if listener == nil {
+		return nil, errors.Errorf("dial %s: connection refused", remote)
+	}
+	out, in := newHalf(network, local, remote), newHalf(network, remote, local)
+	client := &conn{network: network, local: local, remote: remote, out: out, in: in}
+	server := &conn{network: network, local: remote, remote: local, out: in, in: out}
+	network.mu.Lock()
+	network.conns[client], network.conns[server] = struct{}{}, struct{}{}
+	network.mu.Unlock()
+	select {
+	case listener.accept <- server:
+		return client, nil
+	case <-listener.done:
+		client.Close()
+		return nil, errors.Errorf("dial %s: connection refused", remote)
+	case <-ctx.Done():
+		client.Close()
+		return nil, ctx.Err()
+	}
+}
+
+// link returns the faults of a direction, with the network's delay added.
+func (network *Network) link(from, to string) LinkFaults {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	faults := network.faults[[2]string{from, to}]
+	faults.Delay += network.delay
+	return faults
+}
+
+func sleep(ctx context.Context, delay time.Duration) error {
+	if delay <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+type addr string
+
+func (addr addr) Network() string { return "tcp" }
+func (addr addr) String() string  { return string(addr) }
+
+func (addr addr) host() string {
+	host, _, err := net.SplitHostPort(string(addr))
+	if err != nil {
+		return string(addr)
+	}
+	return host
+}
+
+type listener struct {
+	network *Network
+	local   addr
+	accept  chan *conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+func (listener *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-listener.accept:
+		return conn, nil
+	case <-listener.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (listener *listener) Close() error {
+	listener.once.Do(func() {
+		close(listener.done)
+		listener.network.mu.Lock()
+		delete(listener.network.listeners, string(listener.local))
+		listener.network.mu.Unlock()
+		for {
+			select {
+			case conn := <-listener.accept:
+				conn.Close()
+			default:
+				return
+			}
+		}
+	})
+	return nil
+}
+
+func (listener *listener) Addr() net.Addr { return listener.local }
