--- /dev/null
+++ b/plog/backoff.go
@@ -0,0 +1,55 @@
+package plog
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	defaultBackoffBase = 50 * time.Millisecond
+	defaultBackoffMax  = 2 * time.Second
+)
+
+// Backoff is the policy of delays between retries: exponential growth from Base to Max with full jitter.
+type Backoff struct {
+	// Base is the upper bound of the first delay; 0 takes 50 ms.
+	Base time.Duration
+	// Max is the upper bound of all delays; 0 takes 2 s.
+	Max time.Duration
+	// Jitter returns a number in [0, 1) that scales a delay; nil takes math/rand/v2.
+	Jitter func() float64
+}
+
+// Delay returns the delay before retry number attempt, counted from 0.
+func (backoff Backoff) Delay(attempt int) time.Duration {
+	base, limit, jitter := backoff.Base, backoff.Max, backoff.Jitter
+	if base <= 0 {
+		base = defaultBackoffBase
+	}
+	if limit <= 0 {
+		limit = defaultBackoffMax
+	}
+	if jitter == nil {
+		jitter = rand.Float64
+	}
+	bound := base
+	for i := 0; i < attempt && bound < limit; i++ {
+		bound *= 2
+	}
+	// A tenth of the bound is always waited, so that retries against a log that fails at once do not spin.
+	bound = min(bound, limit)
+	return bound/10 + time.Duration(jitter()*float64(bound-bound/10))
+}
+
+// Wait waits for Delay(attempt), or until ctx ends and returns its error.
+func (backoff Backoff) Wait(ctx context.Context, attempt int) error {
+	timer := time.NewTimer(backoff.Delay(attempt))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/plog/tail.go
@@ -0,0 +1,123 @@
+package plog
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind"
+)
+
+// defaultTailWait is below the 2 s for which a proof of freshness holds, since a proof dates from the start of a read.
+const defaultTailWait = time.Second
+
+// Freshness is what a successful read of a stream proves: at the time Sent, or later, the tail was at Tail.
+type Freshness struct {
+	// Sent is the local time at which the read was sent.
+	Sent time.Time
+	// Next is the first offset that has not been handed over.
+	Next clementinewind.Offset
+	// Tail is the tail that the read returned.
+	Tail clementinewind.Offset
+}
+
+// AtTail reports whether everything below the tail has been handed over.
+func (freshness Freshness) AtTail() bool {
+	return freshness.Next >= freshness.Tail
+}
+
+// TailConfig configures a Tail.
+type TailConfig struct {
+	Log    clementinewind.Log
+	Stream string
+	// From is the first offset to hand over.
+	From clementinewind.Offset
+	// Limit bounds the records of a batch; 0 takes the default of the log.
+	Limit int
+	// Wait is how long one read waits for new records; 0 takes 1 s.
+	Wait time.Duration
+	// CallTimeout bounds each read, in addition to Wait; 0 takes 2 s.
+	CallTimeout time.Duration
+	// Backoff is the delay after failed reads.
+	Backoff Backoff
+	// Handle takes the records in order; batches are never empty. An error ends Run.
+	Handle func(ctx context.Context, batch clementinewind.LogBatch) error
+	// Fresh is called after every successful read, after Handle; it may be nil.
+	Fresh func(freshness Freshness)
+	// Failed is called after every failed read; it may be nil.
+	Failed func(err error)
+}
+
+// Tail follows one stream.
+type Tail struct {
+	config TailConfig
+}
+
+// NewTail returns a reader that follows a stream while Run runs.
+func NewTail(config TailConfig) *Tail {
+	if config.Wait <= 0 {
+		config.Wait = defaultTailWait
+	}
+	if config.CallTimeout <= 0 {
+		config.CallTimeout = defaultCallTimeout
+	}
+	if config.Fresh == nil {
+		config.Fresh = func(Freshness) {}
+	}
+	if config.Failed == nil {
+		config.Failed = func(error) {}
+	}
+	return &Tail{config: config}
+}
+
+// Run follows the stream until ctx ends, Handle fails, or the next offset is no longer kept; the error then matches
+// clementinewind.ErrTruncated. All other failures are retried.
+func (tail *Tail) Run(ctx context.Context) error {
+	next := tail.config.From
+	for attempt := 0; ; {
+		sent := time.Now()
+		batch, err := tail.read(ctx, next)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			tail.config.Failed(err)
+			if errors.Is(err, clementinewind.ErrTruncated) {
+				return errors.Wrapf(err, "stream %s offset %d", tail.config.Stream, next)
+			}
+			if err := tail.config.Backoff.Wait(ctx, attempt); err != nil {
+				return err
+			}
+			attempt++
+			continue
+		}
+		attempt = 0
+		if len(batch.Records) > 0 {
+			if err := tail.config.Handle(ctx, batch); err != nil {
+				return err
+			}
+			next = batch.Next()
+		}
+		tail.config.Fresh(Freshness{Sent: sent, Next: next, Tail: batch.Tail})
+	}
+}
+
+// read makes one call. A reply that does not continue at next, or whose tail lies below it, comes from a log that is
+// behind; it proves no freshness and counts as a failure.
+func (tail *Tail) read(ctx context.Context, next clementinewind.Offset) (clementinewind.LogBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, tail.config.Wait+tail.config.CallTimeout)
+	defer cancel()
+	batch, err := tail.config.Log.Read(ctx, clementinewind.LogQuery{
+		Stream: tail.config.Stream, From: next, Limit: tail.config.Limit, Wait: tail.config.Wait,
+	})
+	if err != nil {
+		return batch, err
+	}
+	if batch.First != next || batch.Tail < batch.Next() {
+		return batch, errors.Wrapf(clementinewind.ErrLogUnavailable,
+			"stream %s: read from %d returned %d records from %d with tail %d",
+			tail.config.Stream, next, len(batch.Records), batch.First, batch.Tail)
+	}
+	return batch, nil
+}
--- /dev/null
+++ b/plog/tail_test.go
@@ -0,0 +1,126 @@
+package plog_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/plog"
+	"github.com/clementinewind/clementinewind/stand"
+)
+
+// Guards against lost or repeated batches around an outage, and against a proof of freshness dated after the read was
+// sent.
+func TestTailFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := stand.NewLog()
+		add := func(payload string) {
+			_, err := log.Append(t.Context(), "s", []clementinewind.Record{{Writer: 1, Payload: []byte(payload)}})
+			quicktest.Assert(t, err, quicktest.IsNil)
+		}
+		var mu sync.Mutex
+		var got string
+		var fresh plog.Freshness
+		failures := 0
+		state := func() (string, plog.Freshness, int) {
+			synctest.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			return got, fresh, failures
+		}
+		tail := plog.NewTail(plog.TailConfig{
+			Log: log, Stream: "s", Limit: 2, Wait: time.Second,
+			Handle: func(_ context.Context, batch clementinewind.LogBatch) error {
+				mu.Lock()
+				defer mu.Unlock()
+				for _, record := range batch.Records {
+					got += string(record.Payload)
+				}
+				return nil
+			},
+			Fresh: func(freshness plog.Freshness) {
+				mu.Lock()
+				defer mu.Unlock()
+				fresh = freshness
+			},
+			Failed: func(error) {
+				mu.Lock()
+				defer mu.Unlock()
+				failures++
+			},
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { tail.Run(ctx) })
+		defer running.Wait()
+		defer stop()
+		for _, payload := range []string{"a", "b", "c"} {
+			add(payload)
+		}
+		start := time.Now()
+		gotNow, freshNow, _ := state()
+		quicktest.Assert(t, gotNow, quicktest.Equals, "abc")
+		quicktest.Assert(t, freshNow, quicktest.Equals, plog.Freshness{Sent: start, Next: 3, Tail: 3})
+
+		// The read waits for a second at the tail, so its proof is a second old when it arrives.
+		time.Sleep(1500 * time.Millisecond)
+		_, freshNow, _ = state()
+		quicktest.Assert(t, freshNow.Sent, quicktest.Equals, start)
+
+		log.SetFaults(stand.LogFaults{Down: true})
+		time.Sleep(10 * time.Second)
+		_, freshNow, failuresNow := state()
+		quicktest.Assert(t, failuresNow > 0, quicktest.IsTrue)
+		quicktest.Assert(t, time.Since(freshNow.Sent) > 9*time.Second, quicktest.IsTrue)
+		log.SetFaults(stand.LogFaults{})
+		add("d")
+		time.Sleep(5 * time.Second)
+		gotNow, freshNow, _ = state()
+		quicktest.Assert(t, gotNow, quicktest.Equals, "abcd")
+		quicktest.Assert(t, freshNow.AtTail(), quicktest.IsTrue)
+	})
+}
+
+// Guards against a reader that skips records that are no longer kept, or spins on them.
+func TestTailReportsTruncation(t *testing.T) {
+	log := stand.NewLog()
+	for range 3 {
+		_, err := log.Append(t.Context(), "s", []clementinewind.Record{{Writer: 1}})
+		quicktest.Assert(t, err, quicktest.IsNil)
+	}
+	log.Truncate("s", 2)
+	err := plog.NewTail(plog.TailConfig{Log: log, Stream: "s", From: 1}).Run(t.Context())
+	quicktest.Assert(t, errors.Is(err, clementinewind.ErrTruncated), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	oldest, tail, err := plog.Bounds(t.Context(), log, "s")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, []clementinewind.Offset{oldest, tail}, quicktest.DeepEquals, []clementinewind.Offset{2, 3})
+}
+
+// staleLog answers as a replica of a log that is behind.
+type staleLog struct{ clementinewind.Log }
+
+func (staleLog) Read(_ context.Context, query clementinewind.LogQuery) (clementinewind.LogBatch, error) {
+	return clementinewind.LogBatch{First: query.From, Tail: query.From - 1}, nil
+}
+
+// Guards against a proof of freshness from a log that is behind what the reader has already seen.
+func TestTailRejectsStaleReplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var failed error
+		err := plog.NewTail(plog.TailConfig{
+			Log: staleLog{}, Stream: "s", From: 5,
+			Fresh:  func(plog.Freshness) { t.Error("stale reply taken as proof of freshness") },
+			Failed: func(err error) { failed = err },
+		}).Run(ctx)
+		quicktest.Assert(t, err, quicktest.Equals, context.DeadlineExceeded)
+		quicktest.Assert(t, errors.Is(failed, clementinewind.ErrLogUnavailable), quicktest.IsTrue)
+	})
+}
