--- a/stand/log.go
+++ b/stand/log.go
@@ -11,6 +11,10 @@
 // defaultReadLimit is the number of records that a read returns when its query sets no limit.
 const defaultReadLimit = 1000
 
+// maxReadBytes bounds the payloads that a read returns, so that a reply never exceeds what a client takes. A read returns
+// at least one record.
+const maxReadBytes = 4 << 20
+
 // LogFaults are the faults that a Log shows. The zero value is a healthy log.
 type LogFaults struct {
 	// Down makes every append and read fail without effect.
@@ -27,6 +31,8 @@
 	streams map[string]*stream
 	faults  LogFaults
 	appends int64
+	// retention is the age above which records are dropped; 0 keeps all.
+	retention time.Duration
 }
 
 type stream struct {
@@ -40,11 +46,21 @@
 	return &Log{streams: map[string]*stream{}}
 }
 
-// SetFaults replaces the faults that the log shows.
+// SetFaults replaces the faults that the log shows. Reads that wait at the tail notice an outage at once.
 func (log *Log) SetFaults(faults LogFaults) {
 	log.mu.Lock()
 	defer log.mu.Unlock()
 	log.faults = faults
+	for _, stream := range log.streams {
+		stream.notify()
+	}
+}
+
+// SetRetention sets the age above which records are dropped; 0 keeps all.
+func (log *Log) SetRetention(retention time.Duration) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	log.retention = retention
 }
 
 // Appends returns the number of append calls that took effect.
@@ -83,8 +99,7 @@
 		stream.records = append(stream.records, record)
 	}
 	log.appends++
-	close(stream.changed)
-	stream.changed = make(chan struct{})
+	stream.notify()
 	if log.faults.LoseReplies {
 		return 0, clementinewind.ErrLogUnavailable
 	}
@@ -131,7 +146,13 @@
 		limit = defaultReadLimit
 	}
 	rest := stream.records[query.From-stream.oldest:]
-	batch.Records = append(batch.Records, rest[:min(limit, len(rest))]...)
+	size := 0
+	for i, record := range rest[:min(limit, len(rest))] {
+		if size += len(record.Payload); i > 0 && size > maxReadBytes {
+			break
+		}
+		batch.Records = append(batch.Records, record)
+	}
 	return batch, stream.changed, nil
 }
 
@@ -157,9 +178,30 @@
 		found = &stream{changed: make(chan struct{})}
 		log.streams[name] = found
 	}
+	if log.retention > 0 {
+		found.expire(time.Now().Add(-log.retention))
+	}
 	return found
 }
 
+// notify wakes the reads that wait at the tail.
+func (stream *stream) notify() {
+	close(stream.changed)
+	stream.changed = make(chan struct{})
+}
+
+// expire drops the records that are older than before.
+func (stream *stream) expire(before time.Time) {
+	drop := 0
+	for drop < len(stream.records) && stream.records[drop].Time.Before(before) {
+		// Clearing lets the payload be freed before append moves the slice to a new array.
+		stream.records[drop] = clementinewind.Record{}
+		drop++
+	}
+	stream.records = stream.records[drop:]
+	stream.oldest += clementinewind.Offset(drop)
+}
+
 func (stream *stream) tail() clementinewind.Offset {
 	return stream.oldest + clementinewind.Offset(len(stream.records))
 }
