Add metrics and the admin HTTP handler

Cause: operators need to see outcomes, waits, control traffic, freshness and upstream limits, and a rollout needs to know when a router is ready.

Ruled out: the global meter provider and default registry, because many routers run in one process in tests and in the demo; organisations as a label, because 29,000 of them on 350 routers would be ten million series; gauges that are set when something changes, because the series of an upstream would stay after its owner changed.

Change: telem.New returns a Meter with its own registry and provider, typed methods for counters and histograms, and gauges that are read from Config.State at each scrape. Meter.Handler serves /metrics, /healthz, /readyz and, if configured, /debug/pprof/.

The cost of a call has not been measured.

Conclusion: usable by the router.

--- /dev/null
+++ b/telem/telem_test.go
@@ -0,0 +1,110 @@
+package telem_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/telem"
+)
+
+func get(meter *telem.Meter, path string) (int, string) {
+	recorder := httptest.NewRecorder()
+	meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+	return recorder.Code, recorder.Body.String()
+}
+
+func newMeter(t *testing.T, config telem.Config) *telem.Meter {
+	meter, err := telem.New(config)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { quicktest.Check(t, meter.Shutdown(t.Context()), quicktest.IsNil) })
+	return meter
+}
+
+// own returns the lines of the router's own metrics that scrapes of the same state repeat exactly.
+func own(metrics string) string {
+	var lines []string
+	for line := range strings.Lines(metrics) {
+		if strings.HasPrefix(line, "clementinewind_") && !strings.Contains(line, "_bucket{") {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "")
+}
+
+// Guards against metrics that alerts use and that change their name, label or value, against two routers in one process
+// that share counters, and against series of upstreams that are no longer owned.
+func TestMetrics(t *testing.T) {
+	state := telem.State{
+		Version: 41, FreshAge: 250 * time.Millisecond, LogReachable: true, Sessions: 6, EventsOverwritten: 3,
+		DisclosuresLost: 2, CertificateExpires: time.Unix(1_700_000_000, 0),
+		Upstreams: []telem.Upstream{
+			{Upstream: "m1", Pool: "large", State: clementinewind.UpstreamWarm, Limit: 16, Running: 9},
+			{Upstream: "m2", Pool: "large", State: clementinewind.UpstreamCold, Limit: 2, Running: 1},
+		},
+	}
+	meter := newMeter(t, telem.Config{Instance: "a1", Zone: "a", State: func() telem.State { return state }})
+	other := newMeter(t, telem.Config{Instance: "b1", Zone: "b"})
+	other.Tokens("large", 1000)
+	meter.Request("large", clementinewind.OutcomeAnswered, clementinewind.ReasonNone)
+	meter.Request("large", clementinewind.OutcomeNotRun, clementinewind.ReasonQueueFull)
+	meter.Tokens("large", 20)
+	meter.Queued("large", 1)
+	meter.Queued("large", 1)
+	meter.Queued("large", -1)
+	meter.Waited("large", 30*time.Millisecond)
+	meter.FirstToken("large", 1500*time.Millisecond)
+	meter.ControlSent(100)
+	meter.ControlReceived(50)
+	meter.Grant("large", telem.GrantExpired)
+	status, metrics := get(meter, "/metrics")
+	quicktest.Assert(t, status, quicktest.Equals, http.StatusOK)
+	want, err := os.ReadFile("testdata/metrics.txt")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, own(metrics), quicktest.Equals, string(want))
+	quicktest.Assert(t, metrics, quicktest.Contains, `target_info{instance="a1",zone="a"} 1`)
+	quicktest.Assert(t, metrics, quicktest.Contains, `clementinewind_first_token_seconds_bucket{pool="large",le="1.7"} 1`)
+
+	state.Upstreams = state.Upstreams[:1]
+	_, metrics = get(meter, "/metrics")
+	quicktest.Assert(t, strings.Contains(metrics, `upstream="m2"`), quicktest.IsFalse)
+}
+
+// Guards against a router that takes no work and reports ready, against one that is restarted because it is not ready,
+// and against profiles that are served without being configured.
+func TestAdmin(t *testing.T) {
+	var reason error
+	meter := newMeter(t, telem.Config{Ready: func() error { return reason }})
+	open := newMeter(t, telem.Config{Pprof: true})
+	tests := []struct {
+		name   string
+		meter  *telem.Meter
+		path   string
+		reason error
+		status int
+		body   string
+	}{
+		{"ready", meter, "/readyz", nil, http.StatusOK, "ready\n"},
+		{"not ready", meter, "/readyz", errors.New("no state"), http.StatusServiceUnavailable, "not ready: no state\n"},
+		{"healthy while not ready", meter, "/healthz", errors.New("no state"), http.StatusOK, "ok\n"},
+		{"no profiles", meter, "/debug/pprof/", nil, http.StatusNotFound, ""},
+		{"profiles", open, "/debug/pprof/goroutine?debug=1", nil, http.StatusOK, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reason = test.reason
+			status, body := get(test.meter, test.path)
+			quicktest.Assert(t, status, quicktest.Equals, test.status)
+			if test.body != "" {
+				quicktest.Assert(t, body, quicktest.Equals, test.body)
+			}
+		})
+	}
+}
