--- /dev/null
+++ b/auth/auth_test.go
@@ -0,0 +1,243 @@
+package auth_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/auth"
+	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/wire/callerv1/callerv1connect"
+	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/wire/operatorv1/operatorv1connect"
+)
+
+type store struct {
+	access  auth.Access
+	entries map[string]auth.Entry
+}
+
+func (store store) Access() auth.Access { return store.access }
+
+func (store store) Entry(id string) (auth.Entry, bool) {
+	entry, ok := store.entries[id]
+	return entry, ok
+}
+
+// services answer with the names that the interceptors let through.
+type services struct {
+	callerv1connect.UnimplementedCallerServiceHandler
+	operatorv1connect.UnimplementedOperatorServiceHandler
+}
+
+func (services) Locate(_ context.Context, request *connect.Request[callerv1.LocateRequest]) (*connect.Response[callerv1.LocateResponse], error) {
+	return connect.NewResponse(&callerv1.LocateResponse{Addresses: []string{request.Msg.GetOrganisation()}}), nil
+}
+
+func (services) Generate(ctx context.Context, request *connect.Request[callerv1.GenerateRequest], stream *connect.ServerStream[callerv1.AnswerFrame]) error {
+	identity := auth.FromContext(ctx)
+	return stream.Send(&callerv1.AnswerFrame{Tokens: []string{request.Msg.GetOrganisation(), string(identity.Organisation)}})
+}
+
+func (services) SetZone(_ context.Context, request *connect.Request[operatorv1.SetZoneRequest]) (*connect.Response[operatorv1.SetZoneResponse], error) {
+	return connect.NewResponse(&operatorv1.SetZoneResponse{Conflict: request.Msg.GetWho()}), nil
+}
+
+func (services) Status(context.Context, *connect.Request[operatorv1.StatusRequest]) (*connect.Response[operatorv1.StatusResponse], error) {
+	return connect.NewResponse(&operatorv1.StatusResponse{Instance: "a1"}), nil
+}
+
+func (services) Timeline(_ context.Context, request *connect.Request[operatorv1.TimelineRequest]) (*connect.Response[operatorv1.TimelineResponse], error) {
+	return connect.NewResponse(&operatorv1.TimelineResponse{Missing: []string{request.Msg.GetOrganisation()}}), nil
+}
+
+type clients struct {
+	caller   callerv1connect.CallerServiceClient
+	operator operatorv1connect.OperatorServiceClient
+}
+
+func serve(t *testing.T, access auth.Access, entries map[string]auth.Entry, token string) clients {
+	authority := auth.New(auth.Config{Store: store{access, entries}})
+	mux := http.NewServeMux()
+	mux.Handle(callerv1connect.NewCallerServiceHandler(services{}, connect.WithInterceptors(authority.CallerInterceptor())))
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(services{}, connect.WithInterceptors(authority.OperatorInterceptor())))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	option := connect.WithInterceptors(auth.ClientInterceptor(token))
+	return clients{
+		callerv1connect.NewCallerServiceClient(server.Client(), server.URL, option),
+		operatorv1connect.NewOperatorServiceClient(server.Client(), server.URL, option),
+	}
+}
+
+// describe returns the answer, or the error's code and the outcome of its refusal.
+func describe(answer string, err error) string {
+	if err == nil {
+		return answer
+	}
+	var refused *connect.Error
+	if !errors.As(err, &refused) || len(refused.Details()) != 1 {
+		return err.Error()
+	}
+	value, err := refused.Details()[0].Value()
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprint(refused.Code(), " ", value.(*callerv1.Refusal).GetOutcome())
+}
+
+func (clients clients) locate(organisation string) string {
+	response, err := clients.caller.Locate(context.Background(), connect.NewRequest(&callerv1.LocateRequest{Organisation: organisation}))
+	if err != nil {
+		return describe("", err)
+	}
+	return response.Msg.GetAddresses()[0]
+}
+
+func (clients clients) generate(organisation string) string {
+	stream, err := clients.caller.Generate(context.Background(), connect.NewRequest(&callerv1.GenerateRequest{Organisation: organisation}))
+	if err != nil {
+		return describe("", err)
+	}
+	defer stream.Close()
+	if !stream.Receive() {
+		return describe("", stream.Err())
+	}
+	return fmt.Sprint(stream.Msg().GetTokens())
+}
+
+func (clients clients) resume() string {
+	stream, err := clients.caller.Resume(context.Background(), connect.NewRequest(&callerv1.ResumeRequest{Organisation: "okafor"}))
+	if err != nil {
+		return describe("", err)
+	}
+	defer stream.Close()
+	stream.Receive()
+	return describe("resumed", stream.Err())
+}
+
+func (clients clients) call() string {
+	_, err := clients.caller.Call(context.Background(), connect.NewRequest(&callerv1.CallRequest{Organisation: "okafor", IdempotencyKey: "k"}))
+	return describe("called", err)
+}
+
+func (clients clients) zone(who string) string {
+	response, err := clients.operator.SetZone(context.Background(), connect.NewRequest(&operatorv1.SetZoneRequest{Who: who}))
+	if err != nil {
+		return describe("", err)
+	}
+	return response.Msg.GetConflict()
+}
+
+func (clients clients) status() string {
+	_, err := clients.operator.Status(context.Background(), connect.NewRequest(&operatorv1.StatusRequest{}))
+	return describe("status", err)
+}
+
+func (clients clients) timeline(organisation string) string {
+	response, err := clients.operator.Timeline(context.Background(), connect.NewRequest(&operatorv1.TimelineRequest{Organisation: organisation}))
+	if err != nil {
+		return describe("", err)
+	}
+	return response.Msg.GetMissing()[0]
+}
+
+// Guards against an organisation that acts or reads in the name of another, an edit without the name of its operator,
+// access without a valid token, and a refusal that says "not run" of a key or an answer that may have run earlier.
+func TestRights(t *testing.T) {
+	patel, sato, wrong, both := auth.NewToken(), auth.NewToken(), auth.NewToken(), auth.NewToken()
+	entries := map[string]auth.Entry{
+		patel.ID: {Hash: patel.Hash(), Organisation: "patel"},
+		sato.ID:  {Hash: sato.Hash(), Operator: "sato"},
+		wrong.ID: {Hash: patel.Hash(), Organisation: "patel"},
+		both.ID:  {Hash: both.Hash(), Organisation: "patel", Operator: "sato"},
+	}
+	const (
+		unauthenticated = "unauthenticated OUTCOME_NOT_RUN"
+		denied          = "permission_denied OUTCOME_NOT_RUN"
+		pending         = "unavailable OUTCOME_NOT_RUN"
+	)
+	tests := map[string]struct {
+		access auth.Access
+		token  string
+		// locate and generate of patel, of okafor, and of no organisation
+		own, other, empty string
+		resume, call      string
+		// an edit as sato and as mori
+		sato, mori       string
+		status, timeline string
+	}{
+		"organisation": {
+			auth.AccessTokens, patel.Reveal(), "patel", denied, "patel", "permission_denied OUTCOME_UNKNOWN",
+			"permission_denied OUTCOME_UNKNOWN", denied, denied, denied, "patel",
+		},
+		"operator": {
+			auth.AccessTokens, sato.Reveal(), denied, denied, denied, "permission_denied OUTCOME_UNKNOWN",
+			"permission_denied OUTCOME_UNKNOWN", "sato", denied, "status", "patel",
+		},
+		"open":    {auth.AccessOpen, "", "patel", "okafor", "", "unimplemented", "unimplemented", "sato", "mori", "status", "patel"},
+		"pending": {auth.AccessPending, sato.Reveal(), pending, pending, pending, "unavailable OUTCOME_UNKNOWN", "unavailable OUTCOME_UNKNOWN", pending, pending, pending, pending},
+	}
+	for name, token := range map[string]string{
+		"no token": "", "malformed": "cw_1_2", "other secret": wrong.Reveal(), "unknown": auth.NewToken().Reveal(), "two holders": both.Reveal(),
+	} {
+		test := tests["pending"]
+		test.access, test.token = auth.AccessTokens, token
+		for _, field := range []*string{&test.own, &test.other, &test.empty, &test.sato, &test.mori, &test.status, &test.timeline} {
+			*field = unauthenticated
+		}
+		test.resume, test.call = "unauthenticated OUTCOME_UNKNOWN", "unauthenticated OUTCOME_UNKNOWN"
+		tests[name] = test
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			clients := serve(t, test.access, entries, test.token)
+			for organisation, want := range map[string]string{"patel": test.own, "okafor": test.other, "": test.empty} {
+				quicktest.Check(t, clients.locate(organisation), quicktest.Equals, want)
+				if want == organisation || want == "patel" {
+					identity := clementinewind.Organisation("")
+					if test.access == auth.AccessTokens {
+						identity = "patel"
+					}
+					want = fmt.Sprint([]string{want, string(identity)})
+				}
+				quicktest.Check(t, clients.generate(organisation), quicktest.Equals, want)
+			}
+			quicktest.Check(t, clients.resume(), quicktest.Contains, test.resume)
+			quicktest.Check(t, clients.call(), quicktest.Contains, test.call)
+			quicktest.Check(t, clients.zone("sato"), quicktest.Equals, test.sato)
+			quicktest.Check(t, clients.zone("mori"), quicktest.Equals, test.mori)
+			quicktest.Check(t, clients.status(), quicktest.Equals, test.status)
+			quicktest.Check(t, clients.timeline("patel"), quicktest.Equals, test.timeline)
+		})
+	}
+}
+
+// Guards against a secret in a log, a token that its holder cannot use, and a start with open access that nobody sees.
+func TestToken(t *testing.T) {
+	token := auth.NewToken()
+	parsed, err := auth.ParseToken(token.Reveal())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, parsed, quicktest.Equals, token)
+	hash, err := auth.ParseHash(token.Hash().String())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, hash, quicktest.Equals, token.Hash())
+	printed := fmt.Sprintf("%v %s %#v %+v", token, token, token, struct{ Token auth.Token }{token})
+	quicktest.Assert(t, printed, quicktest.Equals, fmt.Sprintf("%[1]s %[1]s %[1]s {Token:%[1]s}", "cw_"+token.ID+"_..."))
+
+	var output bytes.Buffer
+	logger := hclog.New(&hclog.LoggerOptions{Output: &output})
+	auth.New(auth.Config{Store: store{access: auth.AccessTokens}, Logger: logger}).Warn()
+	quicktest.Assert(t, output.String(), quicktest.Equals, "")
+	auth.New(auth.Config{Store: store{access: auth.AccessOpen}, Logger: logger}).Warn()
+	quicktest.Assert(t, output.String(), quicktest.Contains, "[WARN]  OpenAccess")
+}
--- /dev/null
+++ b/auth/authority.go
@@ -0,0 +1,144 @@
+package auth
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/wire/callerv1"
+)
+
+// Access tells whether tokens are needed.
+type Access int
+
+//go:generate stringer -type Access -trimprefix Access -output access_string.go
+
+const (
+	// AccessPending means that the settings are not known yet. Every request is refused, because a router that starts
+	// without state must not be open in the meantime. It is the zero value.
+	AccessPending Access = iota
+	// AccessOpen means that no token is configured: everyone may do everything.
+	AccessOpen
+	// AccessTokens means that every request needs a token.
+	AccessTokens
+)
+
+// Entry is the holder of a token as the settings tree names it: an organisation or an operator, not both.
+type Entry struct {
+	Hash         Hash
+	Organisation clementinewind.Organisation
+	Operator     string
+}
+
+// Store looks up tokens in the current settings. Its methods may be called by many goroutines.
+type Store interface {
+	Access() Access
+	// Entry returns the entry of a token id.
+	Entry(id string) (Entry, bool)
+}
+
+// Identity is who sent a request. The zero value is anyone, under open access.
+type Identity struct {
+	Organisation clementinewind.Organisation
+	Operator     string
+}
+
+type identityKey struct{}
+
+// WithIdentity returns a context that carries an identity.
+func WithIdentity(ctx context.Context, identity Identity) context.Context {
+	return context.WithValue(ctx, identityKey{}, identity)
+}
+
+// FromContext returns the identity that an interceptor found, or the zero value.
+func FromContext(ctx context.Context) Identity {
+	identity, _ := ctx.Value(identityKey{}).(Identity)
+	return identity
+}
+
+// Config configures an Authority.
+type Config struct {
+	Store Store
+	// Logger gets the warning about open access; nil writes nothing.
+	Logger hclog.Logger
+}
+
+// Authority checks tokens against the current settings.
+type Authority struct {
+	store  Store
+	logger hclog.Logger
+}
+
+// New returns an authority.
+func New(config Config) *Authority {
+	if config.Logger == nil {
+		config.Logger = hclog.NewNullLogger()
+	}
+	return &Authority{store: config.Store, logger: config.Logger}
+}
+
+// Warn logs a warning if access is open. The router calls it when it has loaded the settings.
+func (authority *Authority) Warn() {
+	if authority.store.Access() == AccessOpen {
+		authority.logger.Warn("OpenAccess", "Detail",
+			"no tokens are configured: everyone who reaches this router may send requests and change settings")
+	}
+}
+
+// identify returns the identity of the token in a header.
+func (authority *Authority) identify(header http.Header) (Identity, error) {
+	switch authority.store.Access() {
+	case AccessOpen:
+		return Identity{}, nil
+	case AccessTokens:
+	default:
+		return Identity{}, refuse(connect.CodeUnavailable, "the router has not loaded its settings yet")
+	}
+	text, found := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
+	if !found {
+		return Identity{}, refuse(connect.CodeUnauthenticated, "send a token in the header 'Authorization: Bearer TOKEN'")
+	}
+	token, err := ParseToken(text)
+	if err != nil {
+		return Identity{}, refuse(connect.CodeUnauthenticated, err.Error())
+	}
+	// An unknown id is compared with the zero hash, so that the time does not tell whether an id exists.
+	entry, found := authority.store.Entry(token.ID)
+	hash := token.Hash()
+	equal := subtle.ConstantTimeCompare(hash[:], entry.Hash[:]) == 1
+	if !equal || !found {
+		return Identity{}, refuse(connect.CodeUnauthenticated, "the token is not valid or has been revoked")
+	}
+	if (entry.Organisation == "") == (entry.Operator == "") {
+		return Identity{}, refuse(connect.CodeUnauthenticated,
+			"the settings of this token must name either an organisation or an operator")
+	}
+	return Identity{Organisation: entry.Organisation, Operator: entry.Operator}, nil
+}
+
+// refuse returns an error that carries a callerv1.Refusal: nothing was run.
+func refuse(code connect.Code, detail string) *connect.Error {
+	return refuseAt(clementinewind.ProgressQueued, code, detail)
+}
+
+func refuseAt(progress clementinewind.Progress, code connect.Code, detail string) *connect.Error {
+	reason := clementinewind.ReasonUnauthorized
+	if code == connect.CodeUnavailable {
+		reason = clementinewind.ReasonStale
+	}
+	refusal := clementinewind.NewRefusal(progress, reason, detail)
+	message := &callerv1.Refusal{Outcome: callerv1.Outcome_OUTCOME_UNKNOWN, Reason: reason.String(), Detail: detail}
+	if refusal.Outcome == clementinewind.OutcomeNotRun {
+		message.Outcome = callerv1.Outcome_OUTCOME_NOT_RUN
+	}
+	refused := connect.NewError(code, refusal)
+	if errorDetail, err := connect.NewErrorDetail(message); err == nil {
+		refused.AddDetail(errorDetail)
+	}
+	return refused
+}
