--- /dev/null
+++ b/state/view.go
@@ -0,0 +1,115 @@
+package state
+
+import (
+	"slices"
+	"time"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/tree"
+	"github.com/clementinewind/clementinewind/wire/operatorv1"
+)
+
+// View is an immutable snapshot of a replica. Its slices must not be changed.
+type View struct {
+	Tree tree.Tree
+	// Version is the first control offset that the view does not include. It never falls.
+	Version clementinewind.Offset
+	// MembershipOffset is the offset of the newest session record, or -1 before the first one.
+	MembershipOffset clementinewind.Offset
+	// Sessions are the live sessions in the order in which they were opened.
+	Sessions []Session
+	// Ended are the sessions that ended recently, in order. It starts empty after a restore.
+	Ended []Ended
+	// Edits are the newest edits, oldest first.
+	Edits []Edit
+}
+
+// Session is a live session.
+type Session struct {
+	ID            clementinewind.Session
+	Instance      clementinewind.Instance
+	Zone          clementinewind.Zone
+	PeerAddress   string
+	CallerAddress string
+}
+
+// Ended is a session that is no longer live.
+type Ended struct {
+	Session Session
+	// Offset is that of the record that ended the session.
+	Offset clementinewind.Offset
+	// Closed tells a session that closed itself, after its last send, from one that another router expired.
+	Closed bool
+}
+
+// Edit is an edit of the settings as the history tells it.
+type Edit struct {
+	// Version is the version of the tree with this record applied: the offset of the record plus one.
+	Version clementinewind.Offset
+	Time    time.Time
+	Who     string
+	Why     string
+	Changes []tree.Change
+	// Accepted reports whether the edit took effect. Conflict tells why it did not.
+	Accepted bool
+	Conflict string
+}
+
+// Session returns a live session.
+func (view View) Session(id clementinewind.Session) (Session, bool) {
+	index, ok := slices.BinarySearchFunc(view.Sessions, id, Session.compare)
+	if !ok {
+		return Session{}, false
+	}
+	return view.Sessions[index], true
+}
+
+func (session Session) compare(id clementinewind.Session) int { return int(session.ID - id) }
+
+// History returns up to limit edits that touch a section or one below it, newest first. An empty section selects all
+// edits, and a limit of 0 sets no limit.
+func (view View) History(section string, limit int) []Edit {
+	var edits []Edit
+	for _, edit := range slices.Backward(view.Edits) {
+		if limit > 0 && len(edits) == limit {
+			break
+		}
+		if section == "" || slices.ContainsFunc(edit.Changes, func(change tree.Change) bool {
+			return tree.Within(change.Section, section) || change.Key == "" && tree.Within(section, change.Section)
+		}) {
+			edits = append(edits, edit)
+		}
+	}
+	return edits
+}
+
+// edit returns the edit at an offset, if the history still has it.
+func (view View) edit(offset clementinewind.Offset) (Edit, bool) {
+	index, ok := slices.BinarySearchFunc(view.Edits, offset+1, func(edit Edit, version clementinewind.Offset) int {
+		return int(edit.Version - version)
+	})
+	if !ok {
+		return Edit{}, false
+	}
+	return view.Edits[index], true
+}
+
+// ChangesOf returns the changes that messages describe.
+func ChangesOf(messages []*operatorv1.Change) []tree.Change {
+	changes := make([]tree.Change, len(messages))
+	for i, message := range messages {
+		changes[i] = tree.Change{
+			Section: message.GetSection(), Key: message.GetKey(), Value: message.GetValue(), Unset: message.GetUnset(),
+		}
+	}
+	return changes
+}
+
+// ChangeMessages returns the messages that describe changes.
+func ChangeMessages(changes []tree.Change) []*operatorv1.Change {
+	messages := make([]*operatorv1.Change, len(changes))
+	for i, change := range changes {
+		messages[i] = &operatorv1.Change{Section: change.Section, Key: change.Key, Value: change.Value, Unset: change.Unset}
+	}
+	return messages
+}
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -321,3 +321,9 @@
 }
 
 func depthOfPath(path string) int { return strings.Count(path, separator) + 1 }
+
+// Parent returns the section above a path, or an empty string for a top section.
+func Parent(path string) string {
+	parent, _ := parentOf(path)
+	return parent
+}
