Use the log client's dedup in the replica

Cause: two rules for repeated records of one stream would let readers disagree.

Ruled out: mending the own rule; the log client has it tested.

Change: state uses plog.Dedup, plog.Bounds and plog.Freshness. Original and Find are gone, because plog.Writer already returns the offset of the first copy.

Conclusion: tests with -race and lint pass; without Accept, Restore of the writers or Bounds a test fails.

--- a/state/replica.go
+++ b/state/replica.go
@@ -11,20 +11,16 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/plog"
 	"github.com/clementinewind/clementinewind/wire/recordv1"
 )
 
 const (
-	// writerLifetime is how long the sequence number of a writer is kept after its last record. A writer retries for far
-	// less than a day.
-	writerLifetime = 24 * time.Hour
 	// maxEdits and maxChanges bound the history. The newest edit is kept whatever its size.
 	maxEdits   = 2000
 	maxChanges = 20_000
 	// maxEnded is more than the sessions that end while one reader of the view is between two looks.
 	maxEnded = 1024
-	// maxRecent bounds the pairs of writer and sequence for which the offset is known.
-	maxRecent = 4096
 	// pruneInterval is the number of records between two removals of versions that are no longer needed.
 	pruneInterval = 1000
 )
@@ -58,12 +54,6 @@
 	Conflict string
 }
 
-// Proof shows that the end of the control stream was at Tail at some time not before Sent, by the local clock.
-type Proof struct {
-	Sent time.Time
-	Tail clementinewind.Offset
-}
-
 // Replica applies the control stream. It may be used by many goroutines.
 type Replica struct {
 	observe func(Applied)
@@ -72,36 +62,7 @@
 	mu       sync.Mutex
 	changed  chan struct{}
 	versions versions
-	writers  map[uint64]writer
-	// clock is the highest time of a record so far, in milliseconds; it decides when a writer is forgotten.
-	clock  int64
-	recent offsets[pair]
-	copies offsets[clementinewind.Offset]
-}
-
-type writer struct {
-	sequence uint64
-	millis   int64
-}
-
-type pair struct{ writer, sequence uint64 }
-
-// offsets remembers the offsets of the newest keys.
-type offsets[K comparable] struct {
-	found map[K]clementinewind.Offset
-	order []K
-}
-
-func (offsets *offsets[K]) put(key K, offset clementinewind.Offset) {
-	if offsets.found == nil {
-		offsets.found = map[K]clementinewind.Offset{}
-	}
-	if len(offsets.order) == maxRecent {
-		delete(offsets.found, offsets.order[0])
-		offsets.order = offsets.order[1:]
-	}
-	offsets.found[key] = offset
-	offsets.order = append(offsets.order, key)
+	dedup    *plog.Dedup
 }
 
 // New returns a replica at version 0.
@@ -110,7 +71,7 @@
 		observe:  config.Observe,
 		changed:  make(chan struct{}),
 		versions: versions{},
-		writers:  map[uint64]writer{},
+		dedup:    plog.NewDedup(0),
 	}
 	if replica.observe == nil {
 		replica.observe = func(Applied) {}
@@ -129,48 +90,29 @@
 	return replica.changed
 }
 
-// Result returns the verdict on the edit at an offset. It is not known for an offset that the replica has not applied,
+// Result returns the verdict on the edit at the offset at which it first took effect. It is not known for an offset that the replica has not applied,
 // that holds no edit, or that the history no longer has.
 func (replica *Replica) Result(offset clementinewind.Offset) (Result, bool) {
-	edit, ok := replica.View().edit(replica.Original(offset))
+	edit, ok := replica.View().edit(offset)
 	if !ok {
 		return Result{}, false
 	}
 	return Result{Version: edit.Version, Accepted: edit.Accepted, Conflict: edit.Conflict}, true
 }
 
-// Original returns the offset at which a record took effect. It differs from offset for a record that was appended again
-// after a lost reply.
-func (replica *Replica) Original(offset clementinewind.Offset) clementinewind.Offset {
-	replica.mu.Lock()
-	defer replica.mu.Unlock()
-	if original, ok := replica.copies.found[offset]; ok {
-		return original
-	}
-	return offset
-}
-
-// Find returns the offset at which a recent record of a writer took effect.
-func (replica *Replica) Find(writer, sequence uint64) (clementinewind.Offset, bool) {
-	replica.mu.Lock()
-	defer replica.mu.Unlock()
-	offset, ok := replica.recent.found[pair{writer, sequence}]
-	return offset, ok
-}
-
-// Read reads one batch of the control stream, applies it, and returns the proof that the read gives.
-func (replica *Replica) Read(ctx context.Context, log clementinewind.Log, wait time.Duration) (Proof, error) {
+// Read reads one batch of the control stream, applies it, and returns what the read proves.
+func (replica *Replica) Read(ctx context.Context, log clementinewind.Log, wait time.Duration) (plog.Freshness, error) {
 	sent := time.Now()
 	batch, err := log.Read(ctx, clementinewind.LogQuery{
 		Stream: clementinewind.ControlStream, From: replica.View().Version, Wait: wait,
 	})
 	if err != nil {
-		return Proof{}, err
+		return plog.Freshness{}, err
 	}
 	if err := replica.Apply(batch); err != nil {
-		return Proof{}, err
+		return plog.Freshness{}, err
 	}
-	return Proof{Sent: sent, Tail: batch.Tail}, nil
+	return plog.Freshness{Sent: sent, Next: replica.View().Version, Tail: batch.Tail}, nil
 }
 
 // Apply applies a batch of the control stream. It skips records below its version.
@@ -189,7 +131,6 @@
 		view.Version++
 		if view.Version%pruneInterval == 0 {
 			replica.versions.prune(view.Version)
-			replica.forgetWriters()
 		}
 	}
 	replica.publish(&view)
@@ -205,8 +146,7 @@
 // apply applies the record at view.Version.
 func (replica *Replica) apply(view *View, record clementinewind.Record) {
 	offset := view.Version
-	replica.clock = max(replica.clock, record.Time.UnixMilli())
-	if replica.repeated(record, offset) {
+	if !replica.dedup.Accept(record) {
 		return
 	}
 	var message recordv1.ControlRecord
@@ -231,32 +171,6 @@
 	replica.observe(applied)
 }
 
-// repeated reports whether the record was applied before, and notes it otherwise.
-func (replica *Replica) repeated(record clementinewind.Record, offset clementinewind.Offset) bool {
-	known, ok := replica.writers[record.Writer]
-	if ok && !replica.forgotten(known) && record.Sequence <= known.sequence {
-		if original, ok := replica.recent.found[pair{record.Writer, record.Sequence}]; ok {
-			replica.copies.put(offset, original)
-		}
-		return true
-	}
-	replica.writers[record.Writer] = writer{sequence: record.Sequence, millis: replica.clock}
-	replica.recent.put(pair{record.Writer, record.Sequence}, offset)
-	return false
-}
-
-func (replica *Replica) forgotten(writer writer) bool {
-	return replica.clock-writer.millis > writerLifetime.Milliseconds()
-}
-
-func (replica *Replica) forgetWriters() {
-	for id, writer := range replica.writers {
-		if replica.forgotten(writer) {
-			delete(replica.writers, id)
-		}
-	}
-}
-
 func (replica *Replica) applyEdit(view *View, message *recordv1.Edit, when time.Time) string {
 	edit := Edit{
 		Version: view.Version + 1,
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/plog"
 	"github.com/clementinewind/clementinewind/tree"
 	"github.com/clementinewind/clementinewind/wire/operatorv1"
 	"github.com/clementinewind/clementinewind/wire/recordv1"
@@ -37,8 +38,9 @@
 	replica.mu.Lock()
 	view := replica.View()
 	replica.versions.prune(view.Version)
-	replica.forgetWriters()
-	snapshot := &recordv1.StateSnapshot{Covers: int64(view.Version), MembershipOffset: int64(view.MembershipOffset)}
+	snapshot := &recordv1.StateSnapshot{
+		Covers: int64(view.Version), MembershipOffset: int64(view.MembershipOffset), Writers: replica.dedup.Export(),
+	}
 	for section, keys := range replica.versions {
 		for _, version := range keys {
 			snapshot.KeyVersions = append(snapshot.KeyVersions, &recordv1.KeyVersion{
@@ -46,20 +48,12 @@
 			})
 		}
 	}
-	for id, writer := range replica.writers {
-		snapshot.Writers = append(snapshot.Writers, &recordv1.WriterSequence{
-			Writer: id, Sequence: writer.sequence, TimeMillis: writer.millis,
-		})
-	}
 	replica.mu.Unlock()
 
-	// Maps have no order, and equal replicas must give equal snapshots.
+	// A map has no order, and equal replicas must give equal snapshots.
 	slices.SortFunc(snapshot.KeyVersions, func(a, b *recordv1.KeyVersion) int {
 		return cmp.Or(cmp.Compare(a.GetSection(), b.GetSection()), cmp.Compare(a.GetKey(), b.GetKey()))
 	})
-	slices.SortFunc(snapshot.Writers, func(a, b *recordv1.WriterSequence) int {
-		return cmp.Compare(a.GetWriter(), b.GetWriter())
-	})
 	snapshot.Settings = view.Tree.Text()
 	for _, session := range view.Sessions {
 		snapshot.Sessions = append(snapshot.Sessions, &recordv1.SnapshotSession{
@@ -101,18 +95,15 @@
 	for _, version := range snapshot.GetKeyVersions() {
 		versions.set(version.GetSection(), version.GetKey(), clementinewind.Offset(version.GetVersion()))
 	}
-	writers, clock := map[uint64]writer{}, int64(0)
-	for _, sequence := range snapshot.GetWriters() {
-		writers[sequence.GetWriter()] = writer{sequence: sequence.GetSequence(), millis: sequence.GetTimeMillis()}
-		clock = max(clock, sequence.GetTimeMillis())
-	}
+	dedup := plog.NewDedup(0)
+	dedup.Restore(snapshot.GetWriters())
 
 	replica.mu.Lock()
 	defer replica.mu.Unlock()
 	if current := replica.View().Version; view.Version <= current {
 		return errors.Wrapf(ErrNotNewer, "snapshot covers %d, replica is at %d", view.Version, current)
 	}
-	replica.versions, replica.writers, replica.clock = versions, writers, clock
+	replica.versions, replica.dedup = versions, dedup
 	replica.publish(view)
 	return nil
 }
@@ -164,13 +155,13 @@
 func ReadSnapshot(ctx context.Context, log clementinewind.Log) (*recordv1.StateSnapshot, error) {
 	partials := map[uint64]*partial{}
 	var newest *recordv1.StateSnapshot
-	query := clementinewind.LogQuery{Stream: clementinewind.SnapshotStream}
+	oldest, _, err := plog.Bounds(ctx, log, clementinewind.SnapshotStream)
+	if err != nil {
+		return nil, errors.Wrap(err, "read snapshots")
+	}
+	query := clementinewind.LogQuery{Stream: clementinewind.SnapshotStream, From: oldest}
 	for {
 		batch, err := log.Read(ctx, query)
-		if errors.Is(err, clementinewind.ErrTruncated) && batch.Oldest > query.From {
-			query.From = batch.Oldest
-			continue
-		}
 		if err != nil {
 			return nil, errors.Wrap(err, "read snapshots")
 		}
@@ -231,24 +222,24 @@
 
 // Load brings a replica to the end of the control stream, from the newest snapshot if one is newer than the replica. It
 // also serves a replica that fell behind the oldest record that the log keeps.
-func Load(ctx context.Context, log clementinewind.Log, replica *Replica) (Proof, error) {
+func Load(ctx context.Context, log clementinewind.Log, replica *Replica) (plog.Freshness, error) {
 	snapshot, err := ReadSnapshot(ctx, log)
 	switch {
 	case errors.Is(err, ErrNoSnapshot):
 	case err != nil:
-		return Proof{}, err
+		return plog.Freshness{}, err
 	default:
 		if err := replica.Restore(snapshot); err != nil && !errors.Is(err, ErrNotNewer) {
-			return Proof{}, err
+			return plog.Freshness{}, err
 		}
 	}
 	for {
-		proof, err := replica.Read(ctx, log, 0)
+		freshness, err := replica.Read(ctx, log, 0)
 		if err != nil {
-			return Proof{}, errors.Wrap(err, "read control stream")
+			return plog.Freshness{}, errors.Wrap(err, "read control stream")
 		}
-		if replica.View().Version >= proof.Tail {
-			return proof, nil
+		if freshness.AtTail() {
+			return freshness, nil
 		}
 	}
 }
