Add the dispatch step over net/http

Cause: an outcome of "not run" is only true if nothing was written to an upstream connection, and net/http neither says when it writes nor promises to write a request once.

Ruled out: httptrace alone. GotConn runs before the write, but the transport's write goroutine may write after RoundTrip has returned for an ended context, so a failure before WroteHeaders would not prove "not run".

Change: package send. The first Write runs the dispatch step; a Write on a second connection, after the ticket was revoked, or without a ticket is refused.

--- /dev/null
+++ b/send/ticket.go
@@ -0,0 +1,78 @@
+package send
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	errSecondSend = errors.New("request was already written to another connection")
+	errRevoked    = errors.New("request was given up before it was written")
+	errNoTicket   = errors.New("no request may be written to this connection")
+)
+
+// ticket is the right to write one request to one connection.
+type ticket struct {
+	mu       sync.Mutex
+	dispatch func() error
+	// cancel ends the request's context when dispatch fails, so that the transport does not try further connections.
+	cancel func(error)
+	conn   *conn
+	err    error
+}
+
+// admit runs the dispatch step on the first call and ties the ticket to that connection.
+func (ticket *ticket) admit(conn *conn) error {
+	ticket.mu.Lock()
+	defer ticket.mu.Unlock()
+	switch {
+	case ticket.conn == conn:
+		return nil
+	case ticket.conn != nil:
+		return errSecondSend
+	case ticket.err != nil:
+		return ticket.err
+	}
+	if ticket.dispatch != nil {
+		if err := ticket.dispatch(); err != nil {
+			ticket.err = err
+			ticket.cancel(err)
+			return err
+		}
+	}
+	ticket.conn = conn
+	return nil
+}
+
+// revoke reports whether the request was dispatched, and prevents that it is dispatched later: the transport's write
+// goroutine can still be about to write when the call that waits for it returns.
+func (ticket *ticket) revoke() (dispatched bool, refused error) {
+	ticket.mu.Lock()
+	defer ticket.mu.Unlock()
+	refused = ticket.err
+	if ticket.conn == nil && ticket.err == nil {
+		ticket.err = errRevoked
+	}
+	return ticket.conn != nil, refused
+}
+
+// conn refuses every write that no ticket covers.
+type conn struct {
+	net.Conn
+	ticket atomic.Pointer[ticket]
+}
+
+// Write runs the dispatch step before the first byte of a request.
+func (conn *conn) Write(data []byte) (int, error) {
+	ticket := conn.ticket.Load()
+	if ticket == nil {
+		return 0, errNoTicket
+	}
+	if err := ticket.admit(conn); err != nil {
+		return 0, err
+	}
+	return conn.Conn.Write(data)
+}
