--- /dev/null
+++ b/infer/doc.go
@@ -0,0 +1,2 @@
+// Package infer is the client of model engines: it starts, resumes and cancels streamed completions over net/http.
+package infer
--- /dev/null
+++ b/stand/http.go
@@ -0,0 +1,27 @@
+package stand
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/clementinewind/clementinewind/send"
+)
+
+// reset breaks the connection of a request. TCP peers get a reset instead of an orderly end.
+func reset(writer http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
+// refuse answers that the request has not run and will not run.
+func refuse(writer http.ResponseWriter, status int, detail string) {
+	writer.Header().Set(send.HeaderNotRun, "true")
+	writer.Header().Set("Retry-After", "1")
+	http.Error(writer, detail, status)
+}
--- /dev/null
+++ b/stand/network.go
@@ -0,0 +1,189 @@
+package stand
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// ConnectionFault is a fault of one connection of a Network. Its byte counts are as seen by the side that dials.
+type ConnectionFault struct {
+	// Refuse fails the dial.
+	Refuse bool
+	// ResetAfterWritten and ResetAfterRead close the connection once so many bytes have passed; 0 never.
+	ResetAfterWritten, ResetAfterRead int
+	// SilentAfterWritten and SilentAfterRead drop all further bytes once so many have passed, and keep the connection
+	// open; 0 never.
+	SilentAfterWritten, SilentAfterRead int
+}
+
+// Network connects dialers and listeners in memory, so that they can run in virtual time.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+	faults    []ConnectionFault
+	dials     int
+}
+
+// NewNetwork returns a Network without listeners.
+func NewNetwork() *Network {
+	return &Network{listeners: map[string]*memoryListener{}}
+}
+
+// Inject adds faults; each dial takes the oldest one. A zero fault leaves its connection healthy.
+func (network *Network) Inject(faults ...ConnectionFault) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	network.faults = append(network.faults, faults...)
+}
+
+// Dials returns the number of dials.
+func (network *Network) Dials() int {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	return network.dials
+}
+
+// Listen returns a listener on an address.
+func (network *Network) Listen(address string) net.Listener {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	listener := &memoryListener{address: memoryAddress(address), accepted: make(chan net.Conn), closed: make(chan struct{})}
+	network.listeners[address] = listener
+	return listener
+}
+
+// Dial connects to the listener on an address.
+func (network *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	network.mu.Lock()
+	listener := network.listeners[address]
+	var fault ConnectionFault
+	if len(network.faults) > 0 {
+		fault, network.faults = network.faults[0], network.faults[1:]
+	}
+	network.dials++
+	network.mu.Unlock()
+	if listener == nil || fault.Refuse {
+		return nil, errors.Errorf("dial %s: connection refused", address)
+	}
+	near, far := net.Pipe()
+	select {
+	case listener.accepted <- far:
+		return &faultyConn{Conn: near, fault: fault, closed: make(chan struct{})}, nil
+	case <-listener.closed:
+		return nil, errors.Errorf("dial %s: connection refused", address)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type memoryAddress string
+
+// Network returns the name of the network.
+func (memoryAddress) Network() string { return "memory" }
+
+// String returns the address.
+func (address memoryAddress) String() string { return string(address) }
+
+type memoryListener struct {
+	address  memoryAddress
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Accept waits for the next dial.
+func (listener *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-listener.accepted:
+		return conn, nil
+	case <-listener.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close refuses further dials.
+func (listener *memoryListener) Close() error {
+	listener.once.Do(func() { close(listener.closed) })
+	return nil
+}
+
+// Addr returns the address.
+func (listener *memoryListener) Addr() net.Addr { return listener.address }
+
+// faultyConn is the dialling side of a connection with its fault.
+type faultyConn struct {
+	net.Conn
+	fault  ConnectionFault
+	closed chan struct{}
+	once   sync.Once
+
+	mu            sync.Mutex
+	written, read int
+	silent        bool
+}
+
+// Write passes data on until the fault acts.
+func (conn *faultyConn) Write(data []byte) (int, error) {
+	reset, silent := conn.fault.ResetAfterWritten, conn.fault.SilentAfterWritten
+	if reset > 0 && conn.written+len(data) >= reset {
+		count, _ := conn.Conn.Write(data[:max(reset-conn.written, 0)])
+		conn.Close()
+		return count, errors.New("connection reset")
+	}
+	if conn.muted() {
+		return len(data), nil
+	}
+	if silent > 0 && conn.written+len(data) >= silent {
+		// The sender's kernel takes the bytes although the peer never gets them.
+		_, err := conn.Conn.Write(data[:max(silent-conn.written, 0)])
+		conn.mute()
+		return len(data), err
+	}
+	count, err := conn.Conn.Write(data)
+	conn.written += count
+	return count, err
+}
+
+// Read returns data until the fault acts.
+func (conn *faultyConn) Read(data []byte) (int, error) {
+	reset, silent := conn.fault.ResetAfterRead, conn.fault.SilentAfterRead
+	switch {
+	case reset > 0 && conn.read >= reset:
+		conn.Close()
+		return 0, errors.New("connection reset")
+	case silent > 0 && conn.read >= silent:
+		conn.mute()
+	case reset > 0:
+		data = data[:min(len(data), reset-conn.read)]
+	case silent > 0:
+		data = data[:min(len(data), silent-conn.read)]
+	}
+	count, err := conn.Conn.Read(data)
+	conn.read += count
+	if conn.muted() {
+		<-conn.closed
+		return 0, net.ErrClosed
+	}
+	return count, err
+}
+
+// Close closes the connection.
+func (conn *faultyConn) Close() error {
+	conn.once.Do(func() { close(conn.closed) })
+	return conn.Conn.Close()
+}
+
+func (conn *faultyConn) mute() {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.silent = true
+}
+
+func (conn *faultyConn) muted() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.silent
+}
--- /dev/null
+++ b/stand/record.go
@@ -0,0 +1,97 @@
+package stand
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/send"
+)
+
+// receivedLimit bounds the requests that a stand-in remembers.
+const receivedLimit = 1 << 16
+
+// Received is a request that reached a stand-in.
+type Received struct {
+	Time         time.Time
+	Method       string
+	Path         string
+	RequestID    string
+	Organisation clementinewind.Organisation
+	FencingToken clementinewind.Offset
+	Position     int64
+}
+
+// Ran is what a stand-in did for one request id.
+type Ran struct {
+	Runs   int
+	Tokens int64
+}
+
+// ledger records what a stand-in received and did.
+type ledger struct {
+	mu       sync.Mutex
+	received []Received
+	ran      map[string]Ran
+}
+
+// Received returns the latest requests in the order of their arrival.
+func (ledger *ledger) Received() []Received {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	return append([]Received(nil), ledger.received...)
+}
+
+// Ran returns what was done for a request id.
+func (ledger *ledger) Ran(requestID clementinewind.RequestID) Ran {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	return ledger.ran[requestID.String()]
+}
+
+// AllRan returns what was done, by request id.
+func (ledger *ledger) AllRan() map[string]Ran {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	copied := make(map[string]Ran, len(ledger.ran))
+	for requestID, ran := range ledger.ran {
+		copied[requestID] = ran
+	}
+	return copied
+}
+
+func (ledger *ledger) receive(request *http.Request) Received {
+	fencingToken, err := strconv.ParseInt(request.Header.Get(send.HeaderFencingToken), 10, 64)
+	if err != nil {
+		fencingToken = -1
+	}
+	position, _ := strconv.ParseInt(request.Header.Get(send.HeaderPosition), 10, 64)
+	received := Received{
+		Time:         time.Now(),
+		Method:       request.Method,
+		Path:         request.URL.Path,
+		RequestID:    request.Header.Get(send.HeaderRequestID),
+		Organisation: clementinewind.Organisation(request.Header.Get(send.HeaderOrganisation)),
+		FencingToken: clementinewind.Offset(fencingToken),
+		Position:     position,
+	}
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	if len(ledger.received) >= receivedLimit {
+		ledger.received = append([]Received(nil), ledger.received[receivedLimit/2:]...)
+	}
+	ledger.received = append(ledger.received, received)
+	return received
+}
+
+func (ledger *ledger) add(requestID string, runs int, tokens int64) {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	if ledger.ran == nil {
+		ledger.ran = map[string]Ran{}
+	}
+	ran := ledger.ran[requestID]
+	ledger.ran[requestID] = Ran{Runs: ran.Runs + runs, Tokens: ran.Tokens + tokens}
+}
