--- /dev/null
+++ b/call/client_test.go
@@ -0,0 +1,72 @@
+package call_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/call"
+	"github.com/clementinewind/clementinewind/send"
+	"github.com/clementinewind/clementinewind/stand"
+)
+
+const bookingAddress = "booking:80"
+
+// Guards against a call whose reported progress contradicts what the service did, and against a second run.
+func TestCallFaults(t *testing.T) {
+	tests := map[string]struct {
+		fault stand.Fault
+		want  clementinewind.Progress
+		runs  int
+	}{
+		"healthy":            {fault: stand.Fault{}, want: clementinewind.ProgressCompleted, runs: 1},
+		"refused before run": {fault: stand.Fault{Kind: stand.FaultRefuse}, want: clementinewind.ProgressDeclined},
+		"reset before run":   {fault: stand.Fault{Kind: stand.FaultResetEarly}, want: clementinewind.ProgressDispatched},
+		"reply lost":         {fault: stand.Fault{Kind: stand.FaultReset}, want: clementinewind.ProgressDispatched, runs: 1},
+		"reply cut":          {fault: stand.Fault{Kind: stand.FaultShort}, want: clementinewind.ProgressDispatched, runs: 1},
+		"silent after run":   {fault: stand.Fault{Kind: stand.FaultSilence}, want: clementinewind.ProgressDispatched, runs: 1},
+	}
+	for name, test := range tests {
+		for _, repeatable := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					network := stand.NewNetwork()
+					booking := stand.NewBooking(stand.BookingConfig{})
+					server := &http.Server{Handler: booking}
+					go server.Serve(network.Listen(bookingAddress))
+					defer server.Close()
+					client := call.New(call.Config{Dial: network.Dial})
+					defer client.Close()
+					dispatched := 0
+					request := call.Request{
+						Address: bookingAddress, RequestID: clementinewind.NewRequestID(), Path: "/bookings",
+						Body: []byte("seat 4"), Repeatable: repeatable,
+						Dispatch: func() error {
+							dispatched++
+							return nil
+						},
+					}
+					// The first call leaves an idle connection, which net/http would use for its silent retries.
+					_, err := client.Call(t.Context(), request)
+					quicktest.Assert(t, err, quicktest.IsNil)
+					request.RequestID = clementinewind.NewRequestID()
+					booking.Inject(test.fault)
+					response, err := client.Call(t.Context(), request)
+					progress := clementinewind.ProgressCompleted
+					if err != nil {
+						progress = send.ProgressOf(err)
+					} else {
+						quicktest.Assert(t, string(response.Body), quicktest.Equals,
+							string(stand.BookingAnswer("/bookings", request.Body)))
+					}
+					quicktest.Assert(t, progress, quicktest.Equals, test.want, quicktest.Commentf("%v", err))
+					quicktest.Assert(t, booking.Ran(request.RequestID).Runs, quicktest.Equals, test.runs)
+					quicktest.Assert(t, dispatched, quicktest.Equals, 2)
+				})
+			})
+		}
+	}
+}
