--- a/infer/client_test.go
+++ b/infer/client_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -86,7 +85,6 @@
 			quicktest.Assert(t, tokens, quicktest.DeepEquals, stand.Answer("a prompt", 32))
 			quicktest.Assert(t, dispatched, quicktest.Equals, 1)
 			quicktest.Assert(t, fixture.engine.Ran(request.RequestID).Runs, quicktest.Equals, 1)
-			time.Sleep(time.Second)
 		}
 		quicktest.Assert(t, fixture.network.Dials(), quicktest.Equals, 1)
 		load, err := fixture.client.Load(t.Context(), engineAddress, 0)
