--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,7 +17,7 @@
 	command := &cli.Command{
 		Name:     "standin",
 		Usage:    "run a stand-in for an outside system",
-		Commands: []*cli.Command{platformCommand()},
+		Commands: []*cli.Command{platformCommand(), engineCommand(), bookingCommand()},
 	}
 	if err := command.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/stand/conn.go
+++ b/stand/conn.go
@@ -99,7 +99,7 @@
 		}
 		changed, deadline := half.changed, half.writeDeadline
 		half.mu.Unlock()
-		wait(changed, deadline)
+		awaitChange(changed, deadline)
 	}
 }
 
@@ -148,7 +148,7 @@
 		}
 		changed := half.changed
 		half.mu.Unlock()
-		wait(changed, next)
+		awaitChange(changed, next)
 	}
 }
 
@@ -200,8 +200,8 @@
 	return !deadline.IsZero() && !deadline.After(time.Now())
 }
 
-// wait returns when changed is closed or the deadline has passed; a zero deadline never passes.
-func wait(changed <-chan struct{}, deadline time.Time) {
+// awaitChange returns when changed is closed or the deadline has passed; a zero deadline never passes.
+func awaitChange(changed <-chan struct{}, deadline time.Time) {
 	if deadline.IsZero() {
 		<-changed
 		return
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/oklog/run"
+	oklogrun "github.com/oklog/run"
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
@@ -198,7 +198,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
-	var group run.Group
+	var group oklogrun.Group
 	stopped := make(chan struct{})
 	group.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
