--- /dev/null
+++ b/fair/ledger.go
@@ -0,0 +1,394 @@
+package fair
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/wire/peerv1"
+)
+
+const (
+	// DefaultQuantum is the change of normalised service that is reported at once, in tokens per unit of weight.
+	DefaultQuantum = 2000
+	// DefaultFineQuantum is the smallest change that is reported when the budget allows, in tokens per unit of weight.
+	DefaultFineQuantum = 50
+	// DefaultBudget is the traffic that reports below DefaultQuantum may use, in bytes a second.
+	DefaultBudget = 700
+	// DefaultCredit is how far below the virtual time an account may be, in tokens per unit of weight. It limits how long
+	// an organisation is preferred after a partition in which the virtual times of the two sides drifted apart.
+	DefaultCredit = 8000
+
+	// idleTime is how long an account without demand is kept, so that short gaps in demand cause no traffic.
+	idleTime = 5 * time.Second
+	// homeGrace is how long a new home router only collects totals before it sends any.
+	homeGrace = 500 * time.Millisecond
+)
+
+// LedgerConfig configures a Ledger.
+type LedgerConfig struct {
+	Self clementinewind.Session
+	// Home returns the session that aggregates an account. It is called with the current sessions in mind and must be
+	// cheap; results are cached until SetSessions.
+	Home func(key Key) clementinewind.Session
+	// Weight returns the weight of an organisation in the settings; nil means 1. The home router uses it to decide how
+	// much a change of a total matters.
+	Weight func(key Key) float64
+	// Send queues a message to another router and must not block.
+	Send func(session clementinewind.Session, service *peerv1.Service)
+	// Quantum, FineQuantum, Budget and Credit take their defaults when 0.
+	Quantum     float64
+	FineQuantum float64
+	Budget      float64
+	Credit      float64
+}
+
+// Ledger keeps the accounts of the organisations with demand at this router, and the totals of the accounts whose home
+// router this is.
+type Ledger struct {
+	config       LedgerConfig
+	accounts     map[Key]*account
+	totals       map[Key]*total
+	virtualTimes map[clementinewind.Pool]float64
+	allowance    float64
+	ticked       time.Time
+}
+
+// account is the service of one organisation as this router knows it. All amounts are in tokens.
+type account struct {
+	weight float64
+	// known is the fleet's total, with everything that this router has reported.
+	known float64
+	// unreported is what this router has charged since its last report.
+	unreported float64
+	// raised is by how much known was raised locally without the home router having been told.
+	raised float64
+	// unknown says that the home router has not heard of the demand here.
+	unknown bool
+	active  bool
+	// holds counts the requests in progress, whose corrections are still to come.
+	holds    int
+	idleFrom time.Time
+	home     clementinewind.Session
+}
+
+func (account *account) tag() float64 {
+	return (account.known + account.unreported) / account.weight
+}
+
+// total is the sum of all reports on one account at its home router.
+type total struct {
+	tokens     float64
+	quietUntil time.Time
+	// sent holds the last total sent to each router where the organisation has demand.
+	sent map[clementinewind.Session]float64
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(config LedgerConfig) *Ledger {
+	config.Quantum = cmp.Or(config.Quantum, DefaultQuantum)
+	config.FineQuantum = cmp.Or(config.FineQuantum, DefaultFineQuantum)
+	config.Budget = cmp.Or(config.Budget, DefaultBudget)
+	config.Credit = cmp.Or(config.Credit, DefaultCredit)
+	return &Ledger{
+		config:       config,
+		accounts:     make(map[Key]*account),
+		totals:       make(map[Key]*total),
+		virtualTimes: make(map[clementinewind.Pool]float64),
+	}
+}
+
+// Activate opens the account of an organisation that has demand, or returns it from idle. The account starts at the
+// virtual time of the pool, or at tag, or where it was, whichever is highest.
+func (ledger *Ledger) Activate(key Key, weight, tag float64) {
+	entry := ledger.accounts[key]
+	if entry == nil {
+		entry = &account{home: ledger.config.Home(key), unknown: true}
+		ledger.accounts[key] = entry
+	}
+	floor := ledger.virtualTimes[key.Pool] - ledger.config.Credit
+	if !entry.active {
+		floor = ledger.virtualTimes[key.Pool]
+		entry.active = true
+	}
+	weight = normalWeight(weight)
+	if entry.weight != weight {
+		// The normalised service stays, so a change of weight acts on future service only.
+		ratio := weight / cmp.Or(entry.weight, weight)
+		entry.known *= ratio
+		entry.unreported *= ratio
+		entry.weight = weight
+		entry.unknown = true
+	}
+	ledger.raise(entry, max(floor, tag))
+}
+
+// raise lifts an account to a tag.
+func (*Ledger) raise(entry *account, tag float64) {
+	if missing := tag - entry.tag(); missing > 0 {
+		entry.known += missing * entry.weight
+		entry.raised += missing * entry.weight
+	}
+}
+
+// Deactivate marks that an organisation has no demand at this router.
+func (ledger *Ledger) Deactivate(key Key, now time.Time) {
+	if entry := ledger.accounts[key]; entry != nil && entry.active {
+		entry.active = false
+		entry.idleFrom = now
+	}
+}
+
+// Charge adds service to an open account; a negative amount corrects an estimate that was too high.
+func (ledger *Ledger) Charge(key Key, tokens float64) {
+	if entry := ledger.accounts[key]; entry != nil {
+		entry.unreported += tokens
+	}
+}
+
+// Hold keeps an open account from being closed until Release.
+func (ledger *Ledger) Hold(key Key) {
+	if entry := ledger.accounts[key]; entry != nil {
+		entry.holds++
+	}
+}
+
+// Release ends a Hold.
+func (ledger *Ledger) Release(key Key) {
+	if entry := ledger.accounts[key]; entry != nil && entry.holds > 0 {
+		entry.holds--
+	}
+}
+
+// Tag returns the normalised service of an organisation, in tokens per unit of weight.
+func (ledger *Ledger) Tag(key Key) float64 {
+	if entry := ledger.accounts[key]; entry != nil {
+		return entry.tag()
+	}
+	return ledger.virtualTimes[key.Pool]
+}
+
+// VirtualTime returns the highest tag that has been served in a pool.
+func (ledger *Ledger) VirtualTime(pool clementinewind.Pool) float64 {
+	return ledger.virtualTimes[pool]
+}
+
+// Advance moves the virtual time of a pool forward to the tag that is being served.
+func (ledger *Ledger) Advance(pool clementinewind.Pool, tag float64) {
+	ledger.virtualTimes[pool] = max(ledger.virtualTimes[pool], tag)
+}
+
+// Handle takes a message from another router. It returns the key and whether the tag of an account here has changed.
+func (ledger *Ledger) Handle(session clementinewind.Session, service *peerv1.Service, now time.Time) (Key, bool) {
+	key := Key{Pool: clementinewind.Pool(service.Pool), Organisation: clementinewind.Organisation(service.Organisation)}
+	if math.IsNaN(service.Tokens) || math.IsInf(service.Tokens, 0) {
+		return key, false
+	}
+	if ledger.config.Home(key) == ledger.config.Self || !service.Total {
+		ledger.collect(key, session, service, now)
+		return key, false
+	}
+	entry := ledger.accounts[key]
+	if entry == nil || entry.home != session {
+		return key, false
+	}
+	return key, ledger.learn(entry, service.Tokens)
+}
+
+// learn takes the total that the home router sent.
+func (*Ledger) learn(entry *account, tokens float64) bool {
+	if entry.unknown || entry.raised > 0 {
+		tokens = max(tokens, entry.known)
+	}
+	changed := tokens != entry.known
+	entry.known = tokens
+	return changed
+}
+
+// collect adds a report to the total at the home router.
+func (ledger *Ledger) collect(key Key, session clementinewind.Session, service *peerv1.Service, now time.Time) {
+	sum := ledger.totals[key]
+	if sum == nil {
+		sum = &total{quietUntil: now.Add(homeGrace), sent: make(map[clementinewind.Session]float64)}
+		ledger.totals[key] = sum
+	}
+	if service.Total {
+		sum.tokens = max(sum.tokens, service.Tokens)
+	} else {
+		sum.tokens += service.Tokens
+	}
+	if !service.Interested {
+		delete(sum.sent, session)
+		return
+	}
+	if service.Total {
+		sum.sent[session] = service.Tokens
+	} else {
+		// The reporter has already counted its own delta.
+		sum.sent[session] += service.Tokens
+	}
+}
+
+// SetSessions tells which routers live. Accounts whose home router changed are reported to the new one.
+func (ledger *Ledger) SetSessions(sessions []clementinewind.Session) {
+	for key, entry := range ledger.accounts {
+		if home := ledger.config.Home(key); home != entry.home {
+			entry.home = home
+			entry.unknown = true
+		}
+	}
+	for key, sum := range ledger.totals {
+		for session := range sum.sent {
+			if !slices.Contains(sessions, session) {
+				delete(sum.sent, session)
+			}
+		}
+		if len(sum.sent) == 0 {
+			delete(ledger.totals, key)
+		}
+	}
+}
+
+// Connected tells that the link to a router was set up again, so that messages to it may have been lost.
+func (ledger *Ledger) Connected(session clementinewind.Session) {
+	for _, entry := range ledger.accounts {
+		if entry.home == session {
+			entry.unknown = true
+		}
+	}
+	for _, sum := range ledger.totals {
+		if _, interested := sum.sent[session]; interested {
+			sum.sent[session] = math.Inf(-1)
+		}
+	}
+}
+
+// report is a message that Tick may send.
+type report struct {
+	key     Key
+	session clementinewind.Session
+	change  float64
+	send    func() int
+}
+
+// compareReports orders by falling change; the other fields make the order independent of map iteration.
+func compareReports(a, b report) int {
+	return cmp.Or(cmp.Compare(b.change, a.change), cmp.Compare(a.key.Pool, b.key.Pool),
+		cmp.Compare(a.key.Organisation, b.key.Organisation), cmp.Compare(a.session, b.session))
+}
+
+// Tick sends the reports that are due: all changes of at least a quantum, and smaller ones, largest first, as far as the
+// budget allows. It returns the keys of accounts whose tag has changed.
+func (ledger *Ledger) Tick(now time.Time) []Key {
+	if ledger.ticked.IsZero() {
+		ledger.ticked = now
+	}
+	ledger.allowance = min(ledger.allowance+ledger.config.Budget*now.Sub(ledger.ticked).Seconds(), ledger.config.Budget)
+	ledger.ticked = now
+	var reports []report
+	var changed []Key
+	for key, entry := range ledger.accounts {
+		if entry.active {
+			if floor := ledger.virtualTimes[key.Pool] - ledger.config.Credit; entry.tag() < floor {
+				ledger.raise(entry, floor)
+				changed = append(changed, key)
+			}
+		} else if entry.holds == 0 && now.Sub(entry.idleFrom) >= idleTime {
+			ledger.close(key, entry, now)
+			continue
+		}
+		change := max(math.Abs(entry.unreported), entry.raised) / entry.weight
+		if entry.unknown {
+			change = math.Inf(1)
+		}
+		if change >= ledger.config.FineQuantum {
+			reports = append(reports, report{key: key, session: clementinewind.NoSession, change: change, send: func() int {
+				return ledger.sendReport(key, entry, now)
+			}})
+		}
+	}
+	for key, sum := range ledger.totals {
+		if now.Before(sum.quietUntil) {
+			continue
+		}
+		weight := 1.0
+		if ledger.config.Weight != nil {
+			weight = normalWeight(ledger.config.Weight(key))
+		}
+		for session, sent := range sum.sent {
+			if change := math.Abs(sum.tokens-sent) / weight; change >= ledger.config.FineQuantum {
+				reports = append(reports, report{key: key, session: session, change: change, send: func() int {
+					size, key, known := ledger.sendTotal(key, sum, session)
+					if known {
+						changed = append(changed, key)
+					}
+					return size
+				}})
+			}
+		}
+	}
+	slices.SortFunc(reports, compareReports)
+	for _, report := range reports {
+		if report.change < ledger.config.Quantum && ledger.allowance <= 0 {
+			break
+		}
+		ledger.allowance -= float64(report.send())
+	}
+	return changed
+}
+
+// sendReport reports an account to its home router and returns the bytes used.
+func (ledger *Ledger) sendReport(key Key, entry *account, now time.Time) int {
+	service := &peerv1.Service{
+		Pool: string(key.Pool), Organisation: string(key.Organisation), Interested: true, Tokens: entry.unreported,
+	}
+	entry.known += entry.unreported
+	entry.unreported = 0
+	if entry.unknown || entry.raised > 0 {
+		service.Total = true
+		service.Tokens = entry.known
+		entry.unknown = false
+		entry.raised = 0
+	}
+	return ledger.toHome(key, entry, service, now)
+}
+
+func (ledger *Ledger) toHome(key Key, entry *account, service *peerv1.Service, now time.Time) int {
+	if entry.home == ledger.config.Self {
+		ledger.collect(key, ledger.config.Self, service, now)
+		return 0
+	}
+	ledger.config.Send(entry.home, service)
+	return proto.Size(service)
+}
+
+// sendTotal sends the total of an account to a router where the organisation has demand.
+func (ledger *Ledger) sendTotal(key Key, sum *total, session clementinewind.Session) (int, Key, bool) {
+	sum.sent[session] = sum.tokens
+	if session == ledger.config.Self {
+		if entry := ledger.accounts[key]; entry != nil && entry.home == session {
+			return 0, key, ledger.learn(entry, sum.tokens)
+		}
+		return 0, key, false
+	}
+	service := &peerv1.Service{
+		Pool: string(key.Pool), Organisation: string(key.Organisation), Tokens: sum.tokens, Total: true,
+	}
+	ledger.config.Send(session, service)
+	return proto.Size(service), key, false
+}
+
+// close reports the rest of an idle account and forgets it.
+func (ledger *Ledger) close(key Key, entry *account, now time.Time) {
+	delete(ledger.accounts, key)
+	ledger.toHome(key, entry, &peerv1.Service{
+		Pool: string(key.Pool), Organisation: string(key.Organisation), Tokens: entry.unreported,
+	}, now)
+	if sum := ledger.totals[key]; sum != nil && len(sum.sent) == 0 {
+		delete(ledger.totals, key)
+	}
+}
