Add admission of one upstream

Cause: engines accept any amount of work and collapse when they are cold or full.

The concurrency limit grows by completed windows and falls on refusals, slow first tokens and queued work in load reports. Every sign of a cold start drops it to the cold limit. Three first-token times in a row above six times the usual count as a cold start; a single one was ruled out because one long prompt looks the same.

A new owner waits for a load report before it adds to the work of the previous owner. An owner ejects at most half of its upstreams of a pool; a breaker beyond that passes one request a second.

Checked with go test -race ./admit. No measurements yet.

--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,195 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/admit"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// serve completes rounds of requests that fill the limiter.
+func serve(limiter *admit.Limiter, rounds int, wait time.Duration, now time.Time) {
+	for range rounds {
+		var tickets []admit.Ticket
+		for limiter.Free(now) > 0 {
+			tickets = append(tickets, limiter.Acquire(now))
+		}
+		for _, ticket := range tickets {
+			limiter.FirstToken(&ticket, wait, now)
+			limiter.Finish(ticket, admit.ResultCompleted, now)
+		}
+	}
+}
+
+func warm(now time.Time) *admit.Limiter {
+	limiter := admit.NewLimiter(admit.Config{Cold: 2, Max: 32}, now)
+	serve(limiter, 10, 100*time.Millisecond, now)
+	return limiter
+}
+
+// Guards against an upstream that gets more work than it can carry after a sign of a cold start.
+func TestColdStart(t *testing.T) {
+	tests := map[string]func(limiter *admit.Limiter){
+		"boot id": func(limiter *admit.Limiter) {
+			limiter.Report(admit.Load{Boot: "a"}, start)
+			limiter.Report(admit.Load{Boot: "b"}, start)
+		},
+		"cache loss": func(limiter *admit.Limiter) {
+			limiter.Report(admit.Load{Cached: 100}, start)
+			limiter.Report(admit.Load{Cached: 0}, start)
+		},
+		"reset": func(limiter *admit.Limiter) { limiter.Finish(limiter.Acquire(start), admit.ResultReset, start) },
+		"jump of the first-token time": func(limiter *admit.Limiter) {
+			for range 3 {
+				ticket := limiter.Acquire(start)
+				limiter.FirstToken(&ticket, time.Second, start)
+				limiter.Finish(ticket, admit.ResultCancelled, start)
+			}
+		},
+	}
+	for name, cool := range tests {
+		t.Run(name, func(t *testing.T) {
+			limiter := warm(start)
+			quicktest.Assert(t, limiter.Limit(), quicktest.Equals, 32)
+			quicktest.Assert(t, limiter.State(), quicktest.Equals, clementinewind.UpstreamWarm)
+			early := limiter.Acquire(start)
+			cool(limiter)
+			quicktest.Assert(t, limiter.Limit(), quicktest.Equals, 2)
+			quicktest.Assert(t, limiter.State(), quicktest.Equals, clementinewind.UpstreamCold)
+			limiter.Finish(early, admit.ResultCompleted, start)
+			for _, want := range []int{4, 8, 16, 32} {
+				serve(limiter, 1, 100*time.Millisecond, start)
+				quicktest.Assert(t, limiter.Limit(), quicktest.Equals, want)
+			}
+		})
+	}
+}
+
+// Guards against growth from completions of requests that were sent before the cold start, and from partial windows.
+func TestWindow(t *testing.T) {
+	limiter := warm(start)
+	var tickets []admit.Ticket
+	for limiter.Free(start) > 0 {
+		tickets = append(tickets, limiter.Acquire(start))
+	}
+	limiter.Finish(tickets[0], admit.ResultReset, start)
+	for _, ticket := range tickets[1:] {
+		quicktest.Assert(t, limiter.Limit(), quicktest.Equals, 2)
+		limiter.Finish(ticket, admit.ResultCompleted, start)
+	}
+	quicktest.Assert(t, limiter.Limit(), quicktest.Equals, 2)
+	limiter.Finish(limiter.Acquire(start), admit.ResultCompleted, start)
+	quicktest.Assert(t, limiter.Limit(), quicktest.Equals, 2)
+}
+
+// Guards against a limit that ignores signs of overload, or that falls more than once for one overload.
+func TestOverload(t *testing.T) {
+	limiter := warm(start)
+	first, second := limiter.Acquire(start), limiter.Acquire(start)
+	limiter.Finish(first, admit.ResultRefused, start)
+	limiter.Finish(second, admit.ResultRefused, start)
+	quicktest.Assert(t, limiter.Limit(), quicktest.Equals, 25)
+	limiter.Report(admit.Load{Queued: 3}, start.Add(2*time.Second))
+	quicktest.Assert(t, limiter.Limit(), quicktest.Equals, 20)
+	serve(limiter, 1, 100*time.Millisecond, start.Add(9*time.Second))
+	quicktest.Assert(t, limiter.Limit(), quicktest.Equals, 21)
+}
+
+// Guards against a new owner that adds a full load to the work of the previous owner.
+func TestAdopted(t *testing.T) {
+	limiter := admit.NewLimiter(admit.Config{Cold: 4, Max: 32, Adopted: true}, start)
+	quicktest.Assert(t, limiter.Free(start), quicktest.Equals, 0)
+	limiter.Report(admit.Load{Running: 3}, start)
+	quicktest.Assert(t, limiter.Free(start), quicktest.Equals, 1)
+	limiter.Report(admit.Load{Running: 0}, start.Add(time.Second))
+	quicktest.Assert(t, limiter.Free(start.Add(time.Second)), quicktest.Equals, 4)
+}
+
+// Guards against an ejection of more than half a pool, and against a failing upstream that keeps getting work.
+func TestEject(t *testing.T) {
+	limiters := []*admit.Limiter{warm(start), warm(start), warm(start)}
+	fail := func(limiter *admit.Limiter, now time.Time) {
+		for range 3 {
+			limiter.Finish(limiter.Acquire(now), admit.ResultFailed, now)
+		}
+	}
+	for _, limiter := range limiters {
+		fail(limiter, start)
+	}
+	quicktest.Assert(t, admit.Eject(limiters, start), quicktest.HasLen, 3)
+	quicktest.Assert(t, limiters[0].State(), quicktest.Equals, clementinewind.UpstreamEjected)
+	quicktest.Assert(t, limiters[1].State(), quicktest.Equals, clementinewind.UpstreamCold)
+	quicktest.Assert(t, limiters[0].Free(start), quicktest.Equals, 0)
+	now := start.Add(time.Second)
+	for _, limiter := range limiters[:2] {
+		quicktest.Assert(t, limiter.Free(now), quicktest.Equals, 1)
+		probe := limiter.Acquire(now)
+		quicktest.Assert(t, limiter.Free(now), quicktest.Equals, 0)
+		limiter.Finish(probe, admit.ResultFailed, now)
+	}
+	now = now.Add(time.Second)
+	quicktest.Assert(t, limiters[0].Free(now), quicktest.Equals, 0)
+	quicktest.Assert(t, limiters[1].Free(now), quicktest.Equals, 1)
+	now = now.Add(time.Second)
+	limiters[0].Finish(limiters[0].Acquire(now), admit.ResultCompleted, now)
+	quicktest.Assert(t, limiters[0].Limit(), quicktest.Equals, 2)
+	quicktest.Assert(t, limiters[0].Ejected(), quicktest.IsFalse)
+}
+
+// Guards against retries that multiply an overload.
+func TestRetryBudget(t *testing.T) {
+	var budget admit.RetryBudget
+	retries := 0
+	for range 1000 {
+		budget.Request()
+		if budget.Retry() {
+			retries++
+		}
+	}
+	quicktest.Assert(t, retries <= 110, quicktest.IsTrue, quicktest.Commentf("%d retries", retries))
+	quicktest.Assert(t, retries >= 100, quicktest.IsTrue, quicktest.Commentf("%d retries", retries))
+}
+
+// Guards against a limit out of its bounds and against lost slots, whatever happens in whatever order.
+func TestLimiterBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		limiter := admit.NewLimiter(admit.Config{Cold: 2, Max: 16}, now)
+		var tickets []admit.Ticket
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "milliseconds")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1, 2:
+				if limiter.Free(now) > 0 {
+					tickets = append(tickets, limiter.Acquire(now))
+				}
+			case 3:
+				if len(tickets) > 0 {
+					result := admit.Result(rapid.IntRange(0, 5).Draw(t, "result"))
+					limiter.Finish(tickets[0], result, now)
+					tickets = tickets[1:]
+				}
+			case 4:
+				limiter.Report(admit.Load{Running: rapid.IntRange(0, 20).Draw(t, "running")}, now)
+			case 5:
+				admit.Eject([]*admit.Limiter{limiter}, now)
+			}
+			if limiter.InFlight() != len(tickets) || limiter.Limit() < 2 || limiter.Limit() > 16 || len(tickets) > 17 {
+				t.Fatalf("limit %d, in flight %d of %d", limiter.Limit(), limiter.InFlight(), len(tickets))
+			}
+		}
+		for _, ticket := range tickets {
+			limiter.Finish(ticket, admit.ResultCompleted, now)
+		}
+		now = now.Add(time.Hour)
+		if limiter.Free(now) == 0 {
+			t.Fatalf("no slot free after all requests ended")
+		}
+	})
+}
