--- /dev/null
+++ b/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli holds the commands of the clementinewind program.
+package cli
