--- a/telem/telem_test.go
+++ b/telem/telem_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -77,6 +78,21 @@
 	quicktest.Assert(t, strings.Contains(metrics, `upstream="m2"`), quicktest.IsFalse)
 }
 
+// Guards against an alert in the operators' page whose metric does not exist, so that it never fires.
+func TestAlertMetrics(t *testing.T) {
+	page, err := os.ReadFile("../docs/operations.md")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	metrics, err := os.ReadFile("testdata/metrics.txt")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	names := regexp.MustCompile(`clementinewind_[a-z_]+`).FindAllString(string(page), -1)
+	quicktest.Assert(t, len(names) > 0, quicktest.IsTrue)
+	for _, name := range names {
+		// A histogram is named in the page by itself or by its buckets.
+		exists := strings.Contains(string(metrics), name) || strings.Contains(string(metrics), strings.TrimSuffix(name, "_bucket")+"_sum")
+		quicktest.Check(t, exists, quicktest.IsTrue, quicktest.Commentf("metric %s", name))
+	}
+}
+
 // Guards against a router that takes no work and reports ready, against one that is restarted because it is not ready,
 // and against profiles that are served without being configured.
 func TestAdmin(t *testing.T) {
