--- a/conf/parse.go
+++ b/conf/parse.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
@@ -121,7 +122,19 @@
 }
 
 func (parser *parser) report(section, key string, kind FaultKind, detail string) {
-	parser.faults = append(parser.faults, Fault{File: parser.file, Section: section, Key: key, Kind: kind, Detail: detail})
+	parser.faults = append(parser.faults, Fault{
+		File: parser.file, Section: printable(section), Key: printable(key), Kind: kind, Detail: printable(detail),
+	})
+}
+
+// printable replaces characters of the file that could break the line of a fault or change the terminal.
+func printable(text string) string {
+	return strings.Map(func(letter rune) rune {
+		if unicode.IsPrint(letter) {
+			return letter
+		}
+		return '?'
+	}, text)
 }
 
 // sections reads the text. After a syntax fault it reads it again without the faulty lines, so that the other faults
