Separate the two directions of a control link

Cause: Owner.Connected dropped the standing asks of a peer whenever this router's own link to that peer was set up again. The peer does not repeat asks for a break that it did not see, so its requests waited until the next quantum.

Ruled out: repeating all asks with every heartbeat, which costs about 25 B an ask and second for a rare event.

Change: Owner.Connected repeats reports on the outgoing link, Owner.PeerConnected drops asks when the peer opens its link. Owner.SetSelf takes a new session. Links to peers that closed their session stay open for the requests they still serve. TLS is left to the dialer and the listener.

Conclusion: both ends of a link recover on their own.

--- a/fair/ledger.go
+++ b/fair/ledger.go
@@ -253,6 +253,11 @@
 	}
 }
 
+// SetSelf replaces the session of this router.
+func (ledger *Ledger) SetSelf(session clementinewind.Session) {
+	ledger.config.Self = session
+}
+
 // Connected tells that the link to a router was set up again, so that messages to it may have been lost.
 func (ledger *Ledger) Connected(session clementinewind.Session) {
 	for _, entry := range ledger.accounts {
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -10,7 +10,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
@@ -27,6 +26,8 @@
 	connectTimeout = 2 * time.Second
 	// sessionKey is the metadata key that names the session of the calling router.
 	sessionKey = "session"
+	// lingerTime is how long the connection to a retired peer stays open for the requests that it still serves.
+	lingerTime = 10 * time.Minute
 )
 
 // ErrUnknownPeer is returned for a session that is not in the set of peers.
@@ -34,10 +35,8 @@
 
 // Config configures a Fleet.
 type Config struct {
-	// Dial opens a connection to a peer address. Required.
+	// Dial opens a connection to a peer address, which it may secure with TLS. Required.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Credentials secure the connections; nil sends plain text.
-	Credentials credentials.TransportCredentials
 	// Session returns the session of this router.
 	Session func() clementinewind.Session
 	// Heartbeat builds the heartbeat for a peer, or returns nil when the peer is not a neighbour. Called once per
@@ -68,9 +67,6 @@
 
 // NewFleet returns a Fleet without peers.
 func NewFleet(config Config) *Fleet {
-	if config.Credentials == nil {
-		config.Credentials = insecure.NewCredentials()
-	}
 	if config.Logger == nil {
 		config.Logger = hclog.NewNullLogger()
 	}
@@ -87,8 +83,7 @@
 	}
 	for session, link := range fleet.links {
 		if addresses[session] != link.address {
-			link.close()
-			delete(fleet.links, session)
+			fleet.remove(link)
 		}
 	}
 	for session, address := range addresses {
@@ -104,6 +99,35 @@
 	return nil
 }
 
+// Retire tells that a peer leaves in good order and still serves the requests that it has. When it is no longer in the
+// set of peers, only its control link is closed at once.
+func (fleet *Fleet) Retire(session clementinewind.Session) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	if link := fleet.links[session]; link != nil {
+		link.retired = true
+	}
+}
+
+// remove takes a link out of the set. The caller holds mu.
+func (fleet *Fleet) remove(link *link) {
+	delete(fleet.links, link.session)
+	if !link.retired {
+		link.close()
+		return
+	}
+	link.cancel()
+	fleet.wait.Go(func() {
+		timer := time.NewTimer(lingerTime)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-fleet.ctx.Done():
+		}
+		link.close()
+	})
+}
+
 func (fleet *Fleet) open(session clementinewind.Session, address string) (*link, error) {
 	conn, err := fleet.Connect(address)
 	if err != nil {
@@ -126,7 +150,7 @@
 // Connect returns a gRPC connection to an address that is not necessarily a peer yet. The caller closes it.
 func (fleet *Fleet) Connect(address string) (*grpc.ClientConn, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(fleet.config.Credentials),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(fleet.config.Dial),
 		grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(),
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -27,6 +27,8 @@
 	asks       []string
 }
 
+func (*host) HandleConnected(clementinewind.Session) {}
+
 func (host *host) HandleControl(session clementinewind.Session, frame *peerv1.ControlFrame) {
 	host.mu.Lock()
 	defer host.mu.Unlock()
--- a/peer/link.go
+++ b/peer/link.go
@@ -38,6 +38,8 @@
 	client  peerv1.PeerServiceClient
 	cancel  context.CancelFunc
 	ready   chan struct{}
+	// retired is guarded by the mutex of the Fleet.
+	retired bool
 
 	mu      sync.Mutex
 	pending *peerv1.ControlFrame
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
@@ -21,6 +20,8 @@
 
 // Handler serves the messages of other routers.
 type Handler interface {
+	// HandleConnected tells that a peer has opened a control stream to this router.
+	HandleConnected(session clementinewind.Session)
 	// HandleControl takes a control frame of a peer. It must not block.
 	HandleControl(session clementinewind.Session, frame *peerv1.ControlFrame)
 	// Forward runs a request on an upstream that this router owns.
@@ -29,24 +30,21 @@
 	SettleClaim(ctx context.Context, request *peerv1.SettleClaimRequest) (*peerv1.SettleClaimResponse, error)
 	// FetchState sends the replicated state when it is above the given offset.
 	FetchState(request *peerv1.FetchStateRequest, stream peerv1.PeerService_FetchStateServer) error
+	ConfirmStop(ctx context.Context, request *peerv1.ConfirmStopRequest) (*peerv1.ConfirmStopResponse, error)
 	FetchEvents(ctx context.Context, request *operatorv1.TimelineRequest) (*operatorv1.TimelineResponse, error)
 }
 
 // ServerConfig configures a gRPC server for peers.
 type ServerConfig struct {
-	Handler Handler
-	// Credentials secure the connections; nil accepts plain text.
-	Credentials     credentials.TransportCredentials
+	Handler         Handler
 	MaxMessageBytes int
 }
 
-// NewServer returns a gRPC server that hands the messages of peers to the handler.
+// NewServer returns a gRPC server that hands the messages of peers to the handler. Its listener may secure the
+// connections with TLS.
 func NewServer(config ServerConfig) *grpc.Server {
-	if config.Credentials == nil {
-		config.Credentials = insecure.NewCredentials()
-	}
 	server := grpc.NewServer(
-		grpc.Creds(config.Credentials),
+		grpc.Creds(insecure.NewCredentials()),
 		grpc.MaxRecvMsgSize(config.MaxMessageBytes),
 		grpc.ConnectionTimeout(connectTimeout),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
@@ -68,6 +66,7 @@
 	if session == clementinewind.NoSession {
 		return status.Error(codes.InvalidArgument, "control stream names no session")
 	}
+	service.handler.HandleConnected(session)
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
@@ -96,3 +95,7 @@
 func (service *service) FetchEvents(ctx context.Context, request *operatorv1.TimelineRequest) (*operatorv1.TimelineResponse, error) {
 	return service.handler.FetchEvents(ctx, request)
 }
+
+func (service *service) ConfirmStop(ctx context.Context, request *peerv1.ConfirmStopRequest) (*peerv1.ConfirmStopResponse, error) {
+	return service.handler.ConfirmStop(ctx, request)
+}
--- a/sched/owner.go
+++ b/sched/owner.go
@@ -231,12 +231,19 @@
 	}
 }
 
-// Connected tells that the control link to a session was set up again. Its asks are dropped, because it repeats them.
+// Connected tells that the control link to a session was set up again, so that reports to it may have been lost.
 func (owner *Owner) Connected(session clementinewind.Session) {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	now := time.Now()
 	owner.ledger.Connected(session)
+}
+
+// PeerConnected tells that a session has set up its control link to this router again. Its asks are dropped, because it
+// repeats them.
+func (owner *Owner) PeerConnected(session clementinewind.Session) {
+	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
+	now := time.Now()
 	for _, pool := range owner.sortedPools() {
 		for _, demand := range pool.demands {
 			demand.asks = slices.DeleteFunc(demand.asks, func(ask *ask) bool { return ask.session == session })
@@ -245,6 +252,13 @@
 	}
 }
 
+// SetSelf tells that this router has opened another session.
+func (owner *Owner) SetSelf(session clementinewind.Session) {
+	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
+	owner.ledger.SetSelf(session)
+}
+
 // SetUpstreams replaces the set of owned upstreams. Requests in progress at others continue; grants for them are void.
 func (owner *Owner) SetUpstreams(configs []UpstreamConfig) {
 	owner.mutex.Lock()
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -373,6 +373,7 @@
 			for _, node := range fleet.nodes {
 				for peer := range fleet.nodes {
 					node.owner.Connected(peer)
+					node.owner.PeerConnected(peer)
 					node.entry.Connected(peer)
 				}
 			}
