--- /dev/null
+++ b/event/disclosed_test.go
@@ -0,0 +1,60 @@
+package event_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/event"
+	"github.com/clementinewind/clementinewind/stand"
+)
+
+// reads counts the reads of a log.
+type reads struct {
+	*stand.Log
+	count int
+}
+
+func (reads *reads) Read(ctx context.Context, query clementinewind.LogQuery) (clementinewind.LogBatch, error) {
+	reads.count++
+	return reads.Log.Read(ctx, query)
+}
+
+// Guards against disclosed events that a report leaves out or repeats after the log was truncated, and against a query
+// for a short time that reads the whole stream.
+func TestDisclosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &reads{Log: stand.NewLog()}
+		start := time.Now()
+		ring := event.NewRing(event.RingConfig{Instance: "a1", Zone: "a", Size: 4000})
+		for i := range 4000 {
+			time.Sleep(time.Second)
+			ring.Record(clementinewind.Event{Kind: clementinewind.EventStale, Detail: fmt.Sprint(i)})
+			payload, err := event.EncodeDisclosure(ring.Events(event.Query{Limit: 1})[0])
+			quicktest.Assert(t, err, quicktest.IsNil)
+			// Each event is written twice, as after a lost reply.
+			record := clementinewind.Record{Payload: payload}
+			_, err = log.Append(t.Context(), clementinewind.EventStream, []clementinewind.Record{record, record, {Payload: []byte("?")}})
+			quicktest.Assert(t, err, quicktest.IsNil)
+		}
+		log.Truncate(clementinewind.EventStream, 300)
+		all, err := event.Disclosed(t.Context(), log, event.Query{})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, all, quicktest.DeepEquals, ring.Events(event.Query{Limit: 3900}))
+		log.count = 0
+		query := event.Query{Since: start.Add(3000 * time.Second), Until: start.Add(3010 * time.Second)}
+		some, err := event.Disclosed(t.Context(), log, query)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, some, quicktest.DeepEquals, ring.Events(query))
+		quicktest.Assert(t, log.count <= 20, quicktest.IsTrue, quicktest.Commentf("%d reads", log.count))
+		log.SetFaults(stand.LogFaults{Down: true})
+		_, err = event.Disclosed(t.Context(), log, query)
+		quicktest.Assert(t, errors.Is(err, clementinewind.ErrLogUnavailable), quicktest.IsTrue)
+	})
+}
--- a/event/ring.go
+++ b/event/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -132,14 +133,14 @@
 	ring.mu.Lock()
 	defer ring.mu.Unlock()
 	var selected []clementinewind.Event
-	for _, part := range [][]clementinewind.Event{ring.events[ring.next:], ring.events[:ring.next]} {
-		for _, event := range part {
-			if query.Matches(event) {
-				selected = append(selected, event)
-			}
+	// From the newest on, so that a limit ends the search early.
+	for age := 1; age <= len(ring.events) && (query.Limit <= 0 || len(selected) < query.Limit); age++ {
+		if event := ring.events[(ring.next+len(ring.events)-age)%len(ring.events)]; query.Matches(event) {
+			selected = append(selected, event)
 		}
 	}
-	return query.newest(selected)
+	slices.Reverse(selected)
+	return selected
 }
 
 // Overwritten returns the number of events that were dropped to make room for newer ones.
