--- a/stand/network.go
+++ b/stand/network.go
@@ -25,6 +25,7 @@
 	listeners map[string]*memoryListener
 	faults    []ConnectionFault
 	dials     int
+	met       int
 }
 
 // NewNetwork returns a Network without listeners.
@@ -46,6 +47,13 @@
 	return network.dials
 }
 
+// Met returns the number of dials that met a fault.
+func (network *Network) Met() int {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	return network.met
+}
+
 // Listen returns a listener on an address.
 func (network *Network) Listen(address string) net.Listener {
 	network.mu.Lock()
@@ -64,6 +72,9 @@
 		fault, network.faults = network.faults[0], network.faults[1:]
 	}
 	network.dials++
+	if fault != (ConnectionFault{}) {
+		network.met++
+	}
 	network.mu.Unlock()
 	if listener == nil || fault.Refuse {
 		return nil, errors.Errorf("dial %s: connection refused", address)
