Share the audit of outcomes between tests

Ruled out: a copy in each test; the copies had begun to differ.

Change: stand.Audit with stand.Report, stand.Network.Serve, and totals of the faults that were met.

Conclusion: one rule decides what a wrong report is.

--- a/call/client_test.go
+++ b/call/client_test.go
@@ -1,7 +1,6 @@
 package call_test
 
 import (
-	"net/http"
 	"testing"
 	"testing/synctest"
 
@@ -35,9 +34,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					network := stand.NewNetwork()
 					booking := stand.NewBooking(stand.BookingConfig{})
-					server := &http.Server{Handler: booking}
-					go server.Serve(network.Listen(bookingAddress))
-					defer server.Close()
+					defer network.Serve(bookingAddress, booking).Close()
 					client := call.New(call.Config{Dial: network.Dial})
 					defer client.Close()
 					dispatched := 0
@@ -85,9 +82,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				network := stand.NewNetwork()
-				server := &http.Server{Handler: stand.NewBooking(stand.BookingConfig{})}
-				go server.Serve(network.Listen(bookingAddress))
-				defer server.Close()
+				defer network.Serve(bookingAddress, stand.NewBooking(stand.BookingConfig{})).Close()
 				client := call.New(call.Config{Dial: network.Dial})
 				defer client.Close()
 				// A request has more than 200 and less than 400 bytes, so the second one on the connection is lost.
--- a/call/outcome_test.go
+++ b/call/outcome_test.go
@@ -24,8 +24,7 @@
 // Guards against an outcome that contradicts what the service ran, double runs, and short responses passed as whole,
 // under faults of the service and of connections, concurrent calls, cancelled callers and refusing dispatch steps.
 func TestOutcomesProperty(t *testing.T) {
-	requests, faults, double, wrong, short := 0, 0, 0, 0, 0
-	outcomes := map[clementinewind.Outcome]int{}
+	audit := &stand.Audit{}
 	bookingFaults := []stand.FaultKind{
 		stand.FaultRefuse, stand.FaultUnsure, stand.FaultReset, stand.FaultResetEarly, stand.FaultSilence, stand.FaultSlow,
 		stand.FaultShort,
@@ -45,8 +44,7 @@
 		rapid.Check(struct{ *testing.T }{t}, func(t *rapid.T) {
 			network := stand.NewNetwork()
 			booking := stand.NewBooking(stand.BookingConfig{})
-			server := &http.Server{Handler: booking}
-			go server.Serve(network.Listen(bookingAddress))
+			server := network.Serve(bookingAddress, booking)
 			client := call.New(call.Config{Dial: network.Dial, Timeout: 3 * time.Second})
 			for range rapid.IntRange(0, 4).Draw(t, "faults") {
 				kind := rapid.SampledFrom(bookingFaults).Draw(t, "booking fault")
@@ -54,18 +52,19 @@
 				network.Inject(rapid.SampledFrom(connectionFaults).Draw(t, "connection fault"))
 			}
 			var group sync.WaitGroup
-			check := make([]func() string, rapid.IntRange(1, 6).Draw(t, "requests"))
-			for index := range check {
+			requests := make([]call.Request, rapid.IntRange(1, 6).Draw(t, "requests"))
+			reports := make([]stand.Report, len(requests))
+			for index := range requests {
+				report := &reports[index]
 				stale := rapid.IntRange(0, 9).Draw(t, "stale") == 0
 				pause := time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Millisecond
 				limit := rapid.SampledFrom([]time.Duration{3 * time.Millisecond, 100 * time.Millisecond, time.Minute}).Draw(t, "limit")
-				dispatched := 0
-				request := call.Request{
+				requests[index] = call.Request{
 					Address: bookingAddress, RequestID: clementinewind.NewRequestID(), Path: "/bookings",
 					Body: fmt.Append(nil, "seat ", index), Repeatable: rapid.Bool().Draw(t, "repeatable"),
 					Dispatch: func() error {
-						dispatched++
-						if stale {
+						report.Dispatched++
+						if report.Stale = stale; stale {
 							return errors.New("configuration may be stale")
 						}
 						return nil
@@ -75,31 +74,15 @@
 					time.Sleep(pause)
 					ctx, cancel := context.WithTimeout(context.Background(), limit)
 					defer cancel()
+					request := requests[index]
 					response, err := client.Call(ctx, request)
-					check[index] = func() string {
-						outcome := clementinewind.OutcomeAnswered
-						if err != nil {
-							outcome = clementinewind.OutcomeOf(send.ProgressOf(err))
-						}
-						outcomes[outcome]++
-						runs := booking.Ran(request.RequestID).Runs
-						whole := string(stand.BookingAnswer(request.Path, request.Body))
-						switch {
-						case runs > 1:
-							double++
-							return "ran twice"
-						case outcome == clementinewind.OutcomeNotRun && runs > 0:
-							return "ran although reported as not run"
-						case outcome == clementinewind.OutcomeAnswered && runs == 0:
-							return "answered without a run"
-						case outcome == clementinewind.OutcomeAnswered && response.Status == 200 && string(response.Body) != whole:
-							short++
-							return "short or wrong response"
-						case dispatched > 1, dispatched == 0 && outcome != clementinewind.OutcomeNotRun, stale && runs > 0:
-							return "dispatch step was repeated, left out or ignored"
-						}
-						return ""
+					report.Outcome = clementinewind.OutcomeOf(send.ProgressOf(err))
+					if err == nil {
+						report.Outcome = clementinewind.OutcomeAnswered
 					}
+					// Any other status is the service's own report of its failure.
+					report.Whole = response.Status != http.StatusOK ||
+						string(response.Body) == string(stand.BookingAnswer(request.Path, request.Body))
 				})
 			}
 			group.Wait()
@@ -107,21 +90,16 @@
 			server.Close()
 			// The slowest booking takes 1 s; all that will ever run has then run.
 			time.Sleep(2 * time.Second)
-			faults += network.Met()
-			for _, kind := range bookingFaults {
-				faults += booking.Met(kind)
+			audit.Faults += network.Met() + booking.Total()
+			for index, request := range requests {
+				audit.Check(reports[index], booking.Ran(request.RequestID), "faults drawn above")
 			}
-			for _, check := range check {
-				requests++
-				if fault := check(); fault != "" {
-					wrong++
-					t.Fatalf("%s", fault)
-				}
+			if err := audit.Err(); err != nil {
+				t.Fatalf("%v", err)
 			}
 		})
 	})
-	t.Logf("requests=%d faults=%d outcomes=%v wrong=%d double_runs=%d short_as_whole=%d", requests, faults, outcomes, wrong,
-		double, short)
+	t.Log(audit)
 }
 
 // Guards against responses that are cut off, too large, of another request or redirected and pass as the answer.
--- a/infer/client_test.go
+++ b/infer/client_test.go
@@ -32,8 +32,7 @@
 func newFixture(config stand.EngineConfig) *fixture {
 	network := stand.NewNetwork()
 	engine := stand.NewEngine(config)
-	server := &http.Server{Handler: engine}
-	go server.Serve(network.Listen(engineAddress))
+	server := network.Serve(engineAddress, engine)
 	return &fixture{network: network, engine: engine, server: server, client: infer.New(infer.Config{Dial: network.Dial})}
 }
 
--- a/infer/outcome_test.go
+++ b/infer/outcome_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
@@ -23,42 +25,24 @@
 // errStale is what the dispatch step returns when it refuses.
 var errStale = errors.New("configuration may be stale")
 
-// tally counts what a test compared.
-type tally struct {
-	requests, resumed      int
-	faults                 int
-	outcomes               map[clementinewind.Outcome]int
-	wrong, double, passed  int
-	firstWrong, firstFault string
-}
-
-func (tally *tally) String() string {
-	return fmt.Sprintf("requests=%d faults=%d outcomes=%v resumed=%d wrong=%d double_runs=%d short_as_whole=%d",
-		tally.requests, tally.faults, tally.outcomes, tally.resumed, tally.wrong, tally.double, tally.passed)
-}
-
 // result is what a caller would be told about one request.
 type result struct {
-	request    infer.Request
-	outcome    clementinewind.Outcome
-	tokens     []string
-	dispatched int
-	refused    bool
-	resumed    int
-	err        error
+	stand.Report
+	request infer.Request
+	tokens  []string
+	resumed int
 }
 
 // ask sends a request and resumes its answer as a router does.
 func (fixture *fixture) ask(ctx context.Context, request infer.Request) *result {
 	result := &result{}
-	refuse := request.Dispatch
+	stale := request.Dispatch
 	request.Dispatch = func() error {
-		result.dispatched++
-		if refuse == nil {
-			return nil
+		result.Dispatched++
+		if result.Stale = stale != nil; result.Stale {
+			return stale()
 		}
-		result.refused = true
-		return refuse()
+		return nil
 	}
 	result.request = request
 	config := answer.StreamConfig{
@@ -73,8 +57,8 @@
 	}
 	first, err := fixture.client.Generate(ctx, request)
 	if err != nil {
-		result.err, result.outcome = err, clementinewind.OutcomeOf(send.ProgressOf(err))
-		if result.outcome == clementinewind.OutcomeNotRun {
+		result.Outcome = clementinewind.OutcomeOf(send.ProgressOf(err))
+		if result.Outcome == clementinewind.OutcomeNotRun {
 			return result
 		}
 	} else {
@@ -86,70 +70,30 @@
 		chunk, err := stream.Next()
 		result.resumed = stream.Resumed()
 		if err == io.EOF {
-			result.outcome = clementinewind.OutcomeAnswered
+			result.Outcome = clementinewind.OutcomeAnswered
+			result.Whole = slices.Equal(result.tokens, stand.Answer(request.Prompt, request.MaxTokens))
 			return result
 		}
 		if err != nil {
-			result.err, result.outcome = err, clementinewind.OutcomeOf(send.ProgressOf(err))
+			result.Outcome = clementinewind.OutcomeOf(send.ProgressOf(err))
 			return result
 		}
 		result.tokens = append(result.tokens, chunk.Tokens...)
 	}
 }
 
-// count adds the faults that acted on a fixture.
-func (tally *tally) count(fixture *fixture) {
-	tally.faults += fixture.network.Met()
-	for kind := stand.FaultRefuse; kind <= stand.FaultCold; kind++ {
-		tally.faults += fixture.engine.Met(kind)
-	}
-}
-
-// check compares a result with what the engine did. It is called when nothing runs any more.
-func (tally *tally) check(fixture *fixture, result *result, faults string) {
-	runs := fixture.engine.Ran(result.request.RequestID).Runs
-	whole := strings.Join(result.tokens, "") ==
-		strings.Join(stand.Answer(result.request.Prompt, result.request.MaxTokens), "")
-	wrong := ""
-	switch {
-	case result.outcome == clementinewind.OutcomeNotRun && runs > 0:
-		wrong = "ran although reported as not run"
-	case result.outcome == clementinewind.OutcomeAnswered && runs == 0:
-		wrong = "answered without a run"
-	case result.dispatched > 1:
-		wrong = "dispatch step was taken twice"
-	case result.dispatched == 0 && (runs > 0 || result.outcome != clementinewind.OutcomeNotRun):
-		wrong = "dispatch step was left out"
-	case result.refused && (runs > 0 || result.outcome != clementinewind.OutcomeNotRun):
-		wrong = "dispatch step was ignored"
-	}
-	tally.requests++
-	tally.resumed += result.resumed
-	if tally.outcomes == nil {
-		tally.outcomes = map[clementinewind.Outcome]int{}
-	}
-	tally.outcomes[result.outcome]++
-	if result.outcome == clementinewind.OutcomeAnswered && !whole {
-		tally.passed++
-		wrong = "short or wrong answer passed as whole"
-	}
-	if runs > 1 {
-		tally.double++
-		wrong = "ran twice"
-	}
-	if wrong != "" {
-		tally.wrong++
-		if tally.firstWrong == "" {
-			tally.firstWrong, tally.firstFault = wrong, faults
-		}
-	}
-}
-
-// verdict fails the test if a result was wrong.
-func (tally *tally) verdict(t interface{ Fatalf(string, ...any) }) {
-	if tally.wrong > 0 {
-		t.Fatalf("%v; first: %s under %s", tally, tally.firstWrong, tally.firstFault)
+// settle waits until all that will ever run has run, stops the fixture and checks the results.
+func (fixture *fixture) settle(audit *stand.Audit, circumstances string, results ...*result) (resumed int) {
+	// An answer takes less than 1 s, also behind others.
+	time.Sleep(5 * time.Second)
+	fixture.close()
+	synctest.Wait()
+	audit.Faults += fixture.network.Met() + fixture.engine.Total()
+	for _, result := range results {
+		audit.Check(result.Report, fixture.engine.Ran(result.request.RequestID), circumstances)
+		resumed += result.resumed
 	}
+	return resumed
 }
 
 // named is a fault of the engine or of the connection.
@@ -182,7 +126,7 @@
 // Guards against an outcome that contradicts what the engine ran, double runs, and short or wrong answers passed as
 // whole, under each fault and each pair of faults, on a new and on a reused connection.
 func TestOutcomesUnderPairs(t *testing.T) {
-	total := &tally{}
+	audit, resumed := &stand.Audit{}, 0
 	for index, first := range allFaults() {
 		for other, second := range allFaults() {
 			for _, reused := range []bool{false, true} {
@@ -200,24 +144,18 @@
 					fixture.network.Inject(first.connection, second.connection)
 					result := fixture.ask(t.Context(), newRequest("first", nil))
 					later := fixture.ask(t.Context(), newRequest("second", nil))
-					time.Sleep(5 * time.Second)
-					fixture.close()
-					synctest.Wait()
-					total.count(fixture)
-					faults := fmt.Sprintf("%q and %q, reused %v", first.name, second.name, reused)
-					total.check(fixture, result, faults)
-					total.check(fixture, later, faults)
+					resumed += fixture.settle(audit, fmt.Sprintf("%q and %q, reused %v", first.name, second.name, reused), result, later)
 				})
 			}
 		}
 	}
-	t.Logf("kinds=%d pairs=%d %v", len(allFaults()), len(allFaults())*len(allFaults()), total)
-	total.verdict(t)
+	t.Logf("kinds=%d resumed=%d %v", len(allFaults()), resumed, audit)
+	quicktest.Assert(t, audit.Err(), quicktest.IsNil)
 }
 
 // Guards against the same under concurrent requests, cancelled callers, refusing dispatch steps and cold starts.
 func TestOutcomesProperty(t *testing.T) {
-	total := &tally{}
+	audit, resumed := &stand.Audit{}, 0
 	faults := allFaults()
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(struct{ *testing.T }{t}, func(t *rapid.T) {
@@ -246,19 +184,11 @@
 				})
 			}
 			group.Wait()
-			// An answer takes less than 1 s, also behind others; all that will ever run has then run.
-			time.Sleep(5 * time.Second)
-			fixture.close()
-			synctest.Wait()
-			total.count(fixture)
-			before := total.wrong
-			for _, result := range results {
-				total.check(fixture, result, strings.Join(names, ", "))
-			}
-			if total.wrong > before {
-				total.verdict(t)
+			resumed += fixture.settle(audit, strings.Join(names, ", "), results...)
+			if err := audit.Err(); err != nil {
+				t.Fatalf("%v", err)
 			}
 		})
 	})
-	t.Log(total)
+	t.Logf("resumed=%d %v", resumed, audit)
 }
--- a/send/transport_test.go
+++ b/send/transport_test.go
@@ -25,8 +25,7 @@
 // serve serves a handler in memory and returns a transport towards it.
 func serve(t *testing.T, handler http.HandlerFunc) (*send.Transport, *stand.Network) {
 	network := stand.NewNetwork()
-	server := &http.Server{Handler: handler}
-	go server.Serve(network.Listen(address))
+	server := network.Serve(address, handler)
 	transport := send.New(send.Config{Dial: network.Dial})
 	t.Cleanup(func() {
 		transport.CloseIdleConnections()
--- a/stand/engine_test.go
+++ b/stand/engine_test.go
@@ -28,8 +28,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		network := stand.NewNetwork()
 		engine := stand.NewEngine(config)
-		server := &http.Server{Handler: engine}
-		go server.Serve(network.Listen(engineAddress))
+		server := network.Serve(engineAddress, engine)
 		client := infer.New(infer.Config{Dial: network.Dial})
 		defer server.Close()
 		defer engine.Restart()
--- a/stand/fault.go
+++ b/stand/fault.go
@@ -99,6 +99,17 @@
 	return faults.met[kind]
 }
 
+// Total returns the number of times that a request met a fault.
+func (faults *Faults) Total() int {
+	faults.mu.Lock()
+	defer faults.mu.Unlock()
+	total := 0
+	for _, met := range faults.met {
+		total += met
+	}
+	return total
+}
+
 // take returns the faults that the next request meets.
 func (faults *Faults) take() faultSet {
 	faults.mu.Lock()
@@ -106,6 +117,9 @@
 	set := faultSet{}
 	kept := faults.active[:0]
 	for _, fault := range faults.active {
+		if fault.Kind == FaultNone {
+			continue
+		}
 		if _, ok := set[fault.Kind]; ok {
 			kept = append(kept, fault)
 			continue
--- a/stand/network.go
+++ b/stand/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -63,6 +64,13 @@
 	return listener
 }
 
+// Serve serves HTTP on an address until the server is closed.
+func (network *Network) Serve(address string, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler}
+	go server.Serve(network.Listen(address))
+	return server
+}
+
 // Dial connects to the listener on an address.
 func (network *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	network.mu.Lock()
