Drop idle connections after a silence

Cause: when an engine's host goes silent, each of its idle connections would cost a request the idle timeout of 10 s.

Ruled out: probing idle connections; it costs traffic and says nothing about the next second.

Change: infer closes its idle connections after an idle timeout. The engine stand-in also ends runs whose request id was sent again when it restarts.

Figures: with two silent idle connections the second request waited 10 s and failed before, and is answered now (TestSilentIdleConnections; fails without the change).

--- a/answer/stream_test.go
+++ b/answer/stream_test.go
@@ -167,3 +167,40 @@
 		quicktest.Assert(t, source.taken, quicktest.Equals, read)
 	}
 }
+
+// endless is a source of equal chunks at rising positions.
+type endless struct {
+	chunk answer.Chunk
+}
+
+func (endless *endless) Next() (answer.Chunk, error) {
+	chunk := endless.chunk
+	endless.chunk.Position++
+	return chunk, nil
+}
+
+func (endless *endless) Close() error { return nil }
+
+// BenchmarkStreamToken measures joining one token.
+func BenchmarkStreamToken(b *testing.B) {
+	source := &endless{chunk: answer.Chunk{Tokens: []string{"token "}}}
+	stream := answer.NewStream(b.Context(), answer.StreamConfig{First: source})
+	defer stream.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := stream.Next(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkParseToken measures one resume token.
+func BenchmarkParseToken(b *testing.B) {
+	text := answer.Token{Upstream: "engine-1", Organisation: "acme"}.String()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := answer.ParseToken(text, "acme"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -32,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	logger := hclog.New(&hclog.LoggerOptions{Name: command.Name, Output: os.Stdout})
+	logger := hclog.New(&hclog.LoggerOptions{Name: command.Name, Output: command.Root().Writer})
 	logger.Info("listening", "address", listener.Addr().String(), "name", command.String("name"),
 		"zone", command.String("zone"))
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
--- a/infer/client.go
+++ b/infer/client.go
@@ -173,21 +173,23 @@
 	idle.Stop()
 	if err != nil {
 		defer cancel(nil)
-		return nil, blame(ctx, err)
+		return nil, client.blame(ctx, err)
 	}
 	if response.StatusCode != http.StatusOK {
 		defer cancel(nil)
 		return nil, unexpected(response)
 	}
 	return newStream(ctx, cancel, response, streamConfig{
-		client: client.config, requestID: target.RequestID, position: opening.position, idle: idle,
+		client: client, requestID: target.RequestID, position: opening.position, idle: idle,
 	}), nil
 }
 
-// blame names the idle timeout or the end of ctx as the cause of an error that followed from it.
-func blame(ctx context.Context, err error) error {
+// blame names the idle timeout or the end of ctx as the cause of an error that followed from it. After a silence it also
+// closes the idle connections, as they may be silent for the same reason and would each cost a further idle timeout.
+func (client *Client) blame(ctx context.Context, err error) error {
 	switch {
 	case context.Cause(ctx) == errIdle:
+		client.transport.CloseIdleConnections()
 		return send.Fail(send.ProgressOf(err), errIdle)
 	case ctx.Err() != nil:
 		return send.Fail(send.ProgressOf(err), ctx.Err())
--- a/infer/client_test.go
+++ b/infer/client_test.go
@@ -1,9 +1,12 @@
 package infer_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -190,6 +193,26 @@
 	})
 }
 
+// Guards against an idle timeout for each of several idle connections that went silent together.
+func TestSilentIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(stand.EngineConfig{StartWarm: true})
+		defer fixture.close()
+		// A request has more than 200 and less than 500 bytes, so the second one on a connection is lost.
+		fixture.network.Inject(stand.ConnectionFault{SilentAfterWritten: 500}, stand.ConnectionFault{SilentAfterWritten: 500})
+		var both sync.WaitGroup
+		for range 2 {
+			both.Go(func() { fixture.ask(context.Background(), newRequest("a prompt", nil)) })
+		}
+		both.Wait()
+		_, err := fixture.client.Generate(t.Context(), newRequest("a prompt", nil))
+		quicktest.Assert(t, err, quicktest.ErrorMatches, ".*stream was silent.*")
+		stream, err := fixture.client.Generate(t.Context(), newRequest("a prompt", nil))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		stream.Close()
+	})
+}
+
 // Guards against a new connection for each answer when the end mark comes after the last token, and against waiting for
 // an end mark that never comes.
 func TestLateEndMark(t *testing.T) {
@@ -221,3 +244,27 @@
 		})
 	}
 }
+
+// BenchmarkGenerate measures a request without tokens over a reused connection in memory, with the cost of the server.
+func BenchmarkGenerate(b *testing.B) {
+	network := stand.NewNetwork()
+	request := newRequest(strings.Repeat("p", 1000), nil)
+	server := network.Serve(engineAddress, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		io.Copy(io.Discard, request.Body)
+		fmt.Fprintf(writer, "data: {\"id\":%q,\"position\":0,\"usage\":{\"completion_tokens\":0}}\n\ndata: [DONE]\n\n",
+			request.Header.Get(send.HeaderRequestID))
+	}))
+	defer server.Close()
+	client := infer.New(infer.Config{Dial: network.Dial})
+	defer client.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		stream, err := client.Generate(b.Context(), request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := readAll(stream, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/infer/event_test.go
+++ b/infer/event_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind"
 )
 
 // Guards against events that are cut off, joined, too large, or read differently when they arrive byte by byte.
@@ -65,3 +70,32 @@
 		}
 	})
 }
+
+// eventsOf returns the events of an answer of count tokens.
+func eventsOf(requestID clementinewind.RequestID, count int) []byte {
+	var text bytes.Buffer
+	for position := range count {
+		fmt.Fprintf(&text, "id: %d\ndata: {\"id\":%q,\"object\":\"text_completion\",\"position\":%d,"+
+			"\"choices\":[{\"text\":\"token \",\"index\":0}]}\n\n", position, requestID.String(), position)
+	}
+	fmt.Fprintf(&text, "data: {\"id\":%q,\"position\":%d,\"choices\":[],\"usage\":{\"completion_tokens\":%d}}\n\n",
+		requestID.String(), count, count)
+	return text.Bytes()
+}
+
+// BenchmarkStreamToken measures reading, parsing and ordering one token.
+func BenchmarkStreamToken(b *testing.B) {
+	requestID := clementinewind.NewRequestID()
+	response := &http.Response{Body: io.NopCloser(bytes.NewReader(eventsOf(requestID, b.N)))}
+	config := streamConfig{
+		client: New(Config{}), requestID: requestID, idle: time.AfterFunc(time.Hour, func() {}),
+	}
+	stream := newStream(b.Context(), func(error) {}, response, config)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for chunk, err := stream.Next(); !chunk.End; chunk, err = stream.Next() {
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/infer/stream.go
+++ b/infer/stream.go
@@ -24,7 +24,7 @@
 )
 
 type streamConfig struct {
-	client    Config
+	client    *Client
 	requestID clementinewind.RequestID
 	position  int64
 	// idle ends the stream's context; it is stopped while nobody reads.
@@ -49,12 +49,12 @@
 
 func newStream(ctx context.Context, cancel context.CancelCauseFunc, response *http.Response, config streamConfig) *Stream {
 	stream := &Stream{config: config, ctx: ctx, cancel: cancel, response: response}
-	stream.events = newEventReader(&idleReader{stream: stream}, config.client.MaxEvent)
+	stream.events = newEventReader(&idleReader{stream: stream}, config.client.config.MaxEvent)
 	stream.order = answer.NewOrder(answer.OrderConfig{
 		RequestID:    config.requestID,
 		Position:     config.position,
-		WindowTokens: config.client.WindowTokens,
-		WindowBytes:  config.client.WindowBytes,
+		WindowTokens: config.client.config.WindowTokens,
+		WindowBytes:  config.client.config.WindowBytes,
 	})
 	return stream
 }
@@ -87,7 +87,7 @@
 		position := stream.order.Next()
 		tokens, err := stream.read()
 		if err != nil {
-			stream.err = blame(stream.ctx, send.Fail(clementinewind.ProgressDispatched, err))
+			stream.err = stream.config.client.blame(stream.ctx, send.Fail(clementinewind.ProgressDispatched, err))
 			stream.Close()
 			return answer.Chunk{}, stream.err
 		}
@@ -165,7 +165,7 @@
 
 // Read reads from the response body.
 func (reader *idleReader) Read(data []byte) (int, error) {
-	reader.stream.config.idle.Reset(reader.stream.config.client.IdleTimeout)
+	reader.stream.config.idle.Reset(reader.stream.config.client.config.IdleTimeout)
 	defer reader.stream.config.idle.Stop()
 	return reader.stream.response.Body.Read(data)
 }
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -72,14 +72,17 @@
 	capacity int
 	running  int
 	waiting  []*run
-	runs     map[string]*run
-	cache    *prefixCache
-	history  []loadSample
-	fencing  clementinewind.Offset
-	model    string
-	role     string
-	orders   []Order
-	resets   int
+	// unfinished holds the runs that have not ended, and runs those that can be resumed. A run that was sent twice is
+	// only once in runs.
+	unfinished map[*run]struct{}
+	runs       map[string]*run
+	cache      *prefixCache
+	history    []loadSample
+	fencing    clementinewind.Offset
+	model      string
+	role       string
+	orders     []Order
+	resets     int
 }
 
 // Order is an instruction to an engine.
@@ -112,8 +115,10 @@
 		bootID:   rand.Text(),
 		capacity: config.ColdBatch,
 		runs:     map[string]*run{},
-		cache:    newPrefixCache(config.CacheBlocks, config.LoseEvents),
-		fencing:  -1,
+
+		unfinished: map[*run]struct{}{},
+		cache:      newPrefixCache(config.CacheBlocks, config.LoseEvents),
+		fencing:    -1,
 	}
 	if config.StartWarm {
 		engine.capacity = config.MaxBatch
@@ -200,7 +205,7 @@
 	engine.turnCold()
 	engine.resets++
 	engine.waiting = nil
-	for _, run := range engine.runs {
+	for run := range engine.unfinished {
 		engine.end(run, stopReset)
 	}
 	clear(engine.runs)
@@ -304,7 +309,9 @@
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
 	engine.end(run, stopCancelled)
-	delete(engine.runs, run.requestID)
+	if engine.runs[run.requestID] == run {
+		delete(engine.runs, run.requestID)
+	}
 	writer.WriteHeader(http.StatusNoContent)
 }
 
--- a/stand/run.go
+++ b/stand/run.go
@@ -67,6 +67,7 @@
 		changed:      make(chan struct{}),
 	}
 	engine.runs[run.requestID] = run
+	engine.unfinished[run] = struct{}{}
 	engine.waiting = append(engine.waiting, run)
 	engine.fill()
 	return run
@@ -93,6 +94,7 @@
 	}
 	run.cause = cause
 	run.ended = true
+	delete(engine.unfinished, run)
 	run.cancel()
 	run.notify()
 	if run.batched {
