--- a/stand/pipe.go
+++ b/stand/pipe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,7 @@
 	listeners map[string]*memoryListener
 	faults    []ConnectionFault
 	dials     int
+	met       int
 }
 
 // NewPipeNetwork returns a PipeNetwork without listeners.
@@ -46,6 +48,13 @@
 	return network.dials
 }
 
+// Met returns the number of dials that met a fault.
+func (network *PipeNetwork) Met() int {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	return network.met
+}
+
 // Listen returns a listener on an address.
 func (network *PipeNetwork) Listen(address string) net.Listener {
 	network.mu.Lock()
@@ -55,6 +64,13 @@
 	return listener
 }
 
+// Serve serves HTTP on an address until the server is closed.
+func (network *PipeNetwork) Serve(address string, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler}
+	go server.Serve(network.Listen(address))
+	return server
+}
+
 // Dial connects to the listener on an address.
 func (network *PipeNetwork) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	network.mu.Lock()
@@ -64,6 +80,9 @@
 		fault, network.faults = network.faults[0], network.faults[1:]
 	}
 	network.dials++
+	if fault != (ConnectionFault{}) {
+		network.met++
+	}
 	network.mu.Unlock()
 	if listener == nil || fault.Refuse {
 		return nil, errors.Errorf("dial %s: connection refused", address)
