--- a/plog/tail.go
+++ b/plog/tail.go
@@ -9,8 +9,8 @@
 	"github.com/clementinewind/clementinewind"
 )
 
-// defaultTailWait is below the 2 s for which a proof of freshness holds, since a proof dates from the start of a read.
-const defaultTailWait = time.Second
+// DefaultTailWait is below the 2 s for which a proof of freshness holds, since a proof dates from the start of a read.
+const DefaultTailWait = time.Second
 
 // Freshness is what a successful read of a stream proves: at the time Sent, or later, the tail was at Tail.
 type Freshness struct {
@@ -57,7 +57,7 @@
 // NewTail returns a reader that follows a stream while Run runs.
 func NewTail(config TailConfig) *Tail {
 	if config.Wait <= 0 {
-		config.Wait = defaultTailWait
+		config.Wait = DefaultTailWait
 	}
 	if config.CallTimeout <= 0 {
 		config.CallTimeout = defaultCallTimeout
@@ -75,9 +75,11 @@
 // clementinewind.ErrTruncated. All other failures are retried.
 func (tail *Tail) Run(ctx context.Context) error {
 	next := tail.config.From
+	// The first read, and the first after a failure, does not wait, so that freshness is proved without delay.
+	wait := time.Duration(0)
 	for attempt := 0; ; {
 		sent := time.Now()
-		batch, err := tail.read(ctx, next)
+		batch, err := tail.read(ctx, next, wait)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -89,10 +91,10 @@
 			if err := tail.config.Backoff.Wait(ctx, attempt); err != nil {
 				return err
 			}
-			attempt++
+			attempt, wait = attempt+1, 0
 			continue
 		}
-		attempt = 0
+		attempt, wait = 0, tail.config.Wait
 		if len(batch.Records) > 0 {
 			if err := tail.config.Handle(ctx, batch); err != nil {
 				return err
@@ -105,11 +107,11 @@
 
 // read makes one call. A reply that does not continue at next, or whose tail lies below it, comes from a log that is
 // behind; it proves no freshness and counts as a failure.
-func (tail *Tail) read(ctx context.Context, next clementinewind.Offset) (clementinewind.LogBatch, error) {
-	ctx, cancel := context.WithTimeout(ctx, tail.config.Wait+tail.config.CallTimeout)
+func (tail *Tail) read(ctx context.Context, next clementinewind.Offset, wait time.Duration) (clementinewind.LogBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+tail.config.CallTimeout)
 	defer cancel()
 	batch, err := tail.config.Log.Read(ctx, clementinewind.LogQuery{
-		Stream: tail.config.Stream, From: next, Limit: tail.config.Limit, Wait: tail.config.Wait,
+		Stream: tail.config.Stream, From: next, Limit: tail.config.Limit, Wait: wait,
 	})
 	if err != nil {
 		return batch, err
--- a/plog/writer_test.go
+++ b/plog/writer_test.go
@@ -27,21 +27,6 @@
 	err    error
 }
 
-// faultScript returns the faults of a list one after the other and no faults after its end.
-func faultScript(faults []stand.CallFault) func() stand.CallFault {
-	var mu sync.Mutex
-	return func() stand.CallFault {
-		mu.Lock()
-		defer mu.Unlock()
-		if len(faults) == 0 {
-			return stand.CallSucceeds
-		}
-		fault := faults[0]
-		faults = faults[1:]
-		return fault
-	}
-}
-
 // effective returns the payloads of the records that take effect, by offset and in order.
 func effective(t *testing.T, log clementinewind.Log, stream string) (map[clementinewind.Offset]string, []string) {
 	batch, err := log.Read(t.Context(), clementinewind.LogQuery{Stream: stream})
@@ -81,7 +66,7 @@
 			log := stand.NewLog()
 			writer := plog.NewWriter(plog.WriterConfig{
 				Log: stand.NewFlakyLog(stand.FlakyLogConfig{
-					Log: log, Late: late, Append: faultScript(appendFaults), Read: faultScript(readFaults),
+					Log: log, Late: late, Append: stand.FaultScript(appendFaults...), Read: stand.FaultScript(readFaults...),
 				}),
 				Stream: "s", MaxBatchRecords: maxBatch,
 				Backoff: plog.Backoff{Jitter: rand.New(rand.NewPCG(seed, 0)).Float64},
