--- a/claim/index.go
+++ b/claim/index.go
@@ -30,6 +30,8 @@
 
 	// releaseCalls bounds the releases of abandoned claims that wait for the log at the same time.
 	releaseCalls = 64
+	// forgetInterval keeps the search for old abandoned claims rare.
+	forgetInterval = time.Minute
 	// answerReadTimeout bounds the read of an answer that is not cached.
 	answerReadTimeout = 2 * time.Second
 )
@@ -81,6 +83,7 @@
 	// releases are claims that won after their callers had given up.
 	releases []*recordv1.Release
 	lastRead time.Time
+	forgotAt time.Time
 }
 
 // waiter is a call of Claim whose record has not been read yet.
@@ -368,13 +371,22 @@
 			}
 		}
 	}
-	// An abandoned record that arrives after the forget time of the readers is beyond what retries can cause.
+	index.forgetAbandoned()
+	return nil
+}
+
+// forgetAbandoned drops waiters whose records can no longer win, because no retry takes as long as readers remember a
+// writer.
+func (index *Index) forgetAbandoned() {
+	if time.Since(index.forgotAt) < forgetInterval {
+		return
+	}
+	index.forgotAt = time.Now()
 	for id, waiter := range index.waiters {
 		if !waiter.abandonedAt.IsZero() && time.Since(waiter.abandonedAt) > plog.DefaultForgetAfter {
 			delete(index.waiters, id)
 		}
 	}
-	return nil
 }
 
 func (index *Index) notify() {
--- a/plog/client.go
+++ b/plog/client.go
@@ -47,8 +47,10 @@
 		config.CallTimeout = defaultCallTimeout
 	}
 	return &Client{
-		service: platformv1connect.NewLogServiceClient(
-			config.HTTPClient, config.URL, connect.WithReadMaxBytes(maxMessageBytes)),
+		service: platformv1connect.NewLogServiceClient(config.HTTPClient, config.URL,
+			connect.WithReadMaxBytes(maxMessageBytes),
+			// Replies to polls are a few bytes, and compressing them costs more processor time than the rest of the call.
+			connect.WithAcceptCompression("gzip", nil, nil)),
 		timeout: config.CallTimeout,
 	}
 }
--- /dev/null
+++ b/plog/client_test.go
@@ -0,0 +1,90 @@
+package plog_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/plog"
+	"github.com/clementinewind/clementinewind/stand"
+)
+
+// pipeListener accepts connections within the process, so that a server runs in virtual time.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (listener pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-listener.conns:
+		return conn, nil
+	case <-listener.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (listener pipeListener) Close() error {
+	close(listener.done)
+	return nil
+}
+
+func (pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// silentConn drops what is written to it while it is silent, so that its peer never answers.
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (conn *silentConn) Write(data []byte) (int, error) {
+	if conn.silent.Load() {
+		return len(data), nil
+	}
+	return conn.Conn.Write(data)
+}
+
+// Guards against calls that fail for good after a connection went silent, while new connections work.
+func TestClientLeavesSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+		ctx, stop := context.WithCancel(t.Context())
+		stopped := make(chan error)
+		go func() { stopped <- stand.NewPlatform(stand.PlatformConfig{Listener: listener}).Run(ctx) }()
+		var dialed []*silentConn
+		httpClient := plog.NewHTTPClient(func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			listener.conns <- far
+			conn := &silentConn{Conn: near}
+			dialed = append(dialed, conn)
+			return conn, nil
+		})
+		client := plog.NewClient(plog.ClientConfig{HTTPClient: httpClient, URL: "http://platform"})
+		read := func() error {
+			_, err := client.Read(t.Context(), clementinewind.LogQuery{Stream: "s"})
+			return err
+		}
+		quicktest.Assert(t, read(), quicktest.IsNil)
+		dialed[0].silent.Store(true)
+		start := time.Now()
+		err := read()
+		quicktest.Assert(t, errors.Is(err, clementinewind.ErrLogUnavailable), quicktest.IsTrue)
+		for err != nil && time.Since(start) < time.Hour {
+			err = read()
+		}
+		t.Logf("calls worked again after %v", time.Since(start))
+		// The ping is sent after 10 s without a frame and fails after 5 s; a call times out after 2 s.
+		quicktest.Assert(t, time.Since(start) <= 17*time.Second, quicktest.IsTrue)
+		quicktest.Assert(t, dialed, quicktest.HasLen, 2)
+		httpClient.CloseIdleConnections()
+		stop()
+		quicktest.Assert(t, <-stopped, quicktest.IsNil)
+	})
+}
--- a/plog/writer.go
+++ b/plog/writer.go
@@ -256,6 +256,10 @@
 func (writer *Writer) send(ctx context.Context, batch []*pendingRecord) error {
 	started := time.Now()
 	for attempt := 0; ; attempt++ {
+		if attempt > 0 && writer.retriedTooLong(started) {
+			writer.failAll(batch, ErrRetryLimit)
+			return nil
+		}
 		live, records := writer.live(batch)
 		if len(live) == 0 {
 			return nil
@@ -269,10 +273,6 @@
 			return writer.settleByReading(ctx, live, first)
 		}
 		writer.setLast(err)
-		if time.Since(started) > writer.config.RetryLimit {
-			writer.failAll(live, ErrRetryLimit)
-			return nil
-		}
 		if err := writer.config.Backoff.Wait(ctx, attempt); err != nil {
 			return err
 		}
@@ -282,6 +282,12 @@
 	}
 }
 
+// retriedTooLong reports whether a retry could meet readers that have forgotten the first copy. It compares wall clocks as
+// well, because the monotonic clock stops while a machine is suspended.
+func (writer *Writer) retriedTooLong(started time.Time) bool {
+	return max(time.Since(started), time.Now().Round(0).Sub(started.Round(0))) > writer.config.RetryLimit
+}
+
 // live returns the records of a batch that still have a caller, and marks them as sent.
 func (writer *Writer) live(batch []*pendingRecord) ([]*pendingRecord, []clementinewind.Record) {
 	writer.mu.Lock()
--- a/plog/writer_test.go
+++ b/plog/writer_test.go
@@ -148,10 +148,10 @@
 	tests := map[string]struct {
 		faults stand.LogFaults
 		// warm appends one record before the fault.
-		warm    bool
-		ctx     func(context.Context) (context.Context, context.CancelFunc)
-		may     bool
-		matches []error
+		warm       bool
+		retryLimit time.Duration
+		may        bool
+		matches    []error
 	}{
 		"log down before the first append": {
 			faults:  stand.LogFaults{Down: true},
@@ -165,13 +165,17 @@
 			faults: stand.LogFaults{LoseReplies: true}, warm: true, may: true,
 			matches: []error{context.DeadlineExceeded, clementinewind.ErrLogUnavailable},
 		},
+		"retry limit": {
+			faults: stand.LogFaults{LoseReplies: true}, warm: true, retryLimit: 2 * time.Second, may: true,
+			matches: []error{plog.ErrRetryLimit, clementinewind.ErrLogUnavailable},
+		},
 		"slow log": {faults: stand.LogFaults{Delay: time.Minute}, warm: true, may: true, matches: []error{context.DeadlineExceeded}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				log := stand.NewLog()
-				writer := runWriter(t, plog.WriterConfig{Log: log, Stream: "s"})
+				writer := runWriter(t, plog.WriterConfig{Log: log, Stream: "s", RetryLimit: test.retryLimit})
 				if test.warm {
 					_, err := writer.Append(t.Context(), []byte("warm"))
 					quicktest.Assert(t, err, quicktest.IsNil)
