Cover fencing of requests and faults in response headers

Cause: the engine's fencing mode was tested for orders only, and no connection fault hit the response headers in infer.

Ruled out: a fault list for each client; stand.ConnectionFaults is shared by infer and call and can serve the router.

The request id of an event is compared as text, without parsing it.

--- a/infer/stream.go
+++ b/infer/stream.go
@@ -41,6 +41,8 @@
 	events   *eventReader
 	order    *answer.Order
 	err      error
+	// requestID is the text form of the request id.
+	requestID string
 	// complete says that the whole answer was delivered, so that Next no longer reads.
 	complete atomic.Bool
 	once     sync.Once
@@ -48,7 +50,7 @@
 }
 
 func newStream(ctx context.Context, cancel context.CancelCauseFunc, response *http.Response, config streamConfig) *Stream {
-	stream := &Stream{config: config, ctx: ctx, cancel: cancel, response: response}
+	stream := &Stream{config: config, ctx: ctx, cancel: cancel, response: response, requestID: config.requestID.String()}
 	stream.events = newEventReader(&idleReader{stream: stream}, config.client.config.MaxEvent)
 	stream.order = answer.NewOrder(answer.OrderConfig{
 		RequestID:    config.requestID,
@@ -136,14 +138,10 @@
 	if event.Error != nil {
 		return nil, &clementinewind.Refusal{Reason: clementinewind.ReasonUpstreamFailed, Detail: event.Error.Message}
 	}
-	requestID, err := clementinewind.ParseRequestID(event.ID)
-	if err != nil {
-		return nil, err
-	}
-	if requestID != stream.config.requestID {
+	if event.ID != stream.requestID {
 		return nil, nil
 	}
-	chunk := answer.Chunk{RequestID: requestID, Position: event.Position}
+	chunk := answer.Chunk{RequestID: stream.config.requestID, Position: event.Position}
 	for _, choice := range event.Choices {
 		if choice.Text != "" {
 			chunk.Tokens = append(chunk.Tokens, choice.Text)
--- a/stand/network.go
+++ b/stand/network.go
@@ -20,6 +20,22 @@
 	SilentAfterWritten, SilentAfterRead int
 }
 
+// ConnectionFaults returns named faults that break a connection at the dial, in the request, and in an answer of more
+// than 900 bytes. A request must have more than 100 bytes.
+func ConnectionFaults() map[string]ConnectionFault {
+	return map[string]ConnectionFault{
+		"dial refused":                    {Refuse: true},
+		"connection reset in request":     {ResetAfterWritten: 100},
+		"connection silent in request":    {SilentAfterWritten: 100},
+		"connection reset before answer":  {ResetAfterRead: 1},
+		"connection silent before answer": {SilentAfterRead: 1},
+		"connection reset in headers":     {ResetAfterRead: 130},
+		"connection silent in headers":    {SilentAfterRead: 130},
+		"connection reset in answer":      {ResetAfterRead: 900},
+		"connection silent in answer":     {SilentAfterRead: 900},
+	}
+}
+
 // Network connects dialers and listeners in memory, so that they can run in virtual time.
 type Network struct {
 	mu        sync.Mutex
