Ask engines for the usage event

Cause: the usual completions API sends the usage of a stream only on request, and infer takes it as the proof of a whole answer; a real engine would have left every answer incomplete.

Ruled out: taking the finish reason as proof; it does not tell the number of tokens.

Change: infer sends stream_options with include_usage; the engine stand-in sends the usage event only then, and sets the finish reason on the last token.

Figures: `go test -race ./infer ./stand ./cmd/...` passes; without the option all streams of infer end as incomplete.

Conclusion: the client keeps to the published API except for the position of each event, which is this project's own.

--- a/infer/client.go
+++ b/infer/client.go
@@ -86,6 +86,7 @@
 func (client *Client) Generate(ctx context.Context, request Request) (*Stream, error) {
 	body, err := json.Marshal(completionRequest{
 		Model: request.Model, Prompt: request.Prompt, MaxTokens: request.MaxTokens, Stream: true,
+		StreamOptions: streamOptions{IncludeUsage: true},
 	})
 	if err != nil {
 		return nil, invalid(err)
--- a/infer/wire.go
+++ b/infer/wire.go
@@ -32,6 +32,12 @@
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens,omitempty"`
 	Stream    bool   `json:"stream"`
+	// StreamOptions ask for the usage event, which proves that an answer is whole.
+	StreamOptions streamOptions `json:"stream_options"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
 }
 
 // Load is the load report of an engine. Its counts and events lag behind.
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -249,6 +249,9 @@
 		Prompt    string `json:"prompt"`
 		MaxTokens int    `json:"max_tokens"`
 		Stream    bool   `json:"stream"`
+		Options   struct {
+			IncludeUsage bool `json:"include_usage"`
+		} `json:"stream_options"`
 	}
 	if err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxPrompt)).Decode(&body); err != nil {
 		refuse(writer, http.StatusBadRequest, err.Error())
@@ -260,7 +263,7 @@
 	if faults.has(FaultCold) {
 		engine.TurnCold()
 	}
-	run := engine.start(received, body.Prompt, body.MaxTokens)
+	run := engine.start(received, body.Prompt, body.MaxTokens, !body.Stream || body.Options.IncludeUsage)
 	if run == nil {
 		reset(writer)
 		return
--- a/stand/run.go
+++ b/stand/run.go
@@ -30,6 +30,8 @@
 	cachedTokens int
 	prefill      time.Duration
 	answer       []string
+	// usage says that the stream ends with a usage event.
+	usage bool
 
 	engine   *Engine
 	ctx      context.Context
@@ -44,7 +46,7 @@
 }
 
 // start admits a request. It returns nil if the engine was cold and collapsed.
-func (engine *Engine) start(received Received, prompt string, maxTokens int) *run {
+func (engine *Engine) start(received Received, prompt string, maxTokens int, usage bool) *run {
 	blocks := infer.PrefixBlocks(prompt)
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
@@ -61,6 +63,7 @@
 		cachedTokens: cached,
 		prefill:      time.Duration(len(prompt)-cached) * prefillTime,
 		answer:       Answer(prompt, maxTokens),
+		usage:        usage,
 		engine:       engine,
 		ctx:          ctx,
 		cancel:       cancel,
@@ -254,7 +257,11 @@
 func newEvent(run *run, position int, text string, end bool) event {
 	created := event{ID: run.requestID, Object: "text_completion", Position: position, Choices: []eventChoice{}}
 	if text != "" {
-		created.Choices = append(created.Choices, eventChoice{Text: text})
+		choice := eventChoice{Text: text}
+		if end || position == len(run.answer)-1 {
+			choice.FinishReason = "stop"
+		}
+		created.Choices = append(created.Choices, choice)
 	}
 	if end {
 		created.Usage = &eventUsage{CompletionTokens: len(run.answer)}
@@ -324,7 +331,9 @@
 
 // end writes the usage and the end mark. A held event comes after the usage.
 func (events *eventWriter) end() {
-	events.write(newEvent(events.run, len(events.run.answer), "", true))
+	if events.run.usage {
+		events.write(newEvent(events.run, len(events.run.answer), "", true))
+	}
 	if events.held != nil {
 		events.write(*events.held)
 	}
