Test the audit and early responses

Cause: a check that misses wrong reports makes every test above it worthless, and a response that precedes the request on a reused connection must not be taken for its answer.

Ruled out: nothing further; both are tests of code that exists.

Change: table of true and wrong reports for stand.Audit; TestEarlyResponse for send.

Figures: `go test -race -count=20 ./send` and `go test -race ./stand` pass. On a scratch copy TestEarlyResponse fails when an early response is accepted. Leaving out the revocation of the ticket alone passes all tests: the end of the context stops the write as well, and only a race between the two steps would show it.

Conclusion: both rules are covered but for that race.

--- a/send/transport_test.go
+++ b/send/transport_test.go
@@ -196,3 +196,30 @@
 		quicktest.Assert(t, send.ProgressOf(err), quicktest.Equals, clementinewind.ProgressQueued)
 	})
 }
+
+// Guards against taking a response that came before the request was written as the answer to it, and against writing the
+// request after it was reported as not run.
+func TestEarlyResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dispatched := 0
+		near, far := net.Pipe()
+		defer far.Close()
+		transport := send.New(send.Config{Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }})
+		released := make(chan struct{})
+		var once sync.Once
+		ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{WroteHeaderField: func(string, []string) {
+			once.Do(func() {
+				go far.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+				<-released
+			})
+		}})
+		err := do(transport, newRequest(ctx, http.MethodPost, strings.NewReader("body")), send.Options{Dispatch: func() error {
+			dispatched++
+			return nil
+		}})
+		quicktest.Assert(t, send.ProgressOf(err), quicktest.Equals, clementinewind.ProgressQueued)
+		close(released)
+		synctest.Wait()
+		quicktest.Assert(t, dispatched, quicktest.Equals, 0)
+	})
+}
--- /dev/null
+++ b/stand/audit_test.go
@@ -0,0 +1,46 @@
+package stand_test
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/stand"
+)
+
+// Guards against an audit that misses a wrong report, which would let every test above it pass.
+func TestAudit(t *testing.T) {
+	const answered, notRun, unknown = clementinewind.OutcomeAnswered, clementinewind.OutcomeNotRun, clementinewind.OutcomeUnknown
+	tests := map[string]struct {
+		report stand.Report
+		runs   int
+		want   string
+	}{
+		"answered":             {report: stand.Report{Outcome: answered, Whole: true, Dispatched: 1}, runs: 1},
+		"answered, no step":    {report: stand.Report{Outcome: answered, Whole: true, Dispatched: -1}, runs: 1},
+		"refused by the step":  {report: stand.Report{Outcome: notRun, Dispatched: 1, Stale: true}},
+		"never dispatched":     {report: stand.Report{Outcome: notRun}},
+		"unknown":              {report: stand.Report{Outcome: unknown, Dispatched: 1}, runs: 1},
+		"unknown, not run":     {report: stand.Report{Outcome: unknown, Dispatched: 1}},
+		"double run":           {report: stand.Report{Outcome: unknown, Dispatched: 1}, runs: 2, want: ".*double_runs=1.*"},
+		"false not run":        {report: stand.Report{Outcome: notRun, Dispatched: 1}, runs: 1, want: ".*reported as not run.*"},
+		"answer without run":   {report: stand.Report{Outcome: answered, Whole: true, Dispatched: 1}, want: ".*without a run.*"},
+		"short":                {report: stand.Report{Outcome: answered, Dispatched: 1}, runs: 1, want: ".*short_as_whole=1.*"},
+		"second step":          {report: stand.Report{Outcome: unknown, Dispatched: 2}, runs: 1, want: ".*more than once.*"},
+		"step left out":        {report: stand.Report{Outcome: unknown}, runs: 1, want: ".*left out or ignored.*"},
+		"step ignored":         {report: stand.Report{Outcome: unknown, Dispatched: 1, Stale: true}, want: ".*left out or ignored.*"},
+		"step ignored and run": {report: stand.Report{Outcome: unknown, Dispatched: 1, Stale: true}, runs: 1, want: ".*left out or ignored.*"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			audit := &stand.Audit{}
+			audit.Check(test.report, stand.Ran{Runs: test.runs}, "no fault")
+			if test.want == "" {
+				quicktest.Assert(t, audit.Err(), quicktest.IsNil)
+				return
+			}
+			quicktest.Assert(t, audit.Err(), quicktest.ErrorMatches, test.want)
+		})
+	}
+}
