Keep one session through a cut and open links again after it

Cause: three faults met after a cut of a router that still reaches the log. It opened a session at once after each expiry, and each was expired 5 s later. A race between two goroutines could remove all links of the new session. And the detector compared the heartbeats of its peers, which count from 1 for each session, with the sequence heard under the previous session, so it took them for repeats and never answered.

Ruled out: a fixed delay before a new session, which helps no router whose cut lasts longer.

Change: after an expiry a router waits, up to 30 s, until more than half of the others answer a call. The links are replaced under the lock of the assignment, and those of the old session stay open for the requests on them. The detector forgets its peers with the session.

Conclusion: a cut costs one session, and its end gives one.

--- a/member/detector.go
+++ b/member/detector.go
@@ -107,6 +107,10 @@
 func (detector *Detector) SetSession(self clementinewind.Session) {
 	detector.mu.Lock()
 	defer detector.mu.Unlock()
+	if detector.self != self {
+		// The peers count the heartbeats to each session from 1, so what was heard under another session says nothing.
+		clear(detector.peers)
+	}
 	detector.self = self
 	detector.chooseRing(detector.wake())
 }
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -109,6 +109,16 @@
 	}
 }
 
+// RetireAll retires all peers and removes them from the set. Links that are opened afterwards name the present session.
+func (fleet *Fleet) RetireAll() {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	for _, link := range fleet.links {
+		link.retired = true
+		fleet.remove(link)
+	}
+}
+
 // remove takes a link out of the set. The caller holds mu.
 func (fleet *Fleet) remove(link *link) {
 	delete(fleet.links, link.session)
--- a/router/control.go
+++ b/router/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
@@ -20,6 +21,9 @@
 const (
 	// loadAttemptTimeout bounds one attempt to load the state at start.
 	loadAttemptTimeout = 10 * time.Second
+	// peersTimeout is how long a router whose session was expired waits for its peers before it opens another one. It
+	// ends the wait of routers that have all lost each other.
+	peersTimeout = 30 * time.Second
 	// snapshotAfter is the number of control records after which a snapshot is written. At 1,900 edits and a few hundred
 	// session records a day that is twice a day, and a start reads at most about that many records after the snapshot.
 	snapshotAfter = 1000
@@ -109,6 +113,10 @@
 			router.fleet.Retire(ended.Session.ID)
 		}
 	}
+	if before.self != next.self {
+		// The links name the session under which they were opened.
+		router.fleet.RetireAll()
+	}
 	if err := router.fleet.SetPeers(next.peers()); err != nil {
 		router.logger.Error("peers not set", "error", err)
 	}
@@ -209,6 +217,7 @@
 		view := router.replica.View()
 		_, live := view.Session(router.currentSession())
 		if !live && !router.isDraining() && router.loaded.Load() {
+			router.awaitPeers(ctx)
 			if err := router.openSession(ctx); err != nil {
 				router.logger.Warn("session not opened", "error", err)
 				if err := (plog.Backoff{}).Wait(ctx, 3); err != nil {
@@ -226,6 +235,46 @@
 	return ctx.Err()
 }
 
+// awaitPeers waits, after an expiry, until this router reaches more than half of the others again. A router that reaches
+// the log but not its peers would otherwise open a session that is expired after a few seconds, again and again, and each
+// time its upstreams would change their owner.
+func (router *Router) awaitPeers(ctx context.Context) {
+	if router.currentSession() == clementinewind.NoSession {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peersTimeout)
+	defer cancel()
+	for !router.reachesMajority(ctx) {
+		if err := pause(ctx, time.Second); err != nil {
+			return
+		}
+	}
+}
+
+// reachesMajority reports whether more than half of the live sessions answer a call, which needs both directions.
+func (router *Router) reachesMajority(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	sessions := router.replica.View().Sessions
+	answers := make(chan bool, len(sessions))
+	for _, session := range sessions {
+		go func() {
+			callCtx, client, err := router.fleet.Client(ctx, session.ID)
+			if err == nil {
+				_, err = client.ConfirmStop(callCtx, &peerv1.ConfirmStopRequest{}, grpc.WaitForReady(true))
+			}
+			answers <- err == nil
+		}()
+	}
+	reached := 0
+	for range sessions {
+		if <-answers {
+			reached++
+		}
+	}
+	return 2*reached >= len(sessions)
+}
+
 // openSession appends the record that opens a session and waits until the replica has applied it.
 func (router *Router) openSession(ctx context.Context) error {
 	settings := router.config.Settings
@@ -247,10 +296,6 @@
 	router.session.Store(int64(session))
 	router.keeper.SetSession(session)
 	router.members.SetSession(session)
-	// The links name the session under which they were opened.
-	if err := router.fleet.SetPeers(nil); err != nil {
-		return err
-	}
 	router.assign()
 	router.logger.Info("session opened", "session", session)
 	return nil
