End the session that a new session of its instance replaces

Cause: when all routers restart at once their old sessions stay live, and since less than half of all sessions are heard none of the old ones may be expired. Ownership would stay with sessions that are gone.

Ruled out: counting only sessions that were heard once, which would let a minority expire the majority after a restart.

Change: SessionOpened ends the live sessions of the same instance, which runs one router. View.Ended tells closed, expired and replaced sessions apart, and View.EndedSince tells from which offset on it is complete.

--- a/state/replica.go
+++ b/state/replica.go
@@ -210,6 +210,13 @@
 
 func (view *View) open(offset clementinewind.Offset, opened *recordv1.SessionOpened) {
 	view.MembershipOffset = offset
+	// An instance runs one router. Without this rule sessions that all ended at once could not be expired, because less
+	// than half of all sessions would be heard.
+	for _, session := range view.Sessions {
+		if session.Instance == clementinewind.Instance(opened.GetInstance()) {
+			view.remove(Ended{Session: session, Offset: offset, Replaced: true})
+		}
+	}
 	view.Sessions = append(slices.Clip(view.Sessions), sessionOf(clementinewind.Session(offset), opened))
 }
 
@@ -238,10 +245,17 @@
 	if !ok {
 		return "the session is not live"
 	}
-	view.Sessions = slices.DeleteFunc(slices.Clone(view.Sessions), func(session Session) bool { return session.ID == id })
-	view.Ended = append(view.Ended, Ended{Session: session, Offset: offset, Closed: closed})
-	if len(view.Ended) > maxEnded {
-		view.Ended = view.Ended[len(view.Ended)-maxEnded:]
-	}
+	view.remove(Ended{Session: session, Offset: offset, Closed: closed})
 	return ""
 }
+
+func (view *View) remove(ended Ended) {
+	view.Sessions = slices.DeleteFunc(slices.Clone(view.Sessions), func(session Session) bool {
+		return session.ID == ended.Session.ID
+	})
+	view.Ended = append(view.Ended, ended)
+	if surplus := len(view.Ended) - maxEnded; surplus > 0 {
+		view.EndedSince = view.Ended[surplus-1].Offset + 1
+		view.Ended = view.Ended[surplus:]
+	}
+}
--- a/state/replica_test.go
+++ b/state/replica_test.go
@@ -153,9 +153,13 @@
 	quicktest.Assert(t, view.MembershipOffset, quicktest.Equals, closed)
 	quicktest.Assert(t, view.Ended, quicktest.HasLen, 2)
 	quicktest.Assert(t, view.Ended[0].Offset == expired && !view.Ended[0].Closed && view.Ended[1].Closed, quicktest.IsTrue)
+	stream.append(&recordv1.SessionOpened{Instance: "I2"})
+	quicktest.Assert(t, replica.Apply(stream.all()), quicktest.IsNil)
+	quicktest.Assert(t, replica.View().Sessions, quicktest.HasLen, 1)
+	quicktest.Assert(t, replica.View().Ended[2].Replaced, quicktest.IsTrue)
 	quicktest.Assert(t, replica.Apply(stream.batch(0, 2)), quicktest.IsNil)
-	quicktest.Assert(t, replica.View().Version, quicktest.Equals, closed+1)
-	gap := clementinewind.LogBatch{First: closed + 2, Records: stream.records[:1]}
+	quicktest.Assert(t, replica.View().Version, quicktest.Equals, closed+2)
+	gap := clementinewind.LogBatch{First: closed + 3, Records: stream.records[:1]}
 	quicktest.Assert(t, replica.Apply(gap), quicktest.ErrorIs, state.ErrGap)
 }
 
@@ -167,7 +171,7 @@
 	session := int64(rapid.IntRange(0, next).Draw(t, "session"))
 	switch rapid.IntRange(0, 7).Draw(t, "kind") {
 	case 0, 1:
-		return &recordv1.SessionOpened{Instance: fmt.Sprint("I", next)}
+		return &recordv1.SessionOpened{Instance: fmt.Sprint("I", next%5)}
 	case 2:
 		return &recordv1.SessionClosed{Session: session}
 	case 3:
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -80,6 +80,7 @@
 		Tree:             settings,
 		Version:          clementinewind.Offset(snapshot.GetCovers()),
 		MembershipOffset: clementinewind.Offset(snapshot.GetMembershipOffset()),
+		EndedSince:       clementinewind.Offset(snapshot.GetCovers()),
 	}
 	for _, session := range snapshot.GetSessions() {
 		view.Sessions = append(view.Sessions, sessionOf(clementinewind.Session(session.GetSession()), session.GetOpened()))
--- a/state/view.go
+++ b/state/view.go
@@ -18,8 +18,9 @@
 	MembershipOffset clementinewind.Offset
 	// Sessions are the live sessions in the order in which they were opened.
 	Sessions []Session
-	// Ended are the sessions that ended recently, in order. It starts empty after a restore.
-	Ended []Ended
+	// Ended are the sessions that ended recently, in order. It holds every session that ended at EndedSince or above.
+	Ended      []Ended
+	EndedSince clementinewind.Offset
 	// Edits are the newest edits, oldest first.
 	Edits []Edit
 }
@@ -38,8 +39,10 @@
 	Session Session
 	// Offset is that of the record that ended the session.
 	Offset clementinewind.Offset
-	// Closed tells a session that closed itself, after its last send, from one that another router expired.
+	// Closed reports that the session closed itself, after its last send.
 	Closed bool
+	// Replaced reports that its instance opened another session, so the router of this one is gone.
+	Replaced bool
 }
 
 // Edit is an edit of the settings as the history tells it.
