--- /dev/null
+++ b/cmd/clementinewind/main.go
@@ -0,0 +1,23 @@
+// Command clementinewind runs and operates a router fleet.
+package main
+
+import (
+	"context"
+	"os"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/clementinewind/clementinewind/cli"
+	"github.com/clementinewind/clementinewind/tree"
+)
+
+func main() {
+	program := cli.New(cli.Config{
+		CheckSettings: func(_ string, text []byte) error {
+			_, err := tree.Parse(string(text))
+			return err
+		},
+		Extra: []*urfave.Command{routerCommand(), demoCommand()},
+	})
+	os.Exit(program.Run(context.Background(), os.Args))
+}
