--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -237,8 +237,18 @@
 	case keeper.observed && view.EndedSince <= keeper.view.Version:
 		keeper.replay(view, now)
 	case view.Version > 0:
-		// Some changes of ownership are not known, so any session may have been the owner until this version.
-		keeper.pasts = []*past{newPast(view.Sessions, nil, view.Version-1, now)}
+		// Some changes of ownership are not known, so any session may have been the owner until this version. Most of the
+		// sessions before and after the gap must have left it behind.
+		if keeper.observed {
+			before := newPast(keeper.view.Sessions, nil, view.Version-1, now)
+			for _, session := range keeper.view.Sessions {
+				if _, ok := view.Session(session.ID); !ok {
+					before.gone[session.ID] = now + goneAfter
+				}
+			}
+			keeper.pasts = append(keeper.pasts, before)
+		}
+		keeper.pasts = append(keeper.pasts, newPast(view.Sessions, nil, view.Version-1, now))
 	}
 	for _, ended := range view.Ended {
 		for _, past := range keeper.pasts {
--- a/member/detector.go
+++ b/member/detector.go
@@ -103,8 +103,9 @@
 	}
 }
 
-// SetSession sets the session of this router.
+// SetSession sets the session of this router, also for the keeper.
 func (detector *Detector) SetSession(self clementinewind.Session) {
+	detector.config.Keeper.SetSession(self)
 	detector.mu.Lock()
 	defer detector.mu.Unlock()
 	if detector.self != self {
@@ -281,7 +282,7 @@
 		for _, entry := range heartbeat.GetLogLost() {
 			id := clementinewind.Session(entry.GetSession())
 			at := bound.Add(-time.Duration(entry.GetAgeMillis()) * time.Millisecond)
-			if id != detector.self && detector.live(id) && at.After(detector.lost[id]) && at.After(detector.regained[id]) {
+			if id != detector.self && detector.live(id) && at.After(detector.lost[id]) && !at.Before(detector.regained[id]) {
 				detector.lost[id] = at
 			}
 		}
@@ -354,10 +355,10 @@
 	})
 }
 
-// Expirable returns the sessions that this router should expire now. Call it once an Interval. A session is expired when this router and another
-// neighbour suspect it, and when more than half of all live sessions, and of the neighbours of this router, stay
-// unsuspected or when the platform no longer lists its instance. So a minority that still reaches the log cannot expire
-// the majority.
+// Expirable returns the sessions that this router should expire now. Call it once an Interval. A session is expired when
+// this router and another neighbour suspect it, and when more than half of all live sessions, and of the neighbours of
+// this router with itself, are present, or when the platform no longer lists its instance. So a minority that still
+// reaches the log cannot expire the majority.
 func (detector *Detector) Expirable() []clementinewind.Session {
 	detector.mu.Lock()
 	defer detector.mu.Unlock()
@@ -365,32 +366,40 @@
 	if !detector.live(detector.self) {
 		return nil
 	}
-	suspects := detector.suspects(now)
-	suspected := slices.Clone(suspects)
+	reported := map[clementinewind.Session]bool{}
 	for session, peer := range detector.peers {
 		if detector.hears(session, now) {
-			suspected = append(suspected, peer.suspects...)
+			for _, suspect := range peer.suspects {
+				reported[suspect] = true
+			}
 		}
 	}
-	slices.Sort(suspected)
-	suspected = slices.DeleteFunc(slices.Compact(suspected), func(session clementinewind.Session) bool {
-		return session == detector.self || !detector.live(session)
-	})
-	neighbours := detector.ring
-	unheard := 0
-	for _, neighbour := range neighbours {
-		if slices.Contains(suspected, neighbour) {
-			unheard++
-		}
+	// A session that has missed a heartbeat is not present. When a partition silences many, the first of them is
+	// suspected while the others have missed only two, and must not be expired on their account.
+	present := func(session clementinewind.Session) bool {
+		peer := detector.peers[session]
+		silent := slices.Contains(detector.ring, session) && now.Sub(peer.goodAt) > slowAfter
+		return session == detector.self || !reported[session] && !silent
 	}
-	total := len(detector.view.Sessions)
-	majority := 2*(total-len(suspected)) > total && 2*(len(neighbours)+1-unheard) > len(neighbours)+1
-	return slices.DeleteFunc(suspects, func(suspect clementinewind.Session) bool {
+	sessions := detector.sessions()
+	majority := mostly(sessions, present) && mostly(append(slices.Clip(detector.ring), detector.self), present)
+	return slices.DeleteFunc(detector.suspects(now), func(suspect clementinewind.Session) bool {
 		session, _ := detector.view.Session(suspect)
 		return !majority && !detector.config.InstanceGone(session.Instance) || !detector.agreed(suspect, now)
 	})
 }
 
+// mostly reports whether a condition holds for more than half of some sessions.
+func mostly(sessions []clementinewind.Session, condition func(clementinewind.Session) bool) bool {
+	count := 0
+	for _, session := range sessions {
+		if condition(session) {
+			count++
+		}
+	}
+	return 2*count > len(sessions)
+}
+
 // agreed reports whether another router that is heard suspects the session as well. The lowest of those that suspect it
 // acts first, so that usually one record is appended.
 func (detector *Detector) agreed(suspect clementinewind.Session, now time.Time) bool {
