Charge slots by average cost and measure the policy

Change: a slot is charged the average cost of the pool while it is held, and the tokens as they arrive. An organisation that returns from idle starts at the service of the others, without what their tags hold for requests in progress. Totals go to all owners at once, and a new home router adds what each owner reported since the last total.

Admission: the cold limit applies to requests since the sign of the cold start; an answer that has run for 3 s proves the limit; a new owner takes over the limit that the load reports show; an upstream that was idle is probed first.

The retry budget belongs to the entry router, which makes the retries.

Checked with go test -race ./fair ./admit ./sched ./bench.

--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -20,6 +20,11 @@
 	slowRatio = 2.5
 	// coldJumps is the number of jumps in a row that count as a cold start, because one long prompt is slow as well.
 	coldJumps = 3
+	// proofTime is how long an answer must have run to count as proof that the upstream carries it. Cold engines fail by
+	// slow first tokens, resets or refusals within this time.
+	proofTime = 3 * time.Second
+	// idleTime is the time without a first token or an answer after which an idle upstream may have restarted unnoticed.
+	idleTime = 5 * time.Second
 	// minJumpTime keeps jitter of very short first-token times from counting as a jump.
 	minJumpTime = 200 * time.Millisecond
 	// decrease is the factor of the limit after a refusal or a slow window.
@@ -108,16 +113,26 @@
 
 // Limiter is the adaptive concurrency limit of one upstream.
 type Limiter struct {
-	config     Config
-	limit      float64
-	inFlight   int
-	generation int
-	sign       Sign
-	cold       bool
-	// good counts completions in the current window; only requests admitted in it count.
+	config Config
+	// limit applies to the requests admitted since the last sign of a cold start. The others are lost if the upstream
+	// restarted, and otherwise run on an upstream that carries them.
+	limit float64
+	// ceiling applies to all requests.
+	ceiling  float64
+	inFlight int
+	fresh    int
+	epoch    int
+	sign     Sign
+	cold     bool
+	// generation counts windows; good counts the proven requests among those admitted in the current one.
+	generation  int
 	good        int
 	windowStart time.Time
 	saturated   bool
+	// proven is the limit to return to when a first token shows that the upstream is still warm after idle time; 0 when
+	// there is nothing to show.
+	proven float64
+	shown  time.Time
 	// usual is the first-token time in normal operation, recent a faster average.
 	usual   time.Duration
 	recent  time.Duration
@@ -140,6 +155,11 @@
 	peak     int
 	lastPeak int
 	peakTime time.Time
+	// valley and lastValley are the fewest requests in progress in the same periods.
+	valley     int
+	lastValley int
+	// adopting says that the work of a previous owner has not ended.
+	adopting bool
 	// holdUntil is when a new owner stops to wait for a load report.
 	holdUntil time.Time
 }
@@ -147,14 +167,17 @@
 // Ticket is the admission of one request.
 type Ticket struct {
 	generation int
-	admitted   time.Time
+	epoch      int
 	probe      bool
-	first      bool
+	// firstAt is when the first token came.
+	firstAt time.Time
+	counted bool
 }
 
 // NewLimiter returns a limiter at the cold limit.
 func NewLimiter(config Config, now time.Time) *Limiter {
-	limiter := &Limiter{config: config.normal()}
+	limiter := &Limiter{config: config.normal(), shown: now}
+	limiter.ceiling = float64(limiter.config.Max)
 	limiter.Cool(SignNew, now)
 	if config.Adopted {
 		limiter.holdUntil = now.Add(adoptTime)
@@ -170,8 +193,12 @@
 
 // SetConfig changes the bounds of the limit.
 func (limiter *Limiter) SetConfig(config Config) {
+	if limiter.ceiling == float64(limiter.config.Max) {
+		limiter.ceiling = float64(config.normal().Max)
+	}
 	limiter.config = config.normal()
-	limiter.limit = min(limiter.limit, float64(limiter.config.Max))
+	limiter.ceiling = min(limiter.ceiling, float64(limiter.config.Max))
+	limiter.limit = min(limiter.limit, limiter.ceiling)
 }
 
 // Limit returns the number of requests that may be in progress.
@@ -195,11 +222,15 @@
 		}
 		return 1
 	}
-	free := limiter.Limit() - limiter.inFlight
+	foreign := 0
 	if now.Sub(limiter.loadTime) < reportLife {
-		free -= limiter.foreign
+		foreign = limiter.foreign
+	}
+	limit := limiter.Limit()
+	if limiter.unproven(now) {
+		limit = min(limit, limiter.config.Cold)
 	}
-	return max(free, 0)
+	return max(min(limit-limiter.fresh, int(limiter.ceiling)-limiter.inFlight-foreign), 0)
 }
 
 // State returns the state of the upstream as far as its admission shows it.
@@ -219,26 +250,41 @@
 	return limiter.sign
 }
 
+// unproven reports whether the upstream has been idle for so long that it may have restarted unnoticed.
+func (limiter *Limiter) unproven(now time.Time) bool {
+	return limiter.proven > 0 || limiter.fresh == 0 && now.Sub(limiter.shown) > idleTime
+}
+
 // Acquire admits one request. The caller has checked Free.
 func (limiter *Limiter) Acquire(now time.Time) Ticket {
+	if limiter.unproven(now) && limiter.proven == 0 {
+		limiter.proven = limiter.limit
+	}
 	limiter.inFlight++
+	limiter.fresh++
 	limiter.rotatePeak(now)
 	limiter.peak = max(limiter.peak, limiter.inFlight)
-	if limiter.inFlight >= limiter.Limit() {
+	if limiter.fresh >= limiter.Limit() || limiter.inFlight >= int(limiter.ceiling) {
 		limiter.saturated = true
 	}
 	probe := limiter.open
 	if probe {
 		limiter.probing = true
 	}
-	return Ticket{generation: limiter.generation, admitted: now, probe: probe}
+	return Ticket{generation: limiter.generation, epoch: limiter.epoch, probe: probe}
 }
 
 // Cool drops the limit to the cold limit and starts a new window.
 func (limiter *Limiter) Cool(sign Sign, now time.Time) {
 	limiter.sign = sign
-	limiter.cold = true
 	limiter.limit = float64(limiter.config.Cold)
+	limiter.proven = 0
+	if !limiter.cold {
+		// One cold start shows by several signs. Requests admitted since the first one may be running and keep counting.
+		limiter.cold = true
+		limiter.epoch++
+		limiter.fresh = 0
+	}
 	limiter.recent = limiter.usual
 	limiter.jumps = 0
 	limiter.newWindow(now)
@@ -252,24 +298,25 @@
 func (limiter *Limiter) newWindow(now time.Time) {
 	limiter.generation++
 	limiter.good = 0
-	limiter.saturated = limiter.inFlight >= limiter.Limit()
+	limiter.saturated = limiter.fresh >= limiter.Limit()
 	limiter.windowStart = now
 }
 
 // FirstToken tells how long an admitted request waited for its first token.
 func (limiter *Limiter) FirstToken(ticket *Ticket, wait time.Duration, now time.Time) {
-	if ticket.first || ticket.generation != limiter.generation && limiter.cold {
+	if !ticket.firstAt.IsZero() || ticket.epoch != limiter.epoch {
 		return
 	}
-	ticket.first = true
+	ticket.firstAt = now
 	if limiter.samples >= warmSamples && wait > minJumpTime && wait > coldJump*limiter.usual {
 		limiter.jumps++
-		if limiter.jumps >= coldJumps && !limiter.cold {
+		if limiter.proven > 0 || limiter.jumps >= coldJumps && !limiter.cold {
 			limiter.Cool(SignSlow, now)
 			return
 		}
 	} else {
 		limiter.jumps = 0
+		limiter.show(now)
 	}
 	limiter.samples++
 	limiter.usual += (wait - limiter.usual) / time.Duration(min(limiter.samples, usualSamples))
@@ -280,6 +327,24 @@
 	}
 }
 
+// show notes that the upstream works as before.
+func (limiter *Limiter) show(now time.Time) {
+	limiter.shown = now
+	limiter.proven = 0
+}
+
+// Progress tells that the answer of an admitted request continues. An answer that has run for a time counts as proof that
+// the upstream carries it, so that the growth of the limit does not depend on the length of the answers. It reports
+// whether the limit may have changed.
+func (limiter *Limiter) Progress(ticket *Ticket, now time.Time) bool {
+	if ticket.firstAt.IsZero() || ticket.counted || now.Sub(ticket.firstAt) < proofTime {
+		return false
+	}
+	generation := limiter.generation
+	limiter.prove(ticket, now)
+	return limiter.generation != generation
+}
+
 // reduce lowers the limit, at most once a window.
 func (limiter *Limiter) reduce(generation int, now time.Time) {
 	if generation != limiter.generation {
@@ -294,12 +359,18 @@
 		limiter.cold = false
 	}
 	limiter.limit = max(limiter.limit*decrease, float64(limiter.config.Cold))
+	limiter.ceiling = limiter.limit
 	limiter.newWindow(now)
 }
 
 // Finish ends an admitted request.
 func (limiter *Limiter) Finish(ticket Ticket, result Result, now time.Time) {
 	limiter.inFlight--
+	limiter.rotatePeak(now)
+	limiter.valley = min(limiter.valley, limiter.inFlight)
+	if ticket.epoch == limiter.epoch {
+		limiter.fresh--
+	}
 	if ticket.probe {
 		limiter.probing = false
 	}
@@ -308,7 +379,7 @@
 		limiter.completed(ticket, now)
 	case ResultReset:
 		limiter.failed(ticket, now)
-		if ticket.generation == limiter.generation || !limiter.cold {
+		if ticket.epoch == limiter.epoch {
 			limiter.Cool(SignReset, now)
 		}
 	case ResultRefused:
@@ -328,9 +399,18 @@
 		limiter.failures = 0
 		return
 	}
-	if ticket.generation != limiter.generation {
+	if ticket.epoch == limiter.epoch {
+		limiter.show(now)
+	}
+	limiter.prove(&ticket, now)
+}
+
+// prove counts a request towards the growth of the limit.
+func (limiter *Limiter) prove(ticket *Ticket, now time.Time) {
+	if ticket.counted || ticket.generation != limiter.generation {
 		return
 	}
+	ticket.counted = true
 	limiter.failures = 0
 	limiter.good++
 	if limiter.good < limiter.Limit() {
@@ -343,9 +423,10 @@
 		} else {
 			limiter.limit++
 		}
+		limiter.limit = min(limiter.limit, float64(limiter.config.Max))
+		limiter.ceiling = max(limiter.ceiling, limiter.limit)
 	}
 	if limiter.limit >= float64(limiter.config.Max) {
-		limiter.limit = float64(limiter.config.Max)
 		limiter.cold = false
 	}
 	limiter.newWindow(now)
@@ -391,11 +472,11 @@
 	return limiter.open && limiter.maxOpen > shortestOpen
 }
 
-// rotatePeak starts a new period of the peak of requests in progress.
+// rotatePeak starts a new period for the extremes of the requests in progress.
 func (limiter *Limiter) rotatePeak(now time.Time) {
 	if now.Sub(limiter.peakTime) >= peakPeriod {
-		limiter.lastPeak = limiter.peak
-		limiter.peak = limiter.inFlight
+		limiter.lastPeak, limiter.lastValley = limiter.peak, limiter.valley
+		limiter.peak, limiter.valley = limiter.inFlight, limiter.inFlight
 		limiter.peakTime = now
 	}
 }
@@ -407,9 +488,23 @@
 	limiter.load = load
 	limiter.loadTime = now
 	limiter.rotatePeak(now)
-	limiter.foreign = max(0, load.Running+load.Queued-max(limiter.peak, limiter.lastPeak))
+	adopted := !limiter.holdUntil.IsZero()
+	limiter.adopting = limiter.adopting || adopted
+	own := max(limiter.peak, limiter.lastPeak)
+	if limiter.adopting {
+		// The report may be older than the latest admissions. Until the work of the previous owner has ended, too little
+		// is admitted rather than too much.
+		own = min(limiter.valley, limiter.lastValley)
+	}
+	limiter.foreign = max(0, load.Running+load.Queued-own)
+	limiter.adopting = limiter.adopting && limiter.foreign > 0
 	limiter.holdUntil = time.Time{}
 	switch {
+	case adopted && !known && load.Queued == 0:
+		// What the upstream carries for the previous owner, it carries for this one.
+		limiter.limit = min(max(limiter.limit, float64(load.Running)), float64(limiter.config.Max))
+		limiter.ceiling = limiter.limit
+		limiter.newWindow(now)
 	case known && load.Boot != previous.Boot:
 		limiter.Cool(SignBoot, now)
 	case known && previous.Cached > 0 && load.Cached == 0:
--- /dev/null
+++ b/bench/loop.go
@@ -0,0 +1,68 @@
+package bench
+
+import (
+	"container/heap"
+	"time"
+)
+
+// loop runs events in the order of their virtual time. All decisions run on one goroutine, so a run depends on its seed
+// only.
+type loop struct {
+	events   eventQueue
+	sequence int
+}
+
+type event struct {
+	at       time.Time
+	sequence int
+	act      func()
+}
+
+type eventQueue []*event
+
+func (queue eventQueue) Len() int { return len(queue) }
+
+func (queue eventQueue) Less(i, j int) bool {
+	if !queue[i].at.Equal(queue[j].at) {
+		return queue[i].at.Before(queue[j].at)
+	}
+	return queue[i].sequence < queue[j].sequence
+}
+
+func (queue eventQueue) Swap(i, j int) { queue[i], queue[j] = queue[j], queue[i] }
+
+// Push implements heap.Interface.
+func (queue *eventQueue) Push(value any) { *queue = append(*queue, value.(*event)) }
+
+// Pop implements heap.Interface.
+func (queue *eventQueue) Pop() any {
+	last := len(*queue) - 1
+	popped := (*queue)[last]
+	(*queue)[last] = nil
+	*queue = (*queue)[:last]
+	return popped
+}
+
+// after runs act after a delay.
+func (loop *loop) after(delay time.Duration, act func()) {
+	loop.sequence++
+	heap.Push(&loop.events, &event{at: time.Now().Add(delay), sequence: loop.sequence, act: act})
+}
+
+// every runs act periodically.
+func (loop *loop) every(interval time.Duration, act func()) {
+	loop.after(interval, func() {
+		act()
+		loop.every(interval, act)
+	})
+}
+
+// run executes events for a time.
+func (loop *loop) run(duration time.Duration) {
+	end := time.Now().Add(duration)
+	for len(loop.events) > 0 && !loop.events[0].at.After(end) {
+		next := heap.Pop(&loop.events).(*event)
+		time.Sleep(time.Until(next.at))
+		next.act()
+	}
+}
--- a/fair/ledger.go
+++ b/fair/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -15,6 +16,8 @@
 const (
 	// DefaultQuantum is the change of normalised service that is reported at once, in tokens per unit of weight.
 	DefaultQuantum = 2000
+	// DefaultEcho is the factor by which unreported service counts in a tag.
+	DefaultEcho = 1
 	// DefaultFineQuantum is the smallest change that is reported when the budget allows, in tokens per unit of weight.
 	DefaultFineQuantum = 50
 	// DefaultBudget is the traffic that reports below DefaultQuantum may use, in bytes a second.
@@ -25,6 +28,14 @@
 
 	// idleTime is how long an account without demand is kept, so that short gaps in demand cause no traffic.
 	idleTime = 5 * time.Second
+	// paceTime is the time over which the service of other routers is averaged.
+	paceTime = 3 * time.Second
+	// quietTime is the silence after which the service of other routers is extrapolated. Between regular totals it is not:
+	// all accounts are late by about as much, and a guess adds noise (gap 3,756 instead of 1,897 tokens in Steady).
+	quietTime = 2 * time.Second
+	// longestGuess is how long the service of other routers is extrapolated without a new total: expiry of a lost home
+	// router and the first totals of the next one.
+	longestGuess = 10 * time.Second
 	// homeGrace is how long a new home router only collects totals before it sends any.
 	homeGrace = 500 * time.Millisecond
 )
@@ -40,7 +51,10 @@
 	Weight func(key Key) float64
 	// Send queues a message to another router and must not block.
 	Send func(session clementinewind.Session, service *peerv1.Service)
-	// Quantum, FineQuantum, Budget and Credit take their defaults when 0.
+	// Echo is the factor by which unreported service counts in a tag. Above 1 it stands for what the other owners, which
+	// see the same totals, do at the same time.
+	Echo float64
+	// Echo, Quantum, FineQuantum, Budget and Credit take their defaults when 0.
 	Quantum     float64
 	FineQuantum float64
 	Budget      float64
@@ -54,6 +68,7 @@
 	accounts     map[Key]*account
 	totals       map[Key]*total
 	virtualTimes map[clementinewind.Pool]float64
+	slacks       map[clementinewind.Pool]float64
 	allowance    float64
 	ticked       time.Time
 }
@@ -65,6 +80,12 @@
 	known float64
 	// unreported is what this router has charged since its last report.
 	unreported float64
+	// recent is the part of known that this router has reported since the last total came.
+	recent float64
+	// others is the service of the other routers per second, as the last totals show it, and heard is when the last one
+	// came. When totals stay away, the home router may be lost, and the account is assumed to go on at this rate.
+	others float64
+	heard  time.Time
 	// raised is by how much known was raised locally without the home router having been told.
 	raised float64
 	// unknown says that the home router has not heard of the demand here.
@@ -76,8 +97,9 @@
 	home     clementinewind.Session
 }
 
-func (account *account) tag() float64 {
-	return (account.known + account.unreported) / account.weight
+func (account *account) tag(echo float64, now time.Time) float64 {
+	silence := max(min(now.Sub(account.heard), longestGuess)-quietTime, 0).Seconds()
+	return (account.known + echo*account.unreported + account.others*silence) / account.weight
 }
 
 // total is the sum of all reports on one account at its home router.
@@ -90,6 +112,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger(config LedgerConfig) *Ledger {
+	config.Echo = cmp.Or(config.Echo, DefaultEcho)
 	config.Quantum = cmp.Or(config.Quantum, DefaultQuantum)
 	config.FineQuantum = cmp.Or(config.FineQuantum, DefaultFineQuantum)
 	config.Budget = cmp.Or(config.Budget, DefaultBudget)
@@ -99,22 +122,31 @@
 		accounts:     make(map[Key]*account),
 		totals:       make(map[Key]*total),
 		virtualTimes: make(map[clementinewind.Pool]float64),
+		slacks:       make(map[clementinewind.Pool]float64),
 	}
 }
 
+// SetSlack tells how much the tags of the backlogged organisations of a pool contain for requests in progress, in tokens
+// per unit of weight. An organisation that returns from idle has none in progress, so it starts that much lower: at the
+// service that the others have had so far. For requests of its own that are in progress, Activate takes held.
+func (ledger *Ledger) SetSlack(pool clementinewind.Pool, slack float64) {
+	ledger.slacks[pool] = slack
+}
+
 // Activate opens the account of an organisation that has demand, or returns it from idle. The account starts at the
-// virtual time of the pool, or at tag, or where it was, whichever is highest.
-func (ledger *Ledger) Activate(key Key, weight, tag float64) {
+// virtual time of the pool without its slack, plus what its own requests in progress hold in tokens per unit of weight,
+// or at tag, or where it was, whichever is highest.
+func (ledger *Ledger) Activate(key Key, weight, tag, held float64, now time.Time) {
 	entry := ledger.accounts[key]
 	if entry == nil {
-		entry = &account{home: ledger.config.Home(key), unknown: true}
+		entry = &account{home: ledger.config.Home(key), unknown: true, heard: now}
 		ledger.accounts[key] = entry
 	}
-	floor := ledger.virtualTimes[key.Pool] - ledger.config.Credit
-	if !entry.active {
-		floor = ledger.virtualTimes[key.Pool]
-		entry.active = true
+	floor := ledger.virtualTimes[key.Pool] - max(ledger.slacks[key.Pool]-held, 0)
+	if entry.active {
+		floor -= ledger.config.Credit
 	}
+	entry.active = true
 	weight = normalWeight(weight)
 	if entry.weight != weight {
 		// The normalised service stays, so a change of weight acts on future service only.
@@ -124,12 +156,12 @@
 		entry.weight = weight
 		entry.unknown = true
 	}
-	ledger.raise(entry, max(floor, tag))
+	ledger.raise(entry, max(floor, tag), now)
 }
 
 // raise lifts an account to a tag.
-func (*Ledger) raise(entry *account, tag float64) {
-	if missing := tag - entry.tag(); missing > 0 {
+func (ledger *Ledger) raise(entry *account, tag float64, now time.Time) {
+	if missing := tag - entry.tag(ledger.config.Echo, now); missing > 0 {
 		entry.known += missing * entry.weight
 		entry.raised += missing * entry.weight
 	}
@@ -165,9 +197,9 @@
 }
 
 // Tag returns the normalised service of an organisation, in tokens per unit of weight.
-func (ledger *Ledger) Tag(key Key) float64 {
+func (ledger *Ledger) Tag(key Key, now time.Time) float64 {
 	if entry := ledger.accounts[key]; entry != nil {
-		return entry.tag()
+		return entry.tag(ledger.config.Echo, now)
 	}
 	return ledger.virtualTimes[key.Pool]
 }
@@ -196,16 +228,23 @@
 	if entry == nil || entry.home != session {
 		return key, false
 	}
-	return key, ledger.learn(entry, service.Tokens)
+	return key, ledger.learn(entry, service.Tokens, now)
 }
 
 // learn takes the total that the home router sent.
-func (*Ledger) learn(entry *account, tokens float64) bool {
+func (*Ledger) learn(entry *account, tokens float64, now time.Time) bool {
 	if entry.unknown || entry.raised > 0 {
 		tokens = max(tokens, entry.known)
 	}
+	if elapsed := now.Sub(entry.heard).Seconds(); elapsed > 0 {
+		sample := max(tokens-entry.known, 0) / elapsed
+		share := min(elapsed/paceTime.Seconds(), 1)
+		entry.others += (sample - entry.others) * share
+	}
 	changed := tokens != entry.known
 	entry.known = tokens
+	entry.recent = 0
+	entry.heard = now
 	return changed
 }
 
@@ -269,16 +308,15 @@
 
 // report is a message that Tick may send.
 type report struct {
-	key     Key
-	session clementinewind.Session
-	change  float64
-	send    func() int
+	key    Key
+	change float64
+	send   func() int
 }
 
 // compareReports orders by falling change; the other fields make the order independent of map iteration.
 func compareReports(a, b report) int {
 	return cmp.Or(cmp.Compare(b.change, a.change), cmp.Compare(a.key.Pool, b.key.Pool),
-		cmp.Compare(a.key.Organisation, b.key.Organisation), cmp.Compare(a.session, b.session))
+		cmp.Compare(a.key.Organisation, b.key.Organisation))
 }
 
 // Tick sends the reports that are due: all changes of at least a quantum, and smaller ones, largest first, as far as the
@@ -293,8 +331,8 @@
 	var changed []Key
 	for key, entry := range ledger.accounts {
 		if entry.active {
-			if floor := ledger.virtualTimes[key.Pool] - ledger.config.Credit; entry.tag() < floor {
-				ledger.raise(entry, floor)
+			if floor := ledger.virtualTimes[key.Pool] - ledger.slacks[key.Pool] - ledger.config.Credit; entry.tag(ledger.config.Echo, now) < floor {
+				ledger.raise(entry, floor, now)
 				changed = append(changed, key)
 			}
 		} else if entry.holds == 0 && now.Sub(entry.idleFrom) >= idleTime {
@@ -306,7 +344,7 @@
 			change = math.Inf(1)
 		}
 		if change >= ledger.config.FineQuantum {
-			reports = append(reports, report{key: key, session: clementinewind.NoSession, change: change, send: func() int {
+			reports = append(reports, report{key: key, change: change, send: func() int {
 				return ledger.sendReport(key, entry, now)
 			}})
 		}
@@ -319,16 +357,18 @@
 		if ledger.config.Weight != nil {
 			weight = normalWeight(ledger.config.Weight(key))
 		}
-		for session, sent := range sum.sent {
-			if change := math.Abs(sum.tokens-sent) / weight; change >= ledger.config.FineQuantum {
-				reports = append(reports, report{key: key, session: session, change: change, send: func() int {
-					size, key, known := ledger.sendTotal(key, sum, session)
-					if known {
-						changed = append(changed, key)
-					}
-					return size
-				}})
-			}
+		change := 0.0
+		for _, sent := range sum.sent {
+			change = max(change, math.Abs(sum.tokens-sent)/weight)
+		}
+		if change >= ledger.config.FineQuantum {
+			reports = append(reports, report{key: key, change: change, send: func() int {
+				size, known := ledger.sendTotals(key, sum, now)
+				if known {
+					changed = append(changed, key)
+				}
+				return size
+			}})
 		}
 	}
 	slices.SortFunc(reports, compareReports)
@@ -343,18 +383,33 @@
 
 // sendReport reports an account to its home router and returns the bytes used.
 func (ledger *Ledger) sendReport(key Key, entry *account, now time.Time) int {
+	size := 0
+	if entry.unknown || entry.raised > 0 {
+		base := entry.known
+		if entry.unknown {
+			// A new home router takes the highest total that it hears of, which is the last one that all routers heard. What
+			// each has reported since then comes on top.
+			base -= entry.recent
+			entry.unreported += entry.recent
+			entry.known = base
+		}
+		size += ledger.toHome(key, entry, &peerv1.Service{
+			Pool: string(key.Pool), Organisation: string(key.Organisation), Interested: true, Total: true, Tokens: base,
+		}, now)
+		entry.unknown = false
+		entry.raised = 0
+		entry.recent = 0
+	}
+	if entry.unreported == 0 {
+		return size
+	}
 	service := &peerv1.Service{
 		Pool: string(key.Pool), Organisation: string(key.Organisation), Interested: true, Tokens: entry.unreported,
 	}
 	entry.known += entry.unreported
+	entry.recent += entry.unreported
 	entry.unreported = 0
-	if entry.unknown || entry.raised > 0 {
-		service.Total = true
-		service.Tokens = entry.known
-		entry.unknown = false
-		entry.raised = 0
-	}
-	return ledger.toHome(key, entry, service, now)
+	return size + ledger.toHome(key, entry, service, now)
 }
 
 func (ledger *Ledger) toHome(key Key, entry *account, service *peerv1.Service, now time.Time) int {
@@ -366,20 +421,25 @@
 	return proto.Size(service)
 }
 
-// sendTotal sends the total of an account to a router where the organisation has demand.
-func (ledger *Ledger) sendTotal(key Key, sum *total, session clementinewind.Session) (int, Key, bool) {
-	sum.sent[session] = sum.tokens
-	if session == ledger.config.Self {
-		if entry := ledger.accounts[key]; entry != nil && entry.home == session {
-			return 0, key, ledger.learn(entry, sum.tokens)
+// sendTotals sends the total of an account to all routers where the organisation has demand, at the same time, so that
+// they know the same. It returns the bytes used and whether an account here has changed.
+func (ledger *Ledger) sendTotals(key Key, sum *total, now time.Time) (int, bool) {
+	size, changed := 0, false
+	for _, session := range slices.Sorted(maps.Keys(sum.sent)) {
+		sum.sent[session] = sum.tokens
+		if session == ledger.config.Self {
+			if entry := ledger.accounts[key]; entry != nil && entry.home == session {
+				changed = ledger.learn(entry, sum.tokens, now)
+			}
+			continue
 		}
-		return 0, key, false
-	}
-	service := &peerv1.Service{
-		Pool: string(key.Pool), Organisation: string(key.Organisation), Tokens: sum.tokens, Total: true,
+		service := &peerv1.Service{
+			Pool: string(key.Pool), Organisation: string(key.Organisation), Tokens: sum.tokens, Total: true,
+		}
+		ledger.config.Send(session, service)
+		size += proto.Size(service)
 	}
-	ledger.config.Send(session, service)
-	return proto.Size(service), key, false
+	return size, changed
 }
 
 // close reports the rest of an idle account and forgets it.
--- a/sched/entry.go
+++ b/sched/entry.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/admit"
 	"github.com/clementinewind/clementinewind/fair"
 	"github.com/clementinewind/clementinewind/wire/peerv1"
 )
@@ -53,6 +54,8 @@
 type ownerSet struct {
 	owners []clementinewind.Session
 	spare  map[clementinewind.Session]int
+	// retries limits the retries of requests that failed at an upstream.
+	retries admit.RetryBudget
 }
 
 // standing is the set of standing asks of one organisation.
@@ -240,6 +243,15 @@
 		WithRetryAfter(max(entry.Wait(key), noOwnerRetry))
 }
 
+// Retry takes one retry from the budget of a pool, which is a tenth of its requests in the last minute, and reports
+// whether there was one. It is for requests that failed at an upstream, not for those refused with ReasonBusy.
+func (entry *Entry) Retry(pool clementinewind.Pool) bool {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	set := entry.pools[pool]
+	return set != nil && set.retries.Retry(time.Now())
+}
+
 // Wait returns the expected wait of a request that arrives now.
 func (entry *Entry) Wait(key fair.Key) time.Duration {
 	entry.mutex.Lock()
@@ -285,6 +297,9 @@
 		entry.standings[key] = standing
 	}
 	standing.used = now
+	if first {
+		set.retries.Request(now)
+	}
 	if first && entry.queue.Waiting(key) == 0 {
 		if session, found := entry.choose(set); found && entry.queue.Start(key, now) {
 			waiter.settled = true
--- a/sched/owner.go
+++ b/sched/owner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	maxHints = 16
 	// maxPause is the longest time without grants for an ask whose grants expire.
 	maxPause = 4 * time.Second
+	// averageSamples is the number of requests over which the cost is averaged.
+	averageSamples = 128
 	// reportInterval is the time between service reports.
 	reportInterval = 100 * time.Millisecond
 )
@@ -41,7 +44,11 @@
 	Changed func(upstream clementinewind.Upstream, state clementinewind.UpstreamState, sign admit.Sign)
 	// GrantLifetime takes DefaultGrantLifetime when 0.
 	GrantLifetime time.Duration
-	// Quantum, FineQuantum, Budget and Credit are passed to the fair.Ledger.
+	// ChargeEstimates charges the estimate of a request at dispatch, as an alternative to the average cost. It exists to
+	// be measured.
+	ChargeEstimates bool
+	// Echo, Quantum, FineQuantum, Budget and Credit are passed to the fair.Ledger.
+	Echo        float64
 	Quantum     float64
 	FineQuantum float64
 	Budget      float64
@@ -57,6 +64,8 @@
 	Max  int
 	// Leaving says that the upstream takes no new work.
 	Leaving bool
+	// PoolSize is the number of upstreams of the pool in service in the whole fleet; 0 stands for those of this owner.
+	PoolSize int
 	// Adopted says that a previous owner may have work in progress there.
 	Adopted bool
 }
@@ -74,6 +83,8 @@
 	expiring  []*Slot
 	lastGrant uint64
 	reported  time.Time
+	// services holds the reports of a tick, which are sent together.
+	services map[clementinewind.Session][]*peerv1.Service
 }
 
 type upstream struct {
@@ -99,7 +110,18 @@
 	hint    int
 	// affinity tells where requests with a prefix went last.
 	affinity affinity
-	retries  admit.RetryBudget
+	// average is the average cost of the requests that ended, in tokens; 0 until one has.
+	average float64
+}
+
+// hold returns what a request in progress is charged in addition to the tokens that it has produced. Every slot produces
+// at the same pace whatever the request will cost, so the same charge for each slot keeps the shares of slots, and with
+// them the service, closer to the weights than the estimates do.
+func (pool *pool) hold(estimate float64) float64 {
+	if pool.average > 0 {
+		return pool.average
+	}
+	return max(estimate, 1)
 }
 
 // demand is the wish of one organisation for slots of a pool.
@@ -127,6 +149,36 @@
 	return ask.waiting > ask.granted && !now.Before(ask.paused)
 }
 
+// part returns the part of the pool's upstreams that this owner has.
+func (pool *pool) part() float64 {
+	size := max(len(pool.upstreams), 1)
+	for _, upstream := range pool.upstreams {
+		size = max(size, upstream.config.PoolSize)
+	}
+	return float64(max(len(pool.upstreams), 1)) / float64(size)
+}
+
+// held estimates what the tag of a demand contains for requests in progress at all owners, from those in progress here
+// and this owner's part of the pool.
+func (pool *pool) held(demand *demand) float64 {
+	return pool.average * float64(demand.inFlight) / pool.part() / max(demand.weight, 1e-9)
+}
+
+// slack is the same for the backlogged organisations on average.
+func (pool *pool) slack() float64 {
+	weight, inFlight := 0.0, 0
+	for _, demand := range pool.demands {
+		if len(demand.asks) > 0 {
+			weight += demand.weight
+			inFlight += demand.inFlight
+		}
+	}
+	if weight <= 0 {
+		return 0
+	}
+	return pool.average * float64(inFlight) / pool.part() / weight
+}
+
 // NewOwner returns an owner without upstreams.
 func NewOwner(config OwnerConfig) *Owner {
 	config.GrantLifetime = cmp.Or(config.GrantLifetime, DefaultGrantLifetime)
@@ -135,13 +187,14 @@
 		pools:     make(map[clementinewind.Pool]*pool),
 		upstreams: make(map[clementinewind.Upstream]*upstream),
 		grants:    make(map[uint64]*Slot),
+		services:  make(map[clementinewind.Session][]*peerv1.Service),
 	}
 	owner.ledger = fair.NewLedger(fair.LedgerConfig{
 		Self: config.Self, Home: config.Home, Weight: config.Weight,
 		Send: func(session clementinewind.Session, service *peerv1.Service) {
-			config.Send(session, &peerv1.ControlFrame{Services: []*peerv1.Service{service}})
+			owner.services[session] = append(owner.services[session], service)
 		},
-		Quantum: config.Quantum, FineQuantum: config.FineQuantum, Budget: config.Budget, Credit: config.Credit,
+		Echo: config.Echo, Quantum: config.Quantum, FineQuantum: config.FineQuantum, Budget: config.Budget, Credit: config.Credit,
 	})
 	return owner
 }
@@ -171,8 +224,13 @@
 		for _, key := range owner.ledger.Tick(now) {
 			owner.reorder(key, now)
 		}
+		for _, session := range slices.Sorted(maps.Keys(owner.services)) {
+			owner.config.Send(session, &peerv1.ControlFrame{Services: owner.services[session]})
+		}
+		clear(owner.services)
 	}
 	for _, pool := range owner.sortedPools() {
+		owner.ledger.SetSlack(pool.name, pool.slack())
 		for _, demand := range pool.demands {
 			owner.place(pool, demand, now)
 		}
@@ -320,9 +378,10 @@
 		entry = owner.demand(pool, organisation)
 		if len(entry.asks) == 0 {
 			owner.ledger.Deactivate(entry.key, now)
+			owner.ledger.SetSlack(pool.name, pool.slack())
 		}
 		entry.weight = message.Weight
-		owner.ledger.Activate(entry.key, message.Weight, message.Tag)
+		owner.ledger.Activate(entry.key, message.Weight, message.Tag, pool.held(entry), now)
 		standing := entry.ask(session)
 		if standing == nil {
 			standing = &ask{session: session}
@@ -375,7 +434,7 @@
 // place updates the position of a demand in the queue of its pool.
 func (owner *Owner) place(pool *pool, demand *demand, now time.Time) {
 	ready := slices.ContainsFunc(demand.asks, func(ask *ask) bool { return ask.ready(now) })
-	demand.tag = owner.ledger.Tag(demand.key)
+	demand.tag = owner.ledger.Tag(demand.key, now)
 	switch {
 	case ready && demand.index < 0:
 		heap.Push(&pool.queue, demand)
@@ -447,7 +506,7 @@
 	}
 	demand := owner.demand(pool, request.Organisation)
 	demand.weight = request.Weight
-	owner.ledger.Activate(demand.key, request.Weight, request.Tag)
+	owner.ledger.Activate(demand.key, request.Weight, request.Tag, pool.held(demand), now)
 	slot := owner.take(pool, demand, upstream, request.Estimate, now)
 	slot.entry = request.Entry
 	owner.settle(pool, demand, now)
@@ -489,9 +548,13 @@
 // take holds a slot of an upstream and charges the estimate.
 func (owner *Owner) take(pool *pool, demand *demand, upstream *upstream, estimate float64, now time.Time) *Slot {
 	slot := &Slot{
-		owner: owner, key: demand.key, upstream: upstream, charged: max(estimate, 1), ticket: upstream.limiter.Acquire(now),
+		owner: owner, key: demand.key, upstream: upstream, hold: pool.hold(estimate), ticket: upstream.limiter.Acquire(now),
 	}
-	owner.ledger.Advance(pool.name, owner.ledger.Tag(demand.key))
+	if owner.config.ChargeEstimates {
+		slot.hold = max(estimate, 1)
+	}
+	slot.charged = slot.hold
+	owner.ledger.Advance(pool.name, owner.ledger.Tag(demand.key, now))
 	owner.ledger.Charge(demand.key, slot.charged)
 	owner.ledger.Hold(demand.key)
 	demand.inFlight++
@@ -514,7 +577,7 @@
 		// The asks of one organisation take turns.
 		ask := demand.asks[position]
 		demand.asks = append(slices.Delete(demand.asks, position, position+1), ask)
-		tag := owner.ledger.Tag(demand.key)
+		tag := owner.ledger.Tag(demand.key, now)
 		slot := owner.take(pool, demand, upstream, ask.estimate, now)
 		slot.entry = ask.session
 		slot.expires = now.Add(owner.config.GrantLifetime)
@@ -591,9 +654,10 @@
 		}
 	}
 	pool.affinity.put(request.Prefix, slot.upstream)
-	estimate := max(request.Estimate, 1)
-	owner.ledger.Charge(slot.key, estimate-slot.charged)
-	slot.charged = estimate
+	if owner.config.ChargeEstimates {
+		slot.hold = max(request.Estimate, 1)
+		slot.charge(slot.hold)
+	}
 	owner.reorder(slot.key, now)
 	owner.dispatch(pool, now)
 	return slot, true
@@ -601,12 +665,17 @@
 
 // release ends the use of a slot: corrects the charge, tells the limiter, and grants the slot to the next ask.
 func (owner *Owner) release(slot *Slot, result admit.Result, now time.Time) {
-	owner.ledger.Charge(slot.key, slot.used-slot.charged)
+	slot.charge(slot.used)
 	owner.ledger.Release(slot.key)
-	slot.charged = slot.used
 	slot.upstream.limiter.Finish(slot.ticket, result, now)
 	owner.observe(slot.upstream)
 	pool := owner.pool(slot.key.Pool)
+	if result == admit.ResultCompleted && slot.used > 0 {
+		if pool.average == 0 {
+			pool.average = slot.used
+		}
+		pool.average += (slot.used - pool.average) / averageSamples
+	}
 	if demand := pool.demands[slot.key.Organisation]; demand != nil {
 		demand.inFlight--
 		owner.settle(pool, demand, now)
@@ -674,13 +743,6 @@
 	}
 }
 
-// Retry takes one retry from the budget of a pool and reports whether there was one.
-func (owner *Owner) Retry(name clementinewind.Pool) bool {
-	owner.mutex.Lock()
-	defer owner.mutex.Unlock()
-	return owner.pool(name).retries.Retry()
-}
-
 // UpstreamStatus describes an owned upstream.
 type UpstreamStatus struct {
 	Upstream clementinewind.Upstream
--- a/sched/slot.go
+++ b/sched/slot.go
@@ -18,8 +18,10 @@
 	ticket   admit.Ticket
 	grant    uint64
 	expires  time.Time
-	// charged is what the account was charged, used what the request has cost so far, in tokens.
+	// charged is what the account was charged, hold the part of it for the slot itself, and used what the request has
+	// cost so far, all in tokens.
 	charged    float64
+	hold       float64
 	used       float64
 	dispatched time.Time
 	finished   bool
@@ -41,7 +43,6 @@
 		return false
 	}
 	slot.dispatched = time.Now()
-	slot.owner.pool(slot.key.Pool).retries.Request()
 	return true
 }
 
@@ -57,21 +58,34 @@
 	slot.owner.observe(slot.upstream)
 }
 
-// Progress tells what the request has cost so far, in tokens. Cost above the estimate is charged as it arises.
+// Progress tells what the request has cost so far, in tokens. The cost is charged as it arises.
 func (slot *Slot) Progress(tokens float64) {
 	slot.owner.mutex.Lock()
 	defer slot.owner.mutex.Unlock()
-	if slot.finished {
+	if slot.finished || tokens <= slot.used {
 		return
 	}
-	slot.used = max(slot.used, tokens)
-	if excess := slot.used - slot.charged; excess > 0 {
-		slot.charged = slot.used
-		slot.owner.ledger.Charge(slot.key, excess)
-		slot.owner.reorder(slot.key, time.Now())
+	slot.used = tokens
+	now := time.Now()
+	changed := slot.upstream.limiter.Progress(&slot.ticket, now)
+	if slot.owner.config.ChargeEstimates {
+		slot.charge(max(slot.hold, slot.used))
+	} else {
+		slot.charge(slot.hold + slot.used)
+	}
+	slot.owner.reorder(slot.key, now)
+	if changed {
+		slot.owner.observe(slot.upstream)
+		slot.owner.dispatch(slot.owner.pool(slot.key.Pool), now)
 	}
 }
 
+// charge corrects the charge of the request to an amount.
+func (slot *Slot) charge(tokens float64) {
+	slot.owner.ledger.Charge(slot.key, tokens-slot.charged)
+	slot.charged = tokens
+}
+
 // Finish ends the request and frees the slot. The charge is corrected to the cost told by Progress.
 func (slot *Slot) Finish(result admit.Result) {
 	slot.owner.mutex.Lock()
