--- a/router/costs.go
+++ b/router/costs.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/admit"
@@ -70,12 +71,12 @@
 func (retries *retries) request(pool clementinewind.Pool) {
 	retries.mu.Lock()
 	defer retries.mu.Unlock()
-	retries.budget(pool).Request()
+	retries.budget(pool).Request(time.Now())
 }
 
 // take takes one retry and reports whether there was one.
 func (retries *retries) take(pool clementinewind.Pool) bool {
 	retries.mu.Lock()
 	defer retries.mu.Unlock()
-	return retries.budget(pool).Retry()
+	return retries.budget(pool).Retry(time.Now())
 }
