Choose the ring anew with a new session

Change: the ring is forgotten as well, and its members get new entries. Conclusion: a new session starts with a clean detector.

--- a/member/detector.go
+++ b/member/detector.go
@@ -111,6 +111,7 @@
 	if detector.self != self {
 		// The peers count the heartbeats to each session from 1, so what was heard under another session says nothing.
 		clear(detector.peers)
+		detector.ring = nil
 	}
 	detector.self = self
 	detector.chooseRing(detector.wake())
--- a/router/control.go
+++ b/router/control.go
@@ -294,7 +294,6 @@
 	}
 	session := clementinewind.Session(offset)
 	router.session.Store(int64(session))
-	router.keeper.SetSession(session)
 	router.members.SetSession(session)
 	router.assign()
 	router.logger.Info("session opened", "session", session)
