Check bearer tokens against the settings tree

Cause: the router let everyone in; the interceptors had no place to look tokens up.

Ruled out: hashes listed at each organisation, which the tree had before. A router would have to try all of them, an operator's token had no place, and a token could not be found by its id.

Change: a top section Tokens with a section for each token (Hash, and Organisation or Operator). An edit that would lock out all operators is refused. The router looks tokens up there. It also follows the platform's list of instances, which confirms that a silent router is gone, and merges the events that the log keeps into the time line.

Conclusion: access follows the settings.

--- a/router/operator.go
+++ b/router/operator.go
@@ -133,12 +133,12 @@
 			return nil
 		}
 		if err := pause(ctx, missingPoll); err != nil {
-			return router.instances(missing)
+			return router.instanceNames(missing)
 		}
 	}
 }
 
-func (router *Router) instances(sessions []clementinewind.Session) []string {
+func (router *Router) instanceNames(sessions []clementinewind.Session) []string {
 	names := make([]string, len(sessions))
 	for i, session := range sessions {
 		names[i] = router.instanceOf(session)
@@ -205,7 +205,13 @@
 			}
 			sources = append(sources, events)
 		}
-		sources = append(sources, router.disclosed(ctx, query))
+		logCtx, cancel := context.WithTimeout(ctx, peerEventsTimeout)
+		disclosed, err := event.Disclosed(logCtx, router.config.Log, query)
+		cancel()
+		if err != nil {
+			response.Missing = append(response.Missing, "events of the log")
+		}
+		sources = append(sources, disclosed)
 	}
 	response.Events = event.ListToWire(event.Merge(query, sources...))
 	return connect.NewResponse(response), nil
--- a/router/router.go
+++ b/router/router.go
@@ -58,10 +58,11 @@
 	costs    *costs
 	retries  *retries
 	// requests counts the requests forwarded to this router, and arrivals those of its own callers.
-	requests *requests
-	arrivals *requests
-	loads    *loads
-	markers  *markers
+	requests  *requests
+	arrivals  *requests
+	loads     *loads
+	markers   *markers
+	instances *instances
 
 	// ctx ends when the router stops; cancel ends it.
 	ctx    context.Context
@@ -165,7 +166,8 @@
 	router.replica = state.New(state.Config{})
 	router.authority = auth.New(auth.Config{Store: tokens{router.replica}, Logger: router.logger})
 	router.keeper = lease.New(lease.Config{Neighbours: member.Neighbours})
-	router.members = member.New(member.Config{Keeper: router.keeper})
+	router.instances = newInstances()
+	router.members = member.New(member.Config{Keeper: router.keeper, InstanceGone: router.instances.gone})
 	router.fleet = peer.NewFleet(router.peerConfig())
 	router.buildScheduler()
 	router.models = infer.New(infer.Config{Dial: router.config.Dial})
@@ -254,7 +256,7 @@
 		router.ring.Run, router.control.Run, router.events.Run, router.discloser.Run,
 		router.entry.Run, router.owner.Run,
 		router.serveCallers, router.servePeers, router.serveAdmin,
-		router.follow, router.holdSession, router.watchMembers, router.takeOver, router.writeSnapshots, router.awaitDrain,
+		router.follow, router.holdSession, router.watchMembers, router.takeOver, router.followInstances, router.writeSnapshots, router.awaitDrain,
 	} {
 		add(actor)
 	}
--- a/router/stop.go
+++ b/router/stop.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/event"
 	"github.com/clementinewind/clementinewind/plog"
 	"github.com/clementinewind/clementinewind/tree"
 	"github.com/clementinewind/clementinewind/wire/operatorv1"
@@ -12,9 +11,6 @@
 	"github.com/clementinewind/clementinewind/wire/recordv1"
 )
 
-// maxDisclosed bounds the events that one time line takes from the log.
-const maxDisclosed = 10_000
-
 // stopZone spreads a stop marker for a zone without waiting for the log, and writes the edit to the log when it can.
 func (router *Router) stopZone(ctx context.Context, zone clementinewind.Zone, who, why string) *operatorv1.SetZoneResponse {
 	version := router.replica.View().Version
@@ -97,27 +93,3 @@
 	settings, known := router.replica.View().Tree.Zone(zone)
 	return &peerv1.ConfirmStopResponse{Stopped: router.markers.stops(zone) || known && !settings.InService}, nil
 }
-
-// disclosed returns the events that the log keeps; without the log there are none.
-func (router *Router) disclosed(ctx context.Context, query event.Query) []clementinewind.Event {
-	ctx, cancel := context.WithTimeout(ctx, peerEventsTimeout)
-	defer cancel()
-	oldest, tail, err := plog.Bounds(ctx, router.config.Log, clementinewind.EventStream)
-	if err != nil {
-		return nil
-	}
-	var events []clementinewind.Event
-	for next := max(oldest, tail-maxDisclosed); next < tail; {
-		batch, err := router.config.Log.Read(ctx, clementinewind.LogQuery{Stream: clementinewind.EventStream, From: next})
-		if err != nil || len(batch.Records) == 0 {
-			break
-		}
-		for _, record := range batch.Records {
-			if disclosed, err := event.DecodeDisclosure(record.Payload); err == nil && query.Matches(disclosed) {
-				events = append(events, disclosed)
-			}
-		}
-		next = batch.Next()
-	}
-	return events
-}
--- a/router/tokens.go
+++ b/router/tokens.go
@@ -12,13 +12,18 @@
 
 // Access tells whether tokens are needed.
 func (tokens tokens) Access() auth.Access {
-	if tokens.replica.View().Version == 0 {
+	switch view := tokens.replica.View(); {
+	case view.Version == 0:
 		return auth.AccessPending
+	case view.Tree.HasTokens():
+		return auth.AccessTokens
+	default:
+		return auth.AccessOpen
 	}
-	return auth.AccessOpen
 }
 
 // Entry returns the entry of a token id.
-func (tokens) Entry(string) (auth.Entry, bool) {
-	return auth.Entry{}, false
+func (tokens tokens) Entry(id string) (auth.Entry, bool) {
+	token, ok := tokens.replica.View().Tree.Token(id)
+	return auth.Entry{Hash: token.Hash, Organisation: token.Organisation, Operator: token.Operator}, ok
 }
--- a/tree/schema.go
+++ b/tree/schema.go
@@ -18,6 +18,8 @@
 	OrganisationsSection = "Organisations"
 	ZonesSection         = "Zones"
 	PoolsSection         = "Pools"
+	// TokensSection has a section for each bearer token, named by the id of the token.
+	TokensSection = "Tokens"
 )
 
 // Names of the keys.
@@ -27,7 +29,9 @@
 	MaxQueuedKey        = "MaxQueued"
 	RatePerSecondKey    = "RatePerSecond"
 	DeadlineKey         = "Deadline"
-	TokenHashesKey      = "TokenHashes"
+	HashKey             = "Hash"
+	OrganisationKey     = "Organisation"
+	OperatorKey         = "Operator"
 	InServiceKey        = "InService"
 	KindKey             = "Kind"
 	ColdLimitKey        = "ColdLimit"
@@ -49,7 +53,7 @@
 	// maxNameLength and maxDepth bound a path; both are far above what the fleet uses.
 	maxNameLength = 63
 	maxDepth      = 8
-	tokenHashSize = 32
+	hashSize      = 32
 )
 
 // upstreamDepth is the number of names in the path of an upstream: Pools, the pool, the upstream.
@@ -76,6 +80,8 @@
 		return zoneKeys
 	case PoolsSection:
 		return poolKeys
+	case TokensSection:
+		return tokenKeys
 	default:
 		return nil
 	}
@@ -87,8 +93,6 @@
 	{MaxQueuedKey, everyLevel, checked(parseCount)},
 	{RatePerSecondKey, everyLevel, checked(parseRate)},
 	{DeadlineKey, everyLevel, checked(parseDeadline)},
-	// A token in the top section would belong to every organisation, so the section of an organisation must hold it.
-	{TokenHashesKey, level{2, maxDepth}, checked(parseTokenHashes)},
 }
 
 var zoneKeys = []key{
@@ -107,10 +111,16 @@
 	{InServiceKey, level{1, upstreamDepth}, checked(parseSwitch)},
 }
 
+var tokenKeys = []key{
+	{HashKey, level{2, 2}, checked(parseHash)},
+	{OrganisationKey, level{2, 2}, checkPathOfNames},
+	{OperatorKey, level{2, 2}, checkName},
+}
+
 // depthOf returns the largest number of names in a path below a top section.
 func depthOf(top string) int {
 	switch top {
-	case ZonesSection:
+	case ZonesSection, TokensSection:
 		return 2
 	case PoolsSection:
 		return upstreamDepth
@@ -126,6 +136,24 @@
 	}
 }
 
+// checkPathOfNames accepts the name of an organisation, which may be a part of another one.
+func checkPathOfNames(path string) error {
+	for name := range strings.SplitSeq(path, separator) {
+		if err := checkName(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkTokenID accepts the id of a token: lower-case hexadecimal digits.
+func checkTokenID(id string) error {
+	if decoded, err := hex.DecodeString(id); err != nil || len(decoded) == 0 || strings.ToLower(id) != id {
+		return errors.Errorf("%q is not the id of a token (hexadecimal digits, as printed by 'token new')", id)
+	}
+	return nil
+}
+
 // checkName accepts Pascal case: a capital letter, then letters and digits.
 func checkName(name string) error {
 	if name == "" {
@@ -206,22 +234,14 @@
 	return address, nil
 }
 
-// parseTokenHashes reads SHA-256 hashes in hexadecimal, separated by commas.
-func parseTokenHashes(value string) ([][tokenHashSize]byte, error) {
-	if value == "" {
-		return nil, nil
+// parseHash reads a SHA-256 hash in hexadecimal digits.
+func parseHash(value string) ([hashSize]byte, error) {
+	var hash [hashSize]byte
+	if len(value) != hex.EncodedLen(len(hash)) {
+		return hash, errors.Errorf("%q is not a SHA-256 hash of %d hexadecimal digits", value, hex.EncodedLen(len(hash)))
 	}
-	var hashes [][tokenHashSize]byte
-	for part := range strings.SplitSeq(value, ",") {
-		var hash [tokenHashSize]byte
-		text := strings.TrimSpace(part)
-		if len(text) != hex.EncodedLen(len(hash)) {
-			return nil, errors.Errorf("%q is not a SHA-256 hash of %d hexadecimal digits", text, hex.EncodedLen(len(hash)))
-		}
-		if _, err := hex.Decode(hash[:], []byte(text)); err != nil {
-			return nil, errors.Errorf("%q is not a SHA-256 hash in hexadecimal digits", text)
-		}
-		hashes = append(hashes, hash)
+	if _, err := hex.Decode(hash[:], []byte(value)); err != nil {
+		return hash, errors.Errorf("%q is not a SHA-256 hash in hexadecimal digits", value)
 	}
-	return hashes, nil
+	return hash, nil
 }
--- a/tree/text.go
+++ b/tree/text.go
@@ -73,7 +73,7 @@
 	}
 	tops := []string{path}
 	if path == "" {
-		tops = []string{OrganisationsSection, PoolsSection, ZonesSection}
+		tops = []string{OrganisationsSection, PoolsSection, TokensSection, ZonesSection}
 	}
 	for _, top := range tops {
 		if !tree.Has(top) {
--- a/tree/tree.go
+++ b/tree/tree.go
@@ -217,11 +217,38 @@
 	}
 }
 
-// checkAcross checks the rules that join several keys. Only upstreams and pools have such rules.
+// checkAcross checks the rules that join several keys, where the changes touched them.
 func (tree Tree) checkAcross(touched map[string]bool, faults *Faults) {
-	if !touched[PoolsSection] && !touched[ZonesSection] {
-		return
+	if touched[PoolsSection] || touched[ZonesSection] {
+		tree.checkPools(faults)
+	}
+	if touched[TokensSection] {
+		tree.checkTokens(faults)
+	}
+}
+
+// checkTokens also finds settings that would lock out all operators: as soon as there is a token, everyone needs one.
+func (tree Tree) checkTokens(faults *Faults) {
+	tokens := tree.Tokens()
+	operators := 0
+	for _, token := range tokens {
+		path := TokensSection + separator + token.ID
+		if _, ok := tree.Own(path, HashKey); !ok {
+			faults.add(path, HashKey, "the key is missing")
+		}
+		if (token.Organisation == "") == (token.Operator == "") {
+			faults.add(path, "", "a token needs either %s or %s", OrganisationKey, OperatorKey)
+		}
+		if token.Operator != "" {
+			operators++
+		}
+	}
+	if len(tokens) > 0 && operators == 0 {
+		faults.add(TokensSection, "", "no token is that of an operator, so nobody could change the settings any more")
 	}
+}
+
+func (tree Tree) checkPools(faults *Faults) {
 	for _, pool := range tree.Pools() {
 		if pool.ColdLimit > pool.MaxLimit {
 			faults.add(poolPath(pool.Name), ColdLimitKey, "%d is above the %s of %d", pool.ColdLimit, MaxLimitKey, pool.MaxLimit)
@@ -245,11 +272,16 @@
 	before := len(*faults)
 	top := topOf(path)
 	if schema(top) == nil {
-		faults.add(path, "", "the section is not below [%s], [%s] or [%s]", OrganisationsSection, ZonesSection, PoolsSection)
+		faults.add(path, "", "the section is not below [%s], [%s], [%s] or [%s]", OrganisationsSection, ZonesSection, PoolsSection,
+			TokensSection)
 		return false
 	}
 	for name := range strings.SplitSeq(path, separator) {
-		if err := checkName(name); err != nil {
+		check := checkName
+		if top == TokensSection && name != top {
+			check = checkTokenID
+		}
+		if err := check(name); err != nil {
 			faults.add(path, "", "%v", err)
 		}
 	}
--- a/tree/view.go
+++ b/tree/view.go
@@ -35,8 +35,15 @@
 	RatePerSecond float64
 	// Deadline is the time within which an answer must start; 0 means that the deadline of the pool holds.
 	Deadline time.Duration
-	// TokenHashes are the SHA-256 hashes of the tokens that the callers of the organisation show.
-	TokenHashes [][tokenHashSize]byte
+}
+
+// Token is the settings of a bearer token. It belongs to an organisation or to an operator.
+type Token struct {
+	ID string
+	// Hash is the SHA-256 hash of the secret of the token.
+	Hash         [hashSize]byte
+	Organisation clementinewind.Organisation
+	Operator     string
 }
 
 // Zone is the settings of an availability zone.
@@ -82,7 +89,6 @@
 		MaxQueued:     effective(tree, path, MaxQueuedKey, parseCount, DefaultMaxQueued),
 		RatePerSecond: effective(tree, path, RatePerSecondKey, parseRate, 0),
 		Deadline:      effective(tree, path, DeadlineKey, parseDeadline, 0),
-		TokenHashes:   effective(tree, path, TokenHashesKey, parseTokenHashes, nil),
 	}, true
 }
 
@@ -96,6 +102,43 @@
 	}
 }
 
+// Token returns the settings of a bearer token.
+func (tree Tree) Token(id string) (Token, bool) {
+	path := TokensSection + separator + id
+	if _, ok := tree.section(path); !ok {
+		return Token{}, false
+	}
+	organisation, _ := tree.Own(path, OrganisationKey)
+	operator, _ := tree.Own(path, OperatorKey)
+	return Token{
+		ID:           id,
+		Hash:         effective(tree, path, HashKey, parseHash, [hashSize]byte{}),
+		Organisation: clementinewind.Organisation(organisation),
+		Operator:     operator,
+	}, true
+}
+
+// Tokens returns all bearer tokens in the order of their ids.
+func (tree Tree) Tokens() []Token {
+	var tokens []Token
+	tree.below(TokensSection, func(section *section) bool {
+		token, _ := tree.Token(section.path[len(TokensSection)+1:])
+		tokens = append(tokens, token)
+		return true
+	})
+	return tokens
+}
+
+// HasTokens reports whether there is any bearer token.
+func (tree Tree) HasTokens() bool {
+	found := false
+	tree.below(TokensSection, func(*section) bool {
+		found = true
+		return false
+	})
+	return found
+}
+
 // Zone returns the settings of an availability zone.
 func (tree Tree) Zone(name clementinewind.Zone) (Zone, bool) {
 	path := zonePath(name)
