--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -285,6 +285,9 @@
 	return callerv1connect.NewCallerServiceClient(fleet.callers, fleet.url(number))
 }
 
+// HTTP returns the HTTP client of the callers, which speaks HTTP/2 without TLS.
+func (fleet *Fleet) HTTP() *http.Client { return fleet.callers }
+
 // Operator returns a client of the operator API of a router.
 func (fleet *Fleet) Operator(number int) operatorv1connect.OperatorServiceClient {
 	return operatorv1connect.NewOperatorServiceClient(fleet.operators, fleet.url(number))
--- a/router/calls.go
+++ b/router/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/clementinewind/clementinewind"
@@ -15,6 +16,10 @@
 
 // call runs a call to a plain service to its end.
 func (router *Router) call(ctx context.Context, arrival *arrival, message *callerv1.CallRequest) (*callerv1.CallResponse, *clementinewind.Refusal) {
+	if !strings.HasPrefix(message.Path, "/") {
+		return nil, clementinewind.NewRefusal(clementinewind.ProgressQueued, clementinewind.ReasonInvalid,
+			"Path must start with a slash")
+	}
 	if message.Repeatable {
 		return router.callRepeatable(ctx, arrival)
 	}
