Look up the sections of a view once

Cause: a typed view looked up every section on the path for every key, and a new owner table reads all upstreams.

Ruled out: caching typed values in the sections, which would hold 29,000 organisations twice.

Change: a view fetches its section and those above it once and reads all keys from them.

--- a/tree/view.go
+++ b/tree/view.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -71,18 +72,18 @@
 
 // Organisation returns the settings of an organisation.
 func (tree Tree) Organisation(name clementinewind.Organisation) (Organisation, bool) {
-	path := OrganisationsSection + separator + string(name)
-	if _, ok := tree.section(path); !ok {
+	chain, ok := tree.chain(OrganisationsSection + separator + string(name))
+	if !ok {
 		return Organisation{}, false
 	}
 	return Organisation{
 		Name:          name,
-		Weight:        effective(tree, path, WeightKey, parseWeight, DefaultWeight),
-		MaxRunning:    effective(tree, path, MaxRunningKey, parseCount, DefaultMaxRunning),
-		MaxQueued:     effective(tree, path, MaxQueuedKey, parseCount, DefaultMaxQueued),
-		RatePerSecond: effective(tree, path, RatePerSecondKey, parseRate, 0),
-		Deadline:      effective(tree, path, DeadlineKey, parseDeadline, 0),
-		TokenHashes:   effective(tree, path, TokenHashesKey, parseTokenHashes, nil),
+		Weight:        effective(chain, WeightKey, parseWeight, DefaultWeight),
+		MaxRunning:    effective(chain, MaxRunningKey, parseCount, DefaultMaxRunning),
+		MaxQueued:     effective(chain, MaxQueuedKey, parseCount, DefaultMaxQueued),
+		RatePerSecond: effective(chain, RatePerSecondKey, parseRate, 0),
+		Deadline:      effective(chain, DeadlineKey, parseDeadline, 0),
+		TokenHashes:   effective(chain, TokenHashesKey, parseTokenHashes, nil),
 	}, true
 }
 
@@ -98,11 +99,11 @@
 
 // Zone returns the settings of an availability zone.
 func (tree Tree) Zone(name clementinewind.Zone) (Zone, bool) {
-	path := zonePath(name)
-	if _, ok := tree.section(path); !ok {
+	chain, ok := tree.chain(zonePath(name))
+	if !ok {
 		return Zone{}, false
 	}
-	return Zone{Name: name, InService: effective(tree, path, InServiceKey, parseSwitch, defaultInService)}, true
+	return Zone{Name: name, InService: effective(chain, InServiceKey, parseSwitch, defaultInService)}, true
 }
 
 // Zones returns all availability zones in the order of their names.
@@ -119,16 +120,17 @@
 // Pool returns the settings of a pool.
 func (tree Tree) Pool(name clementinewind.Pool) (Pool, bool) {
 	path := poolPath(name)
-	if _, ok := tree.section(path); !ok || depthOfPath(path) != upstreamDepth-1 {
+	chain, ok := tree.chain(path)
+	if !ok || depthOfPath(path) != upstreamDepth-1 {
 		return Pool{}, false
 	}
 	return Pool{
 		Name:             name,
-		Kind:             effective(tree, path, KindKey, parseKind, defaultPoolKind),
-		ColdLimit:        effective(tree, path, ColdLimitKey, parseLimit, DefaultColdLimit),
-		MaxLimit:         effective(tree, path, MaxLimitKey, parseLimit, DefaultMaxLimit),
-		DefaultMaxTokens: effective(tree, path, DefaultMaxTokensKey, parseLimit, DefaultMaxTokens),
-		Deadline:         effective(tree, path, DeadlineKey, parseDeadline, DefaultDeadline),
+		Kind:             effective(chain, KindKey, parseKind, defaultPoolKind),
+		ColdLimit:        effective(chain, ColdLimitKey, parseLimit, DefaultColdLimit),
+		MaxLimit:         effective(chain, MaxLimitKey, parseLimit, DefaultMaxLimit),
+		DefaultMaxTokens: effective(chain, DefaultMaxTokensKey, parseLimit, DefaultMaxTokens),
+		Deadline:         effective(chain, DeadlineKey, parseDeadline, DefaultDeadline),
 	}, true
 }
 
@@ -147,33 +149,38 @@
 // Upstream returns the settings of an upstream.
 func (tree Tree) Upstream(name clementinewind.Upstream) (Upstream, bool) {
 	path := upstreamPath(name)
-	pool, _, ok := strings.Cut(string(name), separator)
-	if !ok {
-		return Upstream{}, false
-	}
-	if _, ok := tree.section(path); !ok {
+	chain, ok := tree.chain(path)
+	if !ok || depthOfPath(path) != upstreamDepth {
 		return Upstream{}, false
 	}
+	return tree.upstream(chain), true
+}
+
+func (tree Tree) upstream(chain []*section) Upstream {
+	name := chain[0].path[len(PoolsSection)+1:]
+	pool, _, _ := strings.Cut(name, separator)
 	upstream := Upstream{
-		Name:          name,
+		Name:          clementinewind.Upstream(name),
 		Pool:          clementinewind.Pool(pool),
-		Address:       effective(tree, path, AddressKey, parseAddress, netip.AddrPort{}),
-		Zone:          effective(tree, path, ZoneKey, parseZone, ""),
-		ChecksFencing: effective(tree, path, ChecksFencingKey, parseSwitch, defaultChecksFlag),
-		InService:     effective(tree, path, InServiceKey, parseSwitch, defaultInService),
+		Address:       effective(chain, AddressKey, parseAddress, netip.AddrPort{}),
+		Zone:          effective(chain, ZoneKey, parseZone, ""),
+		ChecksFencing: effective(chain, ChecksFencingKey, parseSwitch, defaultChecksFlag),
+		InService:     effective(chain, InServiceKey, parseSwitch, defaultInService),
 	}
 	zone, _ := tree.Zone(upstream.Zone)
 	upstream.Serving = upstream.InService && zone.InService
-	return upstream, true
+	return upstream
 }
 
 // Upstreams returns the upstreams of a pool in the order of their names.
 func (tree Tree) Upstreams(pool clementinewind.Pool) []Upstream {
+	parents, ok := tree.chain(poolPath(pool))
+	if !ok || depthOfPath(string(pool)) != 1 {
+		return nil
+	}
 	var upstreams []Upstream
 	tree.below(poolPath(pool), func(section *section) bool {
-		if upstream, ok := tree.Upstream(clementinewind.Upstream(section.path[len(PoolsSection)+1:])); ok {
-			upstreams = append(upstreams, upstream)
-		}
+		upstreams = append(upstreams, tree.upstream(slices.Insert(slices.Clone(parents), 0, section)))
 		return true
 	})
 	return upstreams
@@ -188,17 +195,33 @@
 	return upstreams
 }
 
-// effective returns the value of a key, or the default when no section sets it. Values in a tree have been checked.
-func effective[V any](tree Tree, path, key string, parse func(string) (V, error), fallback V) V {
-	text, _, ok := tree.Effective(path, key)
+// chain returns a section and those above it that exist, or false when the section itself does not exist.
+func (tree Tree) chain(path string) ([]*section, bool) {
+	found, ok := tree.section(path)
 	if !ok {
-		return fallback
+		return nil, false
+	}
+	chain := make([]*section, 1, upstreamDepth)
+	chain[0] = found
+	for path, ok = parentOf(path); ok; path, ok = parentOf(path) {
+		if parent, exists := tree.section(path); exists {
+			chain = append(chain, parent)
+		}
 	}
-	value, err := parse(text)
-	if err != nil {
-		return fallback
+	return chain, true
+}
+
+// effective returns the value of a key, or the default when no section of the chain sets it. Values in a tree have been
+// checked.
+func effective[V any](chain []*section, key string, parse func(string) (V, error), fallback V) V {
+	for _, section := range chain {
+		if text, ok := section.value(key); ok {
+			if value, err := parse(text); err == nil {
+				return value
+			}
+		}
 	}
-	return value
+	return fallback
 }
 
 func parseZone(value string) (clementinewind.Zone, error) {
