--- a/lease/table.go
+++ b/lease/table.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/clementinewind/clementinewind"
@@ -13,6 +14,7 @@
 type table struct {
 	fence     clementinewind.Offset
 	self      clementinewind.Session
+	members   []clementinewind.Session
 	upstreams map[clementinewind.Upstream]*right
 }
 
@@ -37,14 +39,21 @@
 	if !keeper.observed {
 		next.fence = -1
 	}
+	// Most edits change no session. Then only new upstreams need an owner, of 350 sessions at the target size.
+	last := keeper.table.Load()
+	if next.members = idsOf(view.Sessions); !slices.Equal(next.members, last.members) {
+		last = &table{}
+	}
 	ring := ringOf(view.Sessions)
 	for _, upstream := range view.Tree.AllUpstreams() {
-		owner, ok := ring.Owner(string(upstream.Name))
-		if !ok {
-			owner = clementinewind.NoSession
+		owner := clementinewind.NoSession
+		if known, ok := last.upstreams[upstream.Name]; ok {
+			owner = known.owner
+		} else if found, ok := ring.Owner(string(upstream.Name)); ok {
+			owner = found
 		}
 		right := &right{serving: upstream.Serving, owner: owner}
-		if ok && owner == keeper.self {
+		if owner != clementinewind.NoSession && owner == keeper.self {
 			right.waits = keeper.waitsFor(upstream.Name)
 		}
 		next.upstreams[upstream.Name] = right
