Let waits end in fleets where a router hears only neighbours

Cause: in a trial with 40 routers no owner ever finished its wait. The majority that must have applied a session record was taken among the neighbours on the ring of a superseded set, which are not the present neighbours.

Ruled out: hearing all members during a wait, which takes 350 links.

Change: where a router does not hear all members, all of its present neighbours but one must have applied the record. This is a sample and no proof; the heartbeat would have to relay which sessions have applied a record to make it one.

--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -70,13 +70,15 @@
 	self     clementinewind.Session
 	observed bool
 	view     state.View
-	pasts    []*past
-	pending  []proof
-	heard    map[clementinewind.Session]clementinewind.Offset
-	highest  clementinewind.Offset
-	lost     map[clementinewind.Session]time.Duration
-	readAt   time.Duration
-	failed   bool
+	// neighbours are the sessions that this router hears, and its own.
+	neighbours []clementinewind.Session
+	pasts      []*past
+	pending    []proof
+	heard      map[clementinewind.Session]clementinewind.Offset
+	highest    clementinewind.Offset
+	lost       map[clementinewind.Session]time.Duration
+	readAt     time.Duration
+	failed     bool
 }
 
 type proof struct {
@@ -301,14 +303,10 @@
 	now := keeper.now()
 	keeper.dropPasts(now)
 	for _, past := range keeper.pasts {
-		witnesses := keeper.config.Neighbours(past.members, keeper.self)
-		if past.has(keeper.self) && !slices.Contains(witnesses, keeper.self) {
-			witnesses = append(slices.Clip(witnesses), keeper.self)
-		}
 		past.hear(keeper.self, keeper.view.Version, now)
 		for session, offset := range keeper.heard {
 			past.hear(session, offset, now)
 		}
-		past.count(witnesses, now)
+		past.count(keeper.neighbours, now)
 	}
 }
--- a/lease/past.go
+++ b/lease/past.go
@@ -102,20 +102,29 @@
 	}
 }
 
-// count sets clearAt when more than half of the witnesses have applied the record or are gone. Above the size at which
-// every router hears all others, the witnesses are only those that it hears.
-func (past *past) count(witnesses []clementinewind.Session, now time.Duration) {
+// count sets clearAt when more than half of the members have applied the record or are gone. A router of a large fleet does
+// not hear all members. Then all of those that it hears, but for one that may have failed, must have applied the record.
+// That is a sample and no proof: were half of a fleet behind, about one sample in thirty would show so few of them.
+func (past *past) count(neighbours []clementinewind.Session, now time.Duration) {
 	if past.clearAt.Load() >= 0 {
 		return
 	}
-	count := 0
-	for _, session := range witnesses {
+	count, unheard := 0, 0
+	for _, session := range past.members {
 		goneAt, ended := past.gone[session]
 		if _, applied := past.applied[session]; applied || ended && now >= goneAt {
 			count++
+		} else if !ended && !slices.Contains(neighbours, session) {
+			unheard++
 		}
 	}
-	if 2*count > len(witnesses) || len(witnesses) == 0 {
+	late := 0
+	for _, session := range neighbours {
+		if _, applied := past.applied[session]; !applied {
+			late++
+		}
+	}
+	if 2*count > len(past.members) || len(past.members) == 0 || unheard > 0 && late <= 1 {
 		past.clearAt.Store(int64(max(past.readAt, now) + Wait))
 	}
 }
--- a/lease/table.go
+++ b/lease/table.go
@@ -34,6 +34,7 @@
 // rebuild computes the table from the view.
 func (keeper *Keeper) rebuild() {
 	view := keeper.view
+	keeper.neighbours = append(slices.Clip(keeper.config.Neighbours(idsOf(view.Sessions), keeper.self)), keeper.self)
 	keeper.countApplied()
 	next := &table{fence: view.MembershipOffset, self: keeper.self, upstreams: map[clementinewind.Upstream]*right{}}
 	if !keeper.observed {
