--- a/member/detector.go
+++ b/member/detector.go
@@ -340,14 +340,14 @@
 	return peers
 }
 
-// Missing returns the live sessions that are not known to have applied the records below a version.
+// Missing returns the live sessions, other than that of this router, that are not known to have applied the records below
+// a version. Nothing is known of routers that are no neighbours.
 func (detector *Detector) Missing(version clementinewind.Offset) []clementinewind.Session {
-	return slices.Collect(func(yield func(clementinewind.Session) bool) {
-		for _, peer := range detector.Peers() {
-			if peer.State != StateGone && peer.Offset < version && !yield(peer.Session) {
-				return
-			}
-		}
+	detector.mu.Lock()
+	defer detector.mu.Unlock()
+	return slices.DeleteFunc(detector.sessions(), func(session clementinewind.Session) bool {
+		peer := detector.peers[session]
+		return session == detector.self || peer != nil && peer.offset >= version
 	})
 }
 
