Return a grant whose request is cancelled

Cause: a caller that leaves between the grant and the forward held the slot until the grant expired.

Checked with go test -race ./sched ./fair.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -326,6 +326,8 @@
 	costMax    = 4000.0
 	// costMean is about the mean of the clipped distribution.
 	costMean = 480.0
+	// averageLimit is above any average cost that an owner measures.
+	averageLimit = 2 * costMean
 )
 
 // arrivals is a Poisson process of requests; share is the offered part of the capacity of the fleet.
--- a/fair/ledger.go
+++ b/fair/ledger.go
@@ -137,6 +137,9 @@
 		floor -= ledger.config.Credit
 	}
 	entry.active = true
+	if math.IsInf(tag, 0) || math.IsNaN(tag) {
+		tag = floor
+	}
 	ledger.raise(entry, max(floor, tag), now)
 }
 
--- a/sched/entry.go
+++ b/sched/entry.go
@@ -74,7 +74,7 @@
 	used    time.Time
 }
 
-// Placement tells where to forward a request. Finish must be called once for each placement.
+// Placement tells where to forward a request. Finish, Busy or Cancel must be called once for each placement.
 type Placement struct {
 	Session clementinewind.Session
 	// GrantID is 0 for a direct forward.
@@ -512,6 +512,22 @@
 	placement.end(true)
 }
 
+// Cancel tells that the request will not be forwarded, and returns the grant. It also finishes the placement.
+func (placement Placement) Cancel() {
+	entry := placement.entry
+	entry.mutex.Lock()
+	if standing := entry.standings[placement.key]; !*placement.done && placement.GrantID != 0 {
+		if standing != nil {
+			delete(standing.asked, placement.Session)
+		}
+		entry.config.Send(placement.Session, &peerv1.ControlFrame{
+			Returns: []*peerv1.GrantReturn{{GrantId: placement.GrantID}},
+		})
+	}
+	entry.mutex.Unlock()
+	placement.end(false)
+}
+
 // Finish tells that the request has ended.
 func (placement Placement) Finish() {
 	placement.end(false)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -262,6 +262,29 @@
 	})
 }
 
+// Guards against a slot that stays held by a request whose caller left between the grant and the forward.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(1)
+		fleet.nodes[1].owner.SetUpstreams(upstreams(1))
+		var placements []sched.Placement
+		for range 2 {
+			_, refusal := fleet.nodes[1].entry.Enqueue(request("acme", 1), func(placement sched.Placement) {
+				placements = append(placements, placement)
+			})
+			quicktest.Assert(t, refusal == nil, quicktest.IsTrue)
+			fleet.deliver()
+		}
+		quicktest.Assert(t, placements, quicktest.HasLen, 1)
+		placements[0].Cancel()
+		placements[0].Cancel()
+		fleet.deliver()
+		quicktest.Assert(t, placements, quicktest.HasLen, 2)
+		_, redeemed := fleet.nodes[1].owner.Redeem(placements[1].GrantID, request("acme", 1))
+		quicktest.Assert(t, redeemed, quicktest.IsTrue)
+	})
+}
+
 // Guards against a direct forward past the limit of running requests, and past requests that wait at the owner.
 func TestDirect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
