Tell all routers at once when a router drains

Cause: heartbeats say that a router drains, but on a fleet of more than nine routers they reach only neighbours. The others went on giving out its address until it had stopped.

Ruled out: a record of the control stream, which would cost an append and a read at every router for a fact that matters for seconds.

Change: a control frame with Leaving to every peer, repeated when a link opens. Locate leaves such routers out and fills up with others.

--- a/peer/link.go
+++ b/peer/link.go
@@ -62,6 +62,7 @@
 	link.pending.Services = append(link.pending.Services, frame.Services...)
 	link.pending.Spares = append(link.pending.Spares, frame.Spares...)
 	link.pending.StopMarkers = append(link.pending.StopMarkers, frame.StopMarkers...)
+	link.pending.Leaving = link.pending.Leaving || frame.Leaving
 	if frame.Heartbeat != nil {
 		link.pending.Heartbeat = frame.Heartbeat
 	}
--- a/router/assignment.go
+++ b/router/assignment.go
@@ -126,11 +126,11 @@
 		count = max(count, int(spreadFactor*settings.Weight/assignment.weight*float64(assignment.ring.Len())+1))
 	}
 	var addresses, last []string
-	for _, session := range assignment.ring.Spread(string(organisation), count) {
+	for _, session := range assignment.ring.Spread(string(organisation), assignment.ring.Len()) {
 		switch {
 		case leaving(session):
 			last = append(last, session.CallerAddress)
-		default:
+		case len(addresses) < count:
 			addresses = append(addresses, session.CallerAddress)
 		}
 	}
--- a/router/control.go
+++ b/router/control.go
@@ -124,6 +124,12 @@
 	router.owner.SetSessions(next.sessions())
 	router.assignUpstreams(next)
 	router.claims.setAssignment(next)
+	router.leaving.Range(func(session, _ any) bool {
+		if _, live := view.Session(session.(clementinewind.Session)); !live {
+			router.leaving.Delete(session)
+		}
+		return true
+	})
 	router.recordChanges(before, next)
 }
 
--- a/router/drain.go
+++ b/router/drain.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/member"
 	"github.com/clementinewind/clementinewind/state"
+	"github.com/clementinewind/clementinewind/wire/peerv1"
 	"github.com/clementinewind/clementinewind/wire/recordv1"
 )
 
@@ -63,6 +63,9 @@
 	defer cancel()
 	router.state.Store(int32(phaseDraining))
 	router.members.SetDraining()
+	for _, session := range router.fleet.Sessions() {
+		router.fleet.Send(session, &peerv1.ControlFrame{Leaving: true})
+	}
 	router.record(clementinewind.Event{Kind: clementinewind.EventDrainStarted})
 	// Callers may use the address until the time to live of the last answer that gave it has passed.
 	if err := pause(ctx, router.config.Settings.AddressTimeToLive); err != nil {
@@ -128,21 +131,10 @@
 
 // locate returns the addresses that callers of an organisation should use.
 func (router *Router) locate(organisation clementinewind.Organisation) []string {
-	draining := router.draining()
 	return router.assignment.Load().locate(organisation, func(session state.Session) bool {
 		zone, known := router.replica.View().Tree.Zone(session.Zone)
-		return draining[session.ID] || session.ID == router.currentSession() && router.isDraining() ||
+		_, leaving := router.leaving.Load(session.ID)
+		return leaving || session.ID == router.currentSession() && router.isDraining() ||
 			known && !zone.InService || router.markers.stops(session.Zone)
 	})
 }
-
-// draining returns the sessions of routers that are leaving.
-func (router *Router) draining() map[clementinewind.Session]bool {
-	draining := map[clementinewind.Session]bool{}
-	for _, peer := range router.members.Peers() {
-		if peer.State == member.StateLeaving {
-			draining[peer.Session] = true
-		}
-	}
-	return draining
-}
--- a/router/peers.go
+++ b/router/peers.go
@@ -59,6 +59,9 @@
 	if markers := router.markers.all(); len(markers) > 0 {
 		router.fleet.Send(session, &peerv1.ControlFrame{StopMarkers: markers})
 	}
+	if router.isDraining() {
+		router.fleet.Send(session, &peerv1.ControlFrame{Leaving: true})
+	}
 }
 
 // HandleConnected tells that a peer has opened its control link to this router.
@@ -92,6 +95,9 @@
 	if len(frame.Spares) > 0 {
 		router.entry.HandleSpares(session, frame.Spares)
 	}
+	if frame.Leaving {
+		router.leaving.Store(session, struct{}{})
+	}
 	if router.markers.add(frame.StopMarkers) {
 		router.spreadMarkers()
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -76,8 +76,10 @@
 	// held is set while an owned upstream waits for its previous owner to stop.
 	held atomic.Bool
 	// loaded is set when the state has been read from the log or from a peer.
-	loaded    atomic.Bool
-	logLost   atomic.Bool
+	loaded  atomic.Bool
+	logLost atomic.Bool
+	// leaving holds the sessions of routers that said that they drain.
+	leaving   sync.Map
 	drain     chan struct{}
 	drainOnce sync.Once
 
