Check the expiry of a paused router on a ring

Cause: the ring test passed without the exchange between the neighbours of a suspected session, because the paused router of 24 owned nothing and ring distances of 24 routers coincide.

Ruled out: raising the number of upstreams; the test checks the sessions instead.

Change: TestRingFaults runs 40 routers and checks that the paused one is expired within 10 s.

Conclusion: `go test -race ./member` and lint pass; the test fails without that exchange.

--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -30,7 +30,7 @@
 const (
 	fleetSize = 9
 	// ringSize is a fleet in which a router hears only its neighbours.
-	ringSize = 24
+	ringSize = 40
 	// logIndex stands for the log among the indices of routers.
 	logIndex  = -1
 	latency   = time.Millisecond
@@ -625,7 +625,10 @@
 func TestRingFaults(t *testing.T) {
 	violation := inBubble(t, 1, ringSize, func(fleet *fleet) {
 		fleet.routers[6].freeze()
-		fleet.settle("the freeze of one")
+		fleet.run(10 * time.Second)
+		if live := len(fleet.observer.View().Sessions); live != ringSize-1 {
+			fleet.fail("%d sessions live after the freeze of one", live)
+		}
 		fleet.routers[6].thaw()
 		fleet.restart(7)
 		fleet.settle("a restart of one")
