Show in the status what organisations do

Cause: the status had fields for queued and running requests and served tokens that were always 0.

Change: the router counts them by organisation; sched.Entry tells how many wait.

Conclusion: the status shows what it promises.

--- a/router/caller.go
+++ b/router/caller.go
@@ -48,9 +48,11 @@
 		arrival.dispatch.MaxTokens = int32(arrival.pool.DefaultMaxTokens)
 	}
 	arrival.dispatch.Estimate = router.costs.estimate(arrival.organisation.Name, float64(arrival.dispatch.MaxTokens))
+	defer router.usage.begin(arrival.organisation.Name)()
 	var tokens int64
 	refusal = router.generate(ctx, arrival, func(frame *callerv1.AnswerFrame) error {
 		tokens += int64(len(frame.Tokens))
+		router.usage.addServed(arrival.organisation.Name, int64(len(frame.Tokens)))
 		return stream.Send(frame)
 	})
 	if refusal != nil {
@@ -112,6 +114,7 @@
 	arrival.dispatch.Body = message.Body
 	arrival.dispatch.Repeatable = message.Repeatable
 	arrival.dispatch.Estimate = 1
+	defer router.usage.begin(arrival.organisation.Name)()
 	response, refusal := router.call(ctx, arrival, message)
 	if refusal != nil {
 		return nil, router.refuse(refusal, arrival.dispatch.RequestId, message.Organisation, message.Pool)
--- a/router/input_test.go
+++ b/router/input_test.go
@@ -15,7 +15,9 @@
 
 	"github.com/clementinewind/clementinewind/conf"
 	"github.com/clementinewind/clementinewind/demo"
+	"github.com/clementinewind/clementinewind/stand"
 	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/wire/operatorv1"
 )
 
 // Guards against bad input that gets no clear error, runs something, or ends the process.
@@ -103,3 +105,30 @@
 		quicktest.Check(t, fault["message"], quicktest.Contains, "unknown organisation")
 	})
 }
+
+// Guards against a status that shows nothing of what the organisations do.
+func TestStatusCountsUsage(t *testing.T) {
+	run(t, config(), func(t *testing.T, ctx context.Context, world *world) {
+		done := make(chan error, 1)
+		go func() {
+			_, err := world.generate(ctx, 0, "long", 200)
+			done <- err
+		}()
+		time.Sleep(time.Second)
+		status := func() *operatorv1.OrganisationStatus {
+			response, err := world.Operator(0).Status(ctx, connect.NewRequest(&operatorv1.StatusRequest{}))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			for _, organisation := range response.Msg.Organisations {
+				if organisation.Organisation == "Patel" {
+					return organisation
+				}
+			}
+			return nil
+		}
+		quicktest.Check(t, status().Running, quicktest.Equals, int32(1))
+		quicktest.Assert(t, <-done, quicktest.IsNil)
+		time.Sleep(time.Second)
+		quicktest.Check(t, status().Running, quicktest.Equals, int32(0))
+		quicktest.Check(t, status().ServedTokens, quicktest.Equals, int64(len(stand.Answer("long", 200))))
+	})
+}
--- a/router/operator.go
+++ b/router/operator.go
@@ -11,6 +11,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/auth"
 	"github.com/clementinewind/clementinewind/event"
+	"github.com/clementinewind/clementinewind/fair"
 	"github.com/clementinewind/clementinewind/state"
 	"github.com/clementinewind/clementinewind/tree"
 	"github.com/clementinewind/clementinewind/wire/operatorv1"
@@ -263,13 +264,22 @@
 		if len(response.Organisations) == maxStatusOrganisations {
 			break
 		}
-		response.Organisations = append(response.Organisations, &operatorv1.OrganisationStatus{
-			Organisation: string(organisation.Name), Weight: organisation.Weight,
-		})
+		shown := &operatorv1.OrganisationStatus{Organisation: string(organisation.Name), Weight: organisation.Weight}
+		router.usage.fill(shown, router.queued(organisation.Name))
+		response.Organisations = append(response.Organisations, shown)
 	}
 	return connect.NewResponse(response), nil
 }
 
+// queued returns the number of requests of an organisation that wait at this router.
+func (router *Router) queued(organisation clementinewind.Organisation) int {
+	queued := 0
+	for _, pool := range router.replica.View().Tree.Pools() {
+		queued += router.entry.Waiting(fair.Key{Pool: pool.Name, Organisation: organisation})
+	}
+	return queued
+}
+
 // maxStatusOrganisations bounds a status; the settings list all organisations.
 const maxStatusOrganisations = 100
 
--- a/router/router.go
+++ b/router/router.go
@@ -57,6 +57,7 @@
 	jobs     *jobs
 	costs    *costs
 	retries  *retries
+	usage    *usage
 	// requests counts the requests forwarded to this router, and arrivals those of its own callers.
 	requests  *requests
 	arrivals  *requests
@@ -178,6 +179,7 @@
 	router.jobs = newJobs()
 	router.costs = newCosts()
 	router.retries = newRetries()
+	router.usage = newUsage()
 	router.requests = newRequests()
 	router.arrivals = newRequests()
 	router.loads = newLoads(router)
--- a/sched/entry.go
+++ b/sched/entry.go
@@ -261,6 +261,13 @@
 	return set != nil && set.retries.Retry(time.Now())
 }
 
+// Waiting returns the number of requests of an organisation that wait for a slot of a pool.
+func (entry *Entry) Waiting(key fair.Key) int {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	return entry.queue.Waiting(key)
+}
+
 // Wait returns the expected wait of a request that arrives now.
 func (entry *Entry) Wait(key fair.Key) time.Duration {
 	entry.mutex.Lock()
