Test the fleet with real processes, and type outcomes at a stop

Cause: the programs had only been run inside one process and in virtual time. The new tests found one fault: after a second SIGTERM a running answer ended without a typed outcome ("incomplete envelope: unexpected EOF"). The entry side did not end with its router, so it tried to resume the answer until the server closed the connection after 2 s. Ruled out: a longer shutdown timeout, since the answer would only be resumed for longer. Change: requests and forwarded streams of an entry router end with the router and get the reason Shutdown. Stand-ins show what they received, and runs by body or prompt (/received, /bodies). Tests in cmd/clementinewind start a platform, three engines, two booking services and three routers, and cover SIGKILL with restart, SIGSTOP for 10 s with fencing tokens, drain, second SIGTERM, two kinds of platform outage, zone out and in, and the commands with their exit codes. Instances are entered into the platform's list by the tests, because the list is the platform's own.

--- /dev/null
+++ b/cmd/clementinewind/fault_test.go
@@ -0,0 +1,282 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/demo"
+	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/wire/callerv1/callerv1connect"
+)
+
+// awaitSuccessors waits until engines have got new work under a fencing token.
+func (fleet *fleet) awaitSuccessors(engines []*upstream, token clementinewind.Offset) {
+	fleet.t.Helper()
+	for _, engine := range engines {
+		await(fleet.t, engine.name+" gets work from its next owner", func() bool {
+			for _, received := range fleet.received(engine) {
+				if received.FencingToken >= token {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
+// awaitExpired waits until the session of a router has been expired, and returns the offset of that record.
+func (fleet *fleet) awaitExpired(node *node) clementinewind.Offset {
+	fleet.t.Helper()
+	expired := clementinewind.Offset(-1)
+	await(fleet.t, "session of "+node.name+" is expired", func() bool {
+		expired = fleet.expired(node.name)
+		return expired >= 0
+	})
+	return expired
+}
+
+// busiest returns the router that owns the most engines.
+func (fleet *fleet) busiest() (*node, []*upstream) {
+	var owner *node
+	var owned []*upstream
+	for _, node := range fleet.nodes {
+		if engines := fleet.ownedBy(node, fleet.nodes[0]); len(engines) > len(owned) {
+			owner, owned = node, engines
+		}
+	}
+	quicktest.Assert(fleet.t, owner, quicktest.IsNotNil)
+	return owner, owned
+}
+
+// Guards against a killed router that costs more than the requests it had in hand: wrong answers, second runs of a
+// booking, untrue refusals, upstreams without an owner, or a restart without state that does not succeed.
+func TestRouterKilled(t *testing.T) {
+	fleet := newFleet(t)
+	killed, engines := fleet.busiest()
+	load := fleet.startLoad(1, false)
+	load.awaitAnswers("answers before the kill", 50)
+	killed.signal(t, syscall.SIGKILL)
+	<-killed.ended
+	fleet.awaitSuccessors(engines, fleet.awaitExpired(killed))
+	load.awaitAnswers("answers without the router", 50)
+	fleet.startRouter(killed)
+	fleet.awaitReady(killed)
+	load.awaitAnswers("answers after the restart", 50)
+	attempts := load.stop()
+	fleet.check(attempts)
+	only(t, attempts, "only the killed router may break a connection", func(made attempt) bool {
+		return typed(made) || made.address == killed.caller
+	})
+}
+
+// pauseTime is longer than freshness, expiry and the wait of the next owner together.
+const pauseTime = 10 * time.Second
+
+// Guards against an owner that was paused past its right to send and still sends new work after its successor has started.
+// Such work would carry a fencing token from before the expiry of its session.
+func TestRouterPaused(t *testing.T) {
+	fleet := newFleet(t)
+	paused, engines := fleet.busiest()
+	load := fleet.startLoad(2, false)
+	load.awaitAnswers("answers before the pause", 50)
+	begun := time.Now()
+	paused.stop(t)
+	expired := fleet.awaitExpired(paused)
+	fleet.awaitSuccessors(engines, expired)
+	time.Sleep(time.Until(begun.Add(pauseTime)))
+	paused.signal(t, syscall.SIGCONT)
+	fleet.awaitReady(paused)
+	load.awaitAnswers("answers after the pause", 50)
+	attempts := load.stop()
+	for _, engine := range engines {
+		var successor *stand.Received
+		for _, received := range fleet.received(engine) {
+			if received.FencingToken >= expired && successor == nil {
+				successor = &received
+			}
+			quicktest.Check(t, successor != nil && received.FencingToken < expired, quicktest.IsFalse,
+				quicktest.Commentf("%s got %+v after %+v; the session expired at %d", engine.name, received, successor, expired))
+		}
+	}
+	fleet.check(attempts)
+	only(t, attempts, "a pause breaks no connection", typed)
+}
+
+// Guards against a drain that cuts off a request, ends before callers have left, or does not end with exit code 0.
+func TestDrain(t *testing.T) {
+	fleet := newFleet(t)
+	drained, _ := fleet.busiest()
+	load := fleet.startLoad(3, true)
+	load.awaitAnswers("answers before the drain", 50)
+	drained.signal(t, syscall.SIGTERM)
+	quicktest.Assert(t, drained.exitCode(t), quicktest.Equals, 0)
+	load.awaitAnswers("answers after the drain", 50)
+	attempts := load.stop()
+	fleet.check(attempts)
+	served := 0
+	for _, made := range attempts {
+		if made.address == drained.caller {
+			served++
+		}
+	}
+	quicktest.Check(t, served > 0, quicktest.IsTrue)
+	only(t, attempts, "a drain cuts off no request", answered)
+}
+
+// Guards against a second SIGTERM that does not end a router, or ends its requests without a typed outcome.
+func TestSecondTerminate(t *testing.T) {
+	fleet := newFleet(t)
+	node := fleet.nodes[0]
+	caller := callerv1connect.NewCallerServiceClient(fleet.client, "http://"+node.caller)
+	// An answer takes at least a quarter of the tokens, which is longer than the test waits for anything.
+	tokens := int32(4 * 2 * patience / tokenTime)
+	stream, err := caller.Generate(t.Context(), connect.NewRequest(&callerv1.GenerateRequest{
+		Organisation: "Patel", Pool: modelPool, Prompt: "long", MaxTokens: tokens, DeadlineMillis: loadDeadline.Milliseconds(),
+	}))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer stream.Close()
+	for received := 0; received == 0; received = len(stream.Msg().Tokens) {
+		quicktest.Assert(t, stream.Receive(), quicktest.IsTrue, quicktest.Commentf("%v", stream.Err()))
+	}
+	node.signal(t, syscall.SIGTERM)
+	await(t, "router drains", func() bool { return fleet.status(node).GetState() == "Draining" })
+	quicktest.Check(t, stream.Receive(), quicktest.IsTrue, quicktest.Commentf("%v", stream.Err()))
+	node.signal(t, syscall.SIGTERM)
+	for stream.Receive() {
+		quicktest.Assert(t, stream.Msg().End, quicktest.IsFalse)
+	}
+	refusal := demo.RefusalOf(stream.Err())
+	quicktest.Assert(t, refusal, quicktest.IsNotNil, quicktest.Commentf("%v", stream.Err()))
+	quicktest.Check(t, refusal.Outcome, quicktest.Equals, callerv1.Outcome_OUTCOME_UNKNOWN)
+	quicktest.Check(t, node.exitCode(t), quicktest.Equals, 0)
+}
+
+// Guards against an outage of the platform that stops model requests, lets a new booking run without a claim, or does not
+// end. The log of the stand-in is in memory, so an outage is a pause of the process or a fault that it shows.
+func TestPlatformOutage(t *testing.T) {
+	fleet := newFleet(t)
+	logReachable := func(want bool) func() bool {
+		return func() bool {
+			for _, node := range fleet.nodes {
+				if status := fleet.status(node); status == nil || status.LogReachable != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	load := fleet.startLoad(4, false)
+	load.awaitAnswers("answers before the outage", 20)
+	for _, outage := range []struct {
+		name       string
+		begin, end func()
+	}{
+		{
+			"paused", func() { fleet.platform.stop(t) }, func() { fleet.platform.signal(t, syscall.SIGCONT) },
+		},
+		{
+			"down",
+			func() { fleet.post(fleet.url+stand.PlatformFaultsPath, stand.PlatformFaults{Down: true}) },
+			func() { fleet.post(fleet.url+stand.PlatformFaultsPath, stand.PlatformFaults{}) },
+		},
+	} {
+		outage.begin()
+		await(t, outage.name+": all routers know of the outage", logReachable(false))
+		from := time.Now()
+		await(t, outage.name+": models answer and bookings are refused", func() bool {
+			models := load.count(func(made attempt) bool { return answered(made) && !made.booking && made.started.After(from) })
+			refused := load.count(func(made attempt) bool {
+				return made.outcome == callerv1.Outcome_OUTCOME_NOT_RUN && made.booking && made.started.After(from)
+			})
+			return models >= 50 && refused >= 10
+		})
+		outage.end()
+		await(t, outage.name+": all routers know of the end of the outage", logReachable(true))
+		load.awaitAnswers(outage.name+": answers after the outage", 20)
+	}
+	attempts := load.stop()
+	fleet.check(attempts)
+	only(t, attempts, "an outage of the log breaks no connection", typed)
+	only(t, attempts, "models do not need the log", func(made attempt) bool { return made.booking || answered(made) })
+	printed := fleet.command(0, 0, "timeline", "--limit", "5000")
+	for _, kind := range []string{"LogLost", "LogRegained"} {
+		quicktest.Check(t, printed, quicktest.Contains, kind)
+	}
+}
+
+// zoneGrace is how long after its removal a zone may still get new work.
+const zoneGrace = 3 * time.Second
+
+// Guards against commands that do not do what they say against real routers, exit with the wrong code, or leave a zone in
+// use.
+func TestCommands(t *testing.T) {
+	fleet := newFleet(t)
+	load := fleet.startLoad(5, false)
+	load.awaitAnswers("answers before the removal", 20)
+	printed := fleet.command(1, 0, "zone", "out", "A", "--why", "power works", "--wait", patience.String())
+	removed := time.Now()
+	quicktest.Check(t, printed, quicktest.Contains, "is in force on every live router")
+	load.awaitAnswers("answers without the zone", 20)
+	time.Sleep(time.Until(removed.Add(zoneGrace + time.Second)))
+	load.awaitAnswers("answers after the grace", 20)
+	late := 0
+	for _, upstream := range fleet.upstreams {
+		if upstream.zone != "A" {
+			continue
+		}
+		for _, received := range fleet.received(upstream) {
+			if received.Time.After(removed.Add(zoneGrace)) {
+				late++
+			}
+		}
+	}
+	quicktest.Check(t, late, quicktest.Equals, 0)
+	quicktest.Check(t, fleet.command(2, 0, "upstream", "list"), quicktest.Contains, clementinewind.UpstreamLeaving.String())
+	returned := time.Now()
+	fleet.command(2, 0, "zone", "in", "A", "--why", "power works done", "--wait", patience.String())
+	for _, upstream := range fleet.upstreams {
+		if upstream.zone == "A" {
+			await(t, upstream.name+" gets work again", func() bool {
+				received := fleet.received(upstream)
+				return len(received) > 0 && received[len(received)-1].Time.After(returned)
+			})
+		}
+	}
+	attempts := load.stop()
+	fleet.check(attempts)
+	only(t, attempts, "a zone leaves and returns without a failed request", answered)
+
+	status := fleet.command(0, 0, "status")
+	for _, want := range []string{"Router1 in zone A: Serving", "Router2", "Router3", "Patel", "Engine1", "Booking2", "log reachable"} {
+		quicktest.Check(t, status, quicktest.Contains, want)
+	}
+	timeline := fleet.command(0, 0, "timeline")
+	for _, want := range []string{"ZoneOut", "ZoneIn", "SettingsAccepted"} {
+		quicktest.Check(t, timeline, quicktest.Contains, want)
+	}
+	quicktest.Check(t, fleet.command(0, 0, "settings", "history", "Zones"), quicktest.Contains, "power works done")
+	fleet.command(0, 0, "check", fleet.nodes[0].config)
+	fleet.command(0, 2, "check", "../../conf/testdata/faults/structure.ini")
+	fleet.command(0, 2, "zone", "out")
+	fleet.command(0, 3, "zone", "out", "Nowhere")
+	version := fleet.status(fleet.nodes[0]).Version
+	fleet.command(0, 0, "settings", "set", "Organisations.Patel", "Weight=3")
+	fleet.command(1, 3, "settings", "set", "Organisations.Patel", "Weight=4", "--against", fmt.Sprint(version))
+	answer := fleet.command(0, 0, "generate", "--organisation", "Patel", "--pool", modelPool, "a quote")
+	quicktest.Check(t, answer, quicktest.Contains, stand.Answer("a quote", 0)[0])
+	fleet.nodes[0].signal(t, syscall.SIGKILL)
+	<-fleet.nodes[0].ended
+	fleet.command(0, 1, "status")
+	located, err := callerv1connect.NewCallerServiceClient(fleet.client, "http://"+fleet.nodes[1].caller).
+		Locate(context.Background(), connect.NewRequest(&callerv1.LocateRequest{Organisation: "Patel"}))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, len(located.Msg.Addresses) > 0, quicktest.IsTrue)
+}
--- a/router/caller.go
+++ b/router/caller.go
@@ -34,6 +34,8 @@
 	router, message := service.router, request.Msg
 	end := router.arrivals.begin()
 	defer end()
+	ctx, cancel := router.whileRunning(ctx)
+	defer cancel()
 	arrival, refusal := router.arrive(message.Organisation, message.Pool, clementinewind.PoolModel, message.DeadlineMillis)
 	if refusal != nil {
 		return router.refuse(refusal, "", message.Organisation, message.Pool)
@@ -66,6 +68,8 @@
 	router, message := service.router, request.Msg
 	end := router.arrivals.begin()
 	defer end()
+	ctx, cancel := router.whileRunning(ctx)
+	defer cancel()
 	invalid := func(detail string) error {
 		refusal := clementinewind.NewRefusal(clementinewind.ProgressDispatched, clementinewind.ReasonInvalid, detail)
 		return router.refuse(refusal, "", message.Organisation, "")
@@ -81,8 +85,8 @@
 	if !ok {
 		return invalid("the upstream of the answer no longer exists")
 	}
-	answerCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
+	answerCtx, cancelAnswer := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelAnswer()
 	current := &holder{}
 	resumed := answer.NewStream(answerCtx, answer.StreamConfig{
 		RequestID: token.RequestID, Position: message.Position, Reopen: router.reopen(token, current),
@@ -104,6 +108,8 @@
 	router, message := service.router, request.Msg
 	end := router.arrivals.begin()
 	defer end()
+	ctx, cancel := router.whileRunning(ctx)
+	defer cancel()
 	arrival, refusal := router.arrive(message.Organisation, message.Pool, clementinewind.PoolService, message.DeadlineMillis)
 	if refusal != nil {
 		return nil, router.refuse(refusal, "", message.Organisation, message.Pool)
--- a/router/calls.go
+++ b/router/calls.go
@@ -84,7 +84,9 @@
 		}, nil
 	}
 	// The claim is won. From here on the call must be settled even if the caller goes away.
-	response, refusal := router.send(context.WithoutCancel(ctx), arrival, 0)
+	sendCtx, cancel := router.whileRunning(context.WithoutCancel(ctx))
+	defer cancel()
+	response, refusal := router.send(sendCtx, arrival, 0)
 	settlement := &peerv1.SettleClaimRequest{Key: key[:], ClaimId: claimID[:], RequestId: arrival.dispatch.RequestId}
 	switch {
 	case refusal == nil:
--- a/router/entry.go
+++ b/router/entry.go
@@ -77,6 +77,21 @@
 // maxDeadline is the longest deadline that a caller may ask for.
 const maxDeadline = time.Hour
 
+// whileRunning returns a context that also ends when the router stops, so that its requests get a typed outcome before the
+// servers close their connections.
+func (router *Router) whileRunning(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(router.ctx, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+func stopped(progress clementinewind.Progress) *clementinewind.Refusal {
+	return clementinewind.NewRefusal(progress, clementinewind.ReasonShutdown, "the router was stopped")
+}
+
 // place waits for a slot and forwards the request to its owner. A router that is busy, or that can no longer be reached,
 // gives the request back to the queue.
 func (router *Router) place(ctx context.Context, arrival *arrival, attempt int) (*remote, sched.Placement, *clementinewind.Refusal) {
@@ -90,6 +105,9 @@
 			Attempt:      attempt,
 		})
 		if refusal != nil {
+			if router.ctx.Err() != nil {
+				refusal = stopped(clementinewind.ProgressQueued)
+			}
 			return nil, placement, refusal
 		}
 		dispatch := arrival.dispatch
@@ -278,6 +296,10 @@
 		tokens:  passing.tokens,
 		refusal: clementinewind.NewRefusal(clementinewind.ProgressDispatched, contextReason(ctx), "the caller went away"),
 	}
+	if router.ctx.Err() != nil {
+		gone.refusal = stopped(clementinewind.ProgressDispatched)
+		return gone
+	}
 	grace := time.NewTimer(router.config.Settings.ResumeGrace)
 	defer grace.Stop()
 	for {
--- a/router/remote.go
+++ b/router/remote.go
@@ -13,13 +13,18 @@
 	"github.com/clementinewind/clementinewind/wire/peerv1"
 )
 
-var errSilent = errors.New("router was silent for longer than the frame timeout")
+var (
+	errSilent  = errors.New("router was silent for longer than the frame timeout")
+	errStopped = errors.New("this router was stopped")
+)
 
 // remote is a request that was forwarded to the owner of an upstream. It is an answer.Source.
 type remote struct {
-	stream    peerv1.PeerService_ForwardClient
-	cancel    context.CancelCauseFunc
-	watchdog  *time.Timer
+	stream   peerv1.PeerService_ForwardClient
+	cancel   context.CancelCauseFunc
+	watchdog *time.Timer
+	// unwatch ends the watch for the end of this router.
+	unwatch   func() bool
 	requestID clementinewind.RequestID
 	upstream  clementinewind.Upstream
 }
@@ -42,6 +47,7 @@
 		return nil, lost(clementinewind.ProgressQueued, err)
 	}
 	opened := &remote{stream: stream, cancel: cancel, requestID: requestID}
+	opened.unwatch = context.AfterFunc(router.ctx, func() { cancel(errStopped) })
 	opened.watchdog = time.AfterFunc(admissionTimeout, func() { cancel(errSilent) })
 	if err := opened.admit(dispatch); err != nil {
 		opened.Close()
@@ -129,6 +135,7 @@
 // Close drops the connection. The owner goes on with the request, so that it can be resumed.
 func (remote *remote) Close() error {
 	remote.watchdog.Stop()
+	remote.unwatch()
 	remote.cancel(nil)
 	return nil
 }
--- a/stand/booking.go
+++ b/stand/booking.go
@@ -2,10 +2,8 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"time"
 
@@ -30,19 +28,14 @@
 
 	config BookingConfig
 	mux    *http.ServeMux
-	// bodies counts the runs by request body, which finds runs of one booking under several request ids.
-	bodies map[string]int
 }
 
 // NewBooking returns a Booking.
 func NewBooking(config BookingConfig) *Booking {
 	setDefault(&config.RunTime, defaultBookingTime)
-	booking := &Booking{config: config, mux: http.NewServeMux(), bodies: map[string]int{}}
+	booking := &Booking{config: config, mux: http.NewServeMux()}
 	booking.mux.HandleFunc("/", booking.serve)
-	booking.mux.HandleFunc("GET /ran", func(writer http.ResponseWriter, _ *http.Request) {
-		writer.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(writer).Encode(booking.AllRan())
-	})
+	booking.serveRecords(booking.mux)
 	booking.mux.Handle("/faults", &booking.Faults)
 	return booking
 }
@@ -94,16 +87,3 @@
 		io.Copy(writer, bytes.NewReader(BookingAnswer(request.URL.Path, body)))
 	}
 }
-
-// Bodies returns the number of runs by request body.
-func (booking *Booking) Bodies() map[string]int {
-	booking.ledger.mu.Lock()
-	defer booking.ledger.mu.Unlock()
-	return maps.Clone(booking.bodies)
-}
-
-func (booking *Booking) addBody(body string) {
-	booking.ledger.mu.Lock()
-	defer booking.ledger.mu.Unlock()
-	booking.bodies[body]++
-}
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -128,7 +128,7 @@
 	engine.mux.HandleFunc("DELETE /v1/completions/{id}", engine.serveCancel)
 	engine.mux.HandleFunc("GET /load", engine.serveLoad)
 	engine.mux.HandleFunc("POST /orders", engine.serveOrder)
-	engine.mux.HandleFunc("GET /ran", engine.serveRan)
+	engine.serveRecords(engine.mux)
 	engine.mux.Handle("/faults", &engine.Faults)
 	return engine
 }
@@ -376,11 +376,6 @@
 	writer.WriteHeader(http.StatusNoContent)
 }
 
-func (engine *Engine) serveRan(writer http.ResponseWriter, _ *http.Request) {
-	writer.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(writer).Encode(engine.AllRan())
-}
-
 // serveWhole answers without a stream.
 func (engine *Engine) serveWhole(writer http.ResponseWriter, request *http.Request, run *run) {
 	engine.attach(run)
--- a/stand/record.go
+++ b/stand/record.go
@@ -1,6 +1,8 @@
 package stand
 
 import (
+	"encoding/json"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -35,6 +37,8 @@
 	mu       sync.Mutex
 	received []Received
 	ran      map[string]Ran
+	// bodies counts the runs by request body or prompt, which finds runs of one request under several request ids.
+	bodies map[string]int
 }
 
 // Received returns the latest requests in the order of their arrival.
@@ -73,6 +77,45 @@
 	return copied
 }
 
+// Bodies returns the number of runs by request body or prompt.
+func (ledger *ledger) Bodies() map[string]int {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	return maps.Clone(ledger.bodies)
+}
+
+func (ledger *ledger) addBody(body string) {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	if ledger.bodies == nil {
+		ledger.bodies = map[string]int{}
+	}
+	ledger.bodies[body]++
+}
+
+// Paths at which a stand-in shows in JSON what it received and did.
+const (
+	// RanPath answers with Ran by request id.
+	RanPath = "/ran"
+	// BodiesPath answers with the number of runs by request body or prompt.
+	BodiesPath = "/bodies"
+	// ReceivedPath answers with a list of Received in the order of arrival.
+	ReceivedPath = "/received"
+)
+
+func (ledger *ledger) serveRecords(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+RanPath, serveRecord(ledger.AllRan))
+	mux.HandleFunc("GET "+BodiesPath, serveRecord(ledger.Bodies))
+	mux.HandleFunc("GET "+ReceivedPath, serveRecord(ledger.Received))
+}
+
+func serveRecord[T any](get func() T) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(writer).Encode(get())
+	}
+}
+
 func (ledger *ledger) receive(request *http.Request) Received {
 	fencingToken, err := strconv.ParseInt(request.Header.Get(send.HeaderFencingToken), 10, 64)
 	if err != nil {
--- a/stand/run.go
+++ b/stand/run.go
@@ -26,6 +26,7 @@
 type run struct {
 	requestID    string
 	organisation clementinewind.Organisation
+	prompt       string
 	bootID       string
 	cachedTokens int
 	prefill      time.Duration
@@ -59,6 +60,7 @@
 	run := &run{
 		requestID:    received.RequestID,
 		organisation: received.Organisation,
+		prompt:       prompt,
 		bootID:       engine.bootID,
 		cachedTokens: cached,
 		prefill:      time.Duration(len(prompt)-cached) * prefillTime,
@@ -109,6 +111,7 @@
 // generate produces the tokens of a run and then starts the next waiting one.
 func (engine *Engine) generate(run *run) {
 	engine.add(run.requestID, 1, 0)
+	engine.addBody(run.prompt)
 	whole := wait(run.ctx, run.prefill)
 	for whole && run.produced < len(run.answer) {
 		if whole = wait(run.ctx, engine.tokenTime()) && engine.waitForReader(run); whole {
