Measure how cost and control traffic grow with the fleet

Change: package slope with benchmarks of control traffic by kind and of edits in virtual time, of state, assignment, keeper and detector at the target size, and of whole routers over loopback.

--- /dev/null
+++ b/slope/state_test.go
@@ -0,0 +1,211 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/lease"
+	"github.com/clementinewind/clementinewind/member"
+	"github.com/clementinewind/clementinewind/place"
+	"github.com/clementinewind/clementinewind/plog"
+	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/state"
+	"github.com/clementinewind/clementinewind/tree"
+	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/wire/recordv1"
+)
+
+// growth is the sizes in which one part at a time reaches its target.
+var growth = map[string]struct {
+	count      int
+	base, full size
+}{
+	"organisation": {targetOrganisations, size{0, 10, 1}, size{targetOrganisations, 10, 1}},
+	"upstream":     {targetUpstreams, size{10, 0, 1}, size{10, targetUpstreams, 1}},
+	"session":      {targetRouters, size{10, 10, 0}, size{10, 10, targetRouters}},
+}
+
+// BenchmarkReplica reports the bytes and the time to apply its records of each entry of the replica. The history of edits
+// is part of the bytes until it is full.
+func BenchmarkReplica(b *testing.B) {
+	for part, growth := range growth {
+		b.Run(part, func(b *testing.B) {
+			base, full := newStream(b, growth.base), newStream(b, growth.full)
+			measure := func(stream *stream) (float64, float64) {
+				var micros float64
+				bytes := bytesHeld(func() any {
+					var replica *state.Replica
+					micros = timeOf(1, func(int) { replica = newReplica(b, stream) })
+					return replica
+				})
+				return bytes, micros
+			}
+			baseBytes, baseMicros := measure(base)
+			fullBytes, fullMicros := measure(full)
+			b.ReportMetric((fullBytes-baseBytes)/float64(growth.count), "B/"+part)
+			b.ReportMetric((fullMicros-baseMicros)/float64(growth.count), "µs/"+part)
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkApply reports the time of one record at the target size, in the replica alone.
+func BenchmarkApply(b *testing.B) {
+	stream := newStream(b, target)
+	var bytes float64
+	var replica *state.Replica
+	bytes = bytesHeld(func() any { replica = newReplica(b, stream); return replica })
+	b.ReportMetric(bytes/1e6, "replica-MB")
+	for name, record := range map[string]func(call int){
+		"organisation-edit": func(call int) {
+			stream.edit(tree.Change{Section: "Organisations." + organisationName(call), Key: "Weight", Value: "3"})
+		},
+		"zone-edit": func(call int) {
+			stream.edit(tree.Change{Section: "Zones.Zone1", Key: "InService", Value: fmt.Sprint(call%2 == 0)})
+		},
+		"upstream-edit": func(call int) {
+			stream.edit(tree.Change{Section: upstreamSection(call), Key: "InService", Value: fmt.Sprint(call%2 == 0)})
+		},
+		"session-record": func(call int) { stream.open(fmt.Sprint("Router", call), call, "10.200.0.9:7001") },
+	} {
+		b.ReportMetric(timeOf(100, func(call int) {
+			record(call)
+			quicktest.Assert(b, replica.Apply(stream.batch(len(stream.records)-1)), quicktest.IsNil)
+		}), "µs/"+name)
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkSnapshot reports the size of a snapshot at the target size, and the time to make, write and start from it.
+func BenchmarkSnapshot(b *testing.B) {
+	replica := newReplica(b, newStream(b, target))
+	log := stand.NewLog()
+	var snapshot *recordv1.StateSnapshot
+	b.ReportMetric(timeOf(3, func(int) { snapshot = replica.Snapshot() })/1000, "make-ms")
+	b.ReportMetric(float64(proto.Size(snapshot))/1e6, "MB")
+	b.ReportMetric(timeOf(1, func(int) {
+		quicktest.Assert(b, state.WriteSnapshot(context.Background(), log, snapshot), quicktest.IsNil)
+	})/1000, "write-ms")
+	b.ReportMetric(timeOf(3, func(int) {
+		read, err := state.ReadSnapshot(context.Background(), log)
+		quicktest.Assert(b, err, quicktest.IsNil)
+		quicktest.Assert(b, state.New(state.Config{}).Restore(read), quicktest.IsNil)
+	})/1000, "start-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+func sessionsOf(view state.View) []clementinewind.Session {
+	sessions := make([]clementinewind.Session, len(view.Sessions))
+	for i, session := range view.Sessions {
+		sessions[i] = session.ID
+	}
+	return sessions
+}
+
+// BenchmarkAssignment reports the time of the parts of an assignment at the target size: the owner of every upstream, the
+// settings of every upstream, and those of every organisation.
+func BenchmarkAssignment(b *testing.B) {
+	view := newReplica(b, newStream(b, target)).View()
+	ring := place.New(place.Config[state.Session]{
+		Members: view.Sessions,
+		ID:      func(session state.Session) uint64 { return uint64(session.ID) },
+		Zone:    func(session state.Session) string { return string(session.Zone) },
+	})
+	upstreams := view.Tree.AllUpstreams()
+	b.ReportMetric(timeOf(5, func(int) {
+		for _, upstream := range upstreams {
+			ring.Owner(string(upstream.Name))
+		}
+	})/1000, "owners-ms")
+	b.ReportMetric(timeOf(5, func(int) { view.Tree.AllUpstreams() })/1000, "upstreams-ms")
+	b.ReportMetric(timeOf(5, func(int) {
+		weight := 0.0
+		for organisation := range view.Tree.Organisations() {
+			weight += organisation.Weight
+		}
+	})/1000, "organisations-ms")
+	b.ReportMetric(timeOf(1000, func(call int) { ring.Spread(organisationName(call), 3) }), "µs/locate")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkKeeper reports the bytes of the lease keeper at the target size, the time to observe an edit and a session
+// record, and the time of the check before a send.
+func BenchmarkKeeper(b *testing.B) {
+	stream := newStream(b, target)
+	replica := newReplica(b, stream)
+	view := replica.View()
+	var keeper *lease.Keeper
+	b.ReportMetric(bytesHeld(func() any {
+		keeper = lease.New(lease.Config{Neighbours: member.Neighbours})
+		keeper.SetSession(view.Sessions[0].ID)
+		keeper.Observe(view)
+		return keeper
+	})/1e6, "MB")
+	next := func(record func(call int)) func(call int) {
+		return func(call int) {
+			record(call)
+			quicktest.Assert(b, replica.Apply(stream.batch(len(stream.records)-1)), quicktest.IsNil)
+			keeper.Observe(replica.View())
+		}
+	}
+	b.ReportMetric(timeOf(5, next(func(call int) {
+		stream.edit(tree.Change{Section: "Organisations." + organisationName(call), Key: "Weight", Value: "3"})
+	}))/1000, "ms/edit")
+	b.ReportMetric(timeOf(5, next(func(call int) {
+		stream.open(fmt.Sprint("Router", 100+call), call, "10.200.0.9:7001")
+	}))/1000, "ms/session-record")
+	keeper.Fresh(plog.Freshness{Sent: time.Now(), Tail: replica.View().Version})
+	upstream := view.Tree.AllUpstreams()[0].Name
+	b.ReportMetric(timeOf(100_000, func(int) { _ = keeper.MaySend(upstream) })*1000, "ns/check")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkDetector reports the bytes of the member detector at the target size, the time to observe a session record,
+// and the time to build and to take a heartbeat.
+func BenchmarkDetector(b *testing.B) {
+	stream := newStream(b, target)
+	replica := newReplica(b, stream)
+	view := replica.View()
+	var keeper *lease.Keeper
+	var detector *member.Detector
+	keeperBytes := bytesHeld(func() any {
+		keeper = lease.New(lease.Config{Neighbours: member.Neighbours})
+		keeper.Observe(view)
+		return keeper
+	})
+	self := view.Sessions[0].ID
+	b.ReportMetric(bytesHeld(func() any {
+		detector = member.New(member.Config{Keeper: keeper})
+		detector.SetSession(self)
+		detector.Observe(view)
+		for _, session := range view.Sessions {
+			detector.Heartbeat(session.ID)
+		}
+		return detector
+	})/1e6, "MB")
+	b.ReportMetric(keeperBytes/1e6, "keeper-MB")
+	neighbours := member.Neighbours(sessionsOf(view), self)
+	b.ReportMetric(float64(len(neighbours)), "neighbours")
+	sent := 0
+	for _, session := range view.Sessions {
+		if detector.Heartbeat(session.ID) != nil {
+			sent++
+		}
+	}
+	b.ReportMetric(float64(sent), "heartbeats-sent/s")
+	b.ReportMetric(timeOf(10_000, func(call int) { detector.Heartbeat(neighbours[call%len(neighbours)]) }), "µs/heartbeat-sent")
+	b.ReportMetric(timeOf(10_000, func(call int) {
+		detector.Receive(&peerv1.Heartbeat{
+			Session: int64(neighbours[call%len(neighbours)]), Sequence: uint64(call + 1), Echo: 1,
+			Offset: int64(view.Version), FreshAgeMillis: 100,
+		})
+	}), "µs/heartbeat-taken")
+	b.ReportMetric(timeOf(1000, func(int) { detector.Expirable() }), "µs/expirable")
+	b.ReportMetric(0, "ns/op")
+}
