Wait for unknown owners also before the session opens

Cause: a router that took its first view before it had a session noted its own progress under the number that stands for an unknown owner. It then took all unknown previous owners for stopped and started 0.5 s after the view. Under -race TestFaults/majority_without_log found two senders; one of 3,000 random cases did too.

Ruled out: setting the session before the first view; a router learns its session from the log.

Change: the progress of a router without session is not noted.

Conclusion: TestFirstView fails without the change.

--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// Guards against a router that starts to send soon after its first view, because it takes the unknown owners before that
+// view for stopped.
+func TestFirstView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keeper := lease.New(lease.Config{})
+		view := state.View{Tree: settings(t, 20), Version: 10, MembershipOffset: 9, Sessions: sessions(0, 1, 2, 3, 4)}
+		keeper.Observe(view)
+		keeper.SetSession(1)
+		for range 20 {
+			time.Sleep(time.Second)
+			keeper.Fresh(plog.Freshness{Sent: time.Now(), Tail: 10})
+			for _, upstream := range view.Tree.AllUpstreams() {
+				quicktest.Assert(t, keeper.MaySend(upstream.Name), quicktest.IsNotNil)
+			}
+		}
+	})
+}
+
 // Guards against a refusal without its reason, and against a proof that counts before the replica has reached its tail or
 // after its validity.
 func TestRefusals(t *testing.T) {
--- a/lease/past.go
+++ b/lease/past.go
@@ -97,7 +97,8 @@
 
 // hear notes that a member has applied the records below an offset.
 func (past *past) hear(session clementinewind.Session, offset clementinewind.Offset, now time.Duration) {
-	if _, known := past.applied[session]; !known && offset > past.offset {
+	// Before this router has a session, its own progress says nothing about any member.
+	if _, known := past.applied[session]; !known && offset > past.offset && session != clementinewind.NoSession {
 		past.applied[session] = now
 	}
 }
