Account for answers resumed under a new owner

Cause: after the loss of a router, its answers went on at the engines without a slot or a charge.

Change: Owner.Resume gives a slot beyond the limit for an answer that already runs, charged from the position reached. The simulation resumes the answers of a lost owner through the next one.

Checked with go test -race ./admit ./sched.

--- a/admit/limiter.go
+++ b/admit/limiter.go
@@ -277,6 +277,15 @@
 	return Ticket{generation: limiter.generation, epoch: limiter.epoch, probe: probe}
 }
 
+// Resume counts a request that already runs at the upstream and continues under this owner. It is within no limit,
+// because refusing it would not make the upstream do less.
+func (limiter *Limiter) Resume(now time.Time) Ticket {
+	limiter.inFlight++
+	limiter.rotatePeak(now)
+	limiter.peak = max(limiter.peak, limiter.inFlight)
+	return Ticket{generation: -1, epoch: -1, counted: true}
+}
+
 // Cool drops the limit to the cold limit and starts a new window.
 func (limiter *Limiter) Cool(sign Sign, now time.Time) {
 	limiter.sign = sign
--- a/bench/engine.go
+++ b/bench/engine.go
@@ -42,7 +42,9 @@
 	decoding bool
 	engine   *engine
 	// epoch invalidates events of earlier attempts.
-	epoch  int
+	epoch int
+	// orphan says that the owner was lost; the next owner resumes the answer.
+	orphan bool
 	finish func(result admit.Result)
 	touch  func()
 	first  func()
--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -647,6 +647,36 @@
 	}
 	router.owned = owned
 	router.owner.SetUpstreams(configs)
+	for _, engine := range fleet.engines {
+		if owned[engine.name] {
+			router.adopt(engine)
+		}
+	}
+}
+
+// adopt resumes the answers whose owner was lost.
+func (router *router) adopt(engine *engine) {
+	for _, job := range sortedJobs(engine.running) {
+		if !job.orphan {
+			continue
+		}
+		slot, refusal := router.owner.Resume(engine.name, router.fleet.request(job), job.tokens())
+		if refusal != nil {
+			continue
+		}
+		job.orphan = false
+		router.slots[job] = true
+		job.touch = func() { slot.Progress(job.tokens()) }
+		finish := job.finish
+		job.finish = func(result admit.Result) {
+			delete(router.slots, job)
+			if !router.dead {
+				slot.Progress(job.tokens())
+				slot.Finish(result)
+			}
+			finish(result)
+		}
+	}
 }
 
 func sortedJobs(jobs map[*job]bool) []*job {
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -141,6 +141,7 @@
 	for _, job := range sortedJobs(owner.slots) {
 		router, finish := job.router, job.finish
 		job.first, job.touch = nil, nil
+		job.orphan = true
 		job.finish = func(result admit.Result) {
 			if !router.dead {
 				finish(result)
--- a/sched/owner.go
+++ b/sched/owner.go
@@ -529,6 +529,33 @@
 	return slot, nil
 }
 
+// Resume gives a slot for an answer that already runs at an owned upstream, after the previous owner or the connection to
+// it was lost. used is what the answer had cost until then, in tokens. The slot is given beyond the limit and also on an
+// upstream that is leaving, because the answer runs in any case.
+func (owner *Owner) Resume(name clementinewind.Upstream, request Request, used float64) (*Slot, *clementinewind.Refusal) {
+	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
+	now := time.Now()
+	upstream := owner.upstreams[name]
+	if upstream == nil || upstream.config.Pool != request.Pool {
+		return nil, busy("the router does not own the upstream")
+	}
+	if !owner.maySend() {
+		return nil, busy("the router may not send")
+	}
+	pool := owner.pool(request.Pool)
+	demand := owner.demand(pool, request.Organisation)
+	demand.setWeight(request.Weight)
+	owner.ledger.Open(demand.key, demand.weight, now)
+	owner.ledger.Hold(demand.key)
+	demand.inFlight++
+	owner.settle(pool, demand, now)
+	return &Slot{
+		owner: owner, key: demand.key, entry: request.Entry, upstream: upstream, ticket: upstream.limiter.Resume(now),
+		charged: used, used: used, resumed: true,
+	}, nil
+}
+
 func busy(detail string) *clementinewind.Refusal {
 	return clementinewind.NewRefusal(clementinewind.ProgressQueued, clementinewind.ReasonBusy, detail)
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -262,6 +262,29 @@
 	})
 }
 
+// Guards against an answer that is refused or not accounted for when it goes on under a new owner.
+func TestResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner := newFleet(1).nodes[1].owner
+		_, refusal := owner.Resume("e1", request("acme", 1), 50)
+		quicktest.Assert(t, refusal.Reason, quicktest.Equals, clementinewind.ReasonBusy)
+		configs := upstreams(1)
+		configs[0].Leaving = true
+		owner.SetUpstreams(configs)
+		for range 2 {
+			slot, refusal := owner.Resume("e1", request("acme", 1), 50)
+			quicktest.Assert(t, refusal == nil, quicktest.IsTrue)
+			quicktest.Assert(t, slot.Dispatched(), quicktest.IsTrue)
+			slot.Progress(70)
+			defer func() {
+				slot.Finish(admit.ResultCompleted)
+				quicktest.Assert(t, owner.Upstreams()[0].Limit, quicktest.Equals, 1)
+			}()
+		}
+		quicktest.Assert(t, owner.Upstreams()[0].InFlight, quicktest.Equals, 2)
+	})
+}
+
 // Guards against a slot that stays held by a request whose caller left between the grant and the forward.
 func TestCancel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/sched/slot.go
+++ b/sched/slot.go
@@ -23,6 +23,8 @@
 	used       float64
 	dispatched time.Time
 	finished   bool
+	// resumed slots belong to answers that run already.
+	resumed bool
 }
 
 // Upstream returns the upstream that the slot belongs to.
@@ -37,7 +39,7 @@
 func (slot *Slot) Dispatched() bool {
 	slot.owner.mutex.Lock()
 	defer slot.owner.mutex.Unlock()
-	if slot.finished || !slot.upstream.usable() || !slot.owner.maySend() {
+	if slot.finished || !slot.upstream.owned || slot.upstream.config.Leaving && !slot.resumed || !slot.owner.maySend() {
 		return false
 	}
 	slot.dispatched = time.Now()
@@ -48,7 +50,7 @@
 func (slot *Slot) FirstToken() {
 	slot.owner.mutex.Lock()
 	defer slot.owner.mutex.Unlock()
-	if slot.finished || slot.dispatched.IsZero() {
+	if slot.finished || slot.resumed || slot.dispatched.IsZero() {
 		return
 	}
 	now := time.Now()
