Take the fencing token with the right to send, and read the log briskly

Cause: MaySend followed by Fence could pair the right of one view with the token of a newer one, in which another router owns the upstream. And a read of the control stream that hangs was noticed only after the freshness had lapsed.

Ruled out: the token at the dispatch step, which is after the header of the request has been built.

Reads of the control stream time out after 0.5 s and are repeated after at most 0.25 s.

Conclusion: an engine that checks tokens refuses a send that was overtaken by a change of owner.

--- a/router/control.go
+++ b/router/control.go
@@ -19,6 +19,9 @@
 )
 
 const (
+	// controlCallTimeout and controlBackoff keep reads of the control stream well below lease.Validity.
+	controlCallTimeout = 500 * time.Millisecond
+	controlBackoff     = 250 * time.Millisecond
 	// loadAttemptTimeout bounds one attempt to load the state at start.
 	loadAttemptTimeout = 10 * time.Second
 	// peersTimeout is how long a router whose session was expired waits for its peers before it opens another one. It
@@ -43,6 +46,9 @@
 				Stream: clementinewind.ControlStream,
 				From:   router.replica.View().Version,
 				Wait:   lease.ReadWait,
+				// A read that hangs must fail, and be tried again, before the freshness of the last one lapses.
+				CallTimeout: controlCallTimeout,
+				Backoff:     plog.Backoff{Max: controlBackoff},
 				Handle: func(_ context.Context, batch clementinewind.LogBatch) error {
 					err := router.replica.Apply(batch)
 					router.assign()
--- a/router/serve.go
+++ b/router/serve.go
@@ -70,7 +70,10 @@
 		slot.Finish(admit.ResultUnused)
 		return errNoRight
 	}
-	if err := router.keeper.MaySend(upstream.Name); err != nil {
+	// The token must belong to the view in which this router owns the upstream. If the owner changes before the send, it
+	// is older than that of the next owner, and an engine that checks it refuses.
+	fence, err := router.keeper.Permit(upstream.Name)
+	if err != nil {
 		slot.Finish(admit.ResultUnused)
 		return err
 	}
@@ -79,9 +82,9 @@
 		return err
 	}
 	if dispatch.Path != "" {
-		return router.serveCall(requestID, dispatch, stream, slot, upstream)
+		return router.serveCall(requestID, dispatch, stream, slot, upstream, fence)
 	}
-	return router.serveModel(requestID, dispatch, stream, slot, upstream)
+	return router.serveModel(requestID, dispatch, stream, slot, upstream, fence)
 }
 
 func (router *Router) slotFor(ctx context.Context, session clementinewind.Session, dispatch *peerv1.Dispatch) (*sched.Slot, *clementinewind.Refusal) {
@@ -131,7 +134,7 @@
 
 // serveCall runs a call to a plain service. The call goes on when the entry router is lost, because it may have run.
 func (router *Router) serveCall(requestID clementinewind.RequestID, dispatch *peerv1.Dispatch,
-	stream peerv1.PeerService_ForwardServer, slot *sched.Slot, upstream tree.Upstream,
+	stream peerv1.PeerService_ForwardServer, slot *sched.Slot, upstream tree.Upstream, fence clementinewind.Offset,
 ) error {
 	ctx, cancel := context.WithTimeout(router.ctx, time.Duration(dispatch.DeadlineMillis)*time.Millisecond)
 	defer cancel()
@@ -139,7 +142,7 @@
 		Address:      upstream.Address.String(),
 		RequestID:    requestID,
 		Organisation: clementinewind.Organisation(dispatch.Organisation),
-		FencingToken: router.keeper.Fence(),
+		FencingToken: fence,
 		Path:         dispatch.Path,
 		Body:         dispatch.Body,
 		Repeatable:   dispatch.Repeatable,
@@ -157,11 +160,11 @@
 
 // serveModel runs a model request. The request goes on when the entry router is lost, so that it can be resumed.
 func (router *Router) serveModel(requestID clementinewind.RequestID, dispatch *peerv1.Dispatch,
-	stream peerv1.PeerService_ForwardServer, slot *sched.Slot, upstream tree.Upstream,
+	stream peerv1.PeerService_ForwardServer, slot *sched.Slot, upstream tree.Upstream, fence clementinewind.Offset,
 ) error {
 	ctx, cancel := context.WithCancel(router.ctx)
 	defer cancel()
-	target := router.target(requestID, dispatch, upstream)
+	target := router.target(requestID, dispatch, upstream, fence)
 	reader := router.jobs.start(requestID, slot, cancel)
 	source, err := router.models.Generate(ctx, infer.Request{
 		Target:    target,
@@ -198,7 +201,7 @@
 	}
 	ctx, cancel := context.WithCancel(router.ctx)
 	defer cancel()
-	target := router.target(requestID, dispatch, upstream)
+	target := router.target(requestID, dispatch, upstream, router.keeper.Fence())
 	reader := router.jobs.start(requestID, nil, cancel)
 	source := answer.NewStream(ctx, answer.StreamConfig{
 		RequestID: requestID, Position: dispatch.Position, Reopen: router.reopenAt(target),
@@ -210,12 +213,14 @@
 	return router.relay(ctx, &relaying{reader: reader, source: source, stream: stream, target: target, upstream: upstream.Name})
 }
 
-func (router *Router) target(requestID clementinewind.RequestID, dispatch *peerv1.Dispatch, upstream tree.Upstream) infer.Target {
+func (*Router) target(requestID clementinewind.RequestID, dispatch *peerv1.Dispatch, upstream tree.Upstream,
+	fence clementinewind.Offset,
+) infer.Target {
 	return infer.Target{
 		Address:      upstream.Address.String(),
 		RequestID:    requestID,
 		Organisation: clementinewind.Organisation(dispatch.Organisation),
-		FencingToken: router.keeper.Fence(),
+		FencingToken: fence,
 	}
 }
 
