--- a/router/assignment.go
+++ b/router/assignment.go
@@ -86,12 +86,24 @@
 			Cold:     pool.ColdLimit,
 			Max:      pool.MaxLimit,
 			Leaving:  !upstream.Serving || stopped(upstream),
+			PoolSize: assignment.serving(upstream.Pool),
 			Adopted:  pool.Kind == clementinewind.PoolModel,
 		})
 	}
 	return configs
 }
 
+// serving returns the number of upstreams of a pool in service in the whole fleet.
+func (assignment *assignment) serving(pool clementinewind.Pool) int {
+	count := 0
+	for _, upstream := range assignment.view.Tree.Upstreams(pool) {
+		if upstream.Serving {
+			count++
+		}
+	}
+	return count
+}
+
 // peers returns the addresses of all live sessions, this router's own included: requests for its own upstreams go the
 // same way as all others.
 func (assignment *assignment) peers() map[clementinewind.Session]string {
--- a/router/jobs.go
+++ b/router/jobs.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/admit"
 	"github.com/clementinewind/clementinewind/sched"
 )
 
@@ -41,9 +42,13 @@
 	jobs.mu.Lock()
 	defer jobs.mu.Unlock()
 	running := jobs.running[requestID]
-	if running == nil {
+	switch {
+	case running == nil:
 		running = &job{slot: slot}
 		jobs.running[requestID] = running
+	case slot != nil:
+		// Two resumes of one answer came at the same time; one slot is enough.
+		slot.Finish(admit.ResultUnused)
 	}
 	if running.stop != nil {
 		running.stop()
@@ -53,6 +58,13 @@
 	return &reader{jobs: jobs, requestID: requestID, job: running, number: running.readers}
 }
 
+// has reports whether a job runs.
+func (jobs *jobs) has(requestID clementinewind.RequestID) bool {
+	jobs.mu.Lock()
+	defer jobs.mu.Unlock()
+	return jobs.running[requestID] != nil
+}
+
 // current reports whether no later reader has superseded this one.
 func (reader *reader) current() bool {
 	reader.jobs.mu.Lock()
--- a/router/serve.go
+++ b/router/serve.go
@@ -202,7 +202,7 @@
 	ctx, cancel := context.WithCancel(router.ctx)
 	defer cancel()
 	target := router.target(requestID, dispatch, upstream, router.keeper.Fence())
-	reader := router.jobs.start(requestID, nil, cancel)
+	reader := router.jobs.start(requestID, router.resumedSlot(requestID, dispatch, upstream), cancel)
 	source := answer.NewStream(ctx, answer.StreamConfig{
 		RequestID: requestID, Position: dispatch.Position, Reopen: router.reopenAt(target),
 	})
@@ -213,6 +213,26 @@
 	return router.relay(ctx, &relaying{reader: reader, source: source, stream: stream, target: target, upstream: upstream.Name})
 }
 
+// resumedSlot returns a slot for an answer that another router admitted, so that it counts against the limit and is
+// charged here. It is nil when this router runs the answer already or does not own the upstream.
+func (router *Router) resumedSlot(requestID clementinewind.RequestID, dispatch *peerv1.Dispatch, upstream tree.Upstream) *sched.Slot {
+	if router.jobs.has(requestID) {
+		return nil
+	}
+	organisation := clementinewind.Organisation(dispatch.Organisation)
+	settings, ok := router.replica.View().Tree.Organisation(organisation)
+	if !ok {
+		return nil
+	}
+	slot, refusal := router.owner.Resume(upstream.Name, sched.Request{
+		Pool: upstream.Pool, Organisation: organisation, Weight: settings.Weight,
+	}, float64(dispatch.Position))
+	if refusal != nil {
+		return nil
+	}
+	return slot
+}
+
 func (*Router) target(requestID clementinewind.RequestID, dispatch *peerv1.Dispatch, upstream tree.Upstream,
 	fence clementinewind.Offset,
 ) infer.Target {
