--- a/cmd/clementinewind/process_test.go
+++ b/cmd/clementinewind/process_test.go
@@ -238,7 +238,7 @@
 		config: filepath.Join(fleet.t.TempDir(), "router.ini"),
 	}
 	text := fmt.Sprintf("[Instance]\nName = %s\nZone = %s\n[Listen]\nCaller = %s\nPeer = %s\nAdmin = %s\n[Platform]\nAddress = %s\n"+
-		"[Times]\nAddressTimeToLive = %s\nResumeGrace = 2s\n", node.name, node.zone, addresses[0], addresses[1], addresses[2],
+		"[Admin]\nPprof = true\n[Times]\nAddressTimeToLive = %s\nResumeGrace = 2s\n", node.name, node.zone, addresses[0], addresses[1], addresses[2],
 		strings.TrimPrefix(fleet.url, "http://"), addressTimeToLive)
 	quicktest.Assert(fleet.t, os.WriteFile(node.config, []byte(text), 0o600), quicktest.IsNil)
 	fleet.post(fleet.url+stand.PlatformInstancePath,
