--- a/router/input_test.go
+++ b/router/input_test.go
@@ -109,6 +109,8 @@
 // Guards against a status that shows nothing of what the organisations do.
 func TestStatusCountsUsage(t *testing.T) {
 	run(t, config(), func(t *testing.T, ctx context.Context, world *world) {
+		// New owners wait 2.5 s before they send.
+		time.Sleep(5 * time.Second)
 		done := make(chan error, 1)
 		go func() {
 			_, err := world.generate(ctx, 0, "long", 200)
