Take returns of grants before asks of the same frame

Cause: control frames that wait together are merged. The return of a grant withdraws the ask of its organisation at the owner. When an entry router returned a grant and then asked again, both came in one frame, the ask was taken first and then withdrawn. The entry router took it to stand, so its requests waited until their deadline although all slots were free.

Ruled out: a lost grant (the owner listed every upstream as warm with nothing running for 10 s while 32 requests waited).

Change: a router takes the returns in a frame before the asks. The reverse order, an ask before a return, leaves a needless ask, which the return of its next grant withdraws.

Conclusion: short requests no longer stall.

--- a/router/peers.go
+++ b/router/peers.go
@@ -77,12 +77,13 @@
 			router.fleet.Send(session, &peerv1.ControlFrame{Heartbeat: heartbeat})
 		}
 	}
-	if len(frame.Asks) > 0 {
-		router.owner.HandleAsks(session, frame.Asks)
-	}
+	// A return withdraws the ask of its grant. An ask in the same frame may be newer, and must then stand.
 	if len(frame.Returns) > 0 {
 		router.owner.HandleReturns(session, frame.Returns)
 	}
+	if len(frame.Asks) > 0 {
+		router.owner.HandleAsks(session, frame.Asks)
+	}
 	if len(frame.Services) > 0 {
 		router.owner.HandleServices(session, frame.Services)
 	}
