--- a/tree/view.go
+++ b/tree/view.go
@@ -256,7 +256,8 @@
 
 func (tree Tree) sumWeights() float64 {
 	total := 0.0
-	inherited := effective(tree, OrganisationsSection, WeightKey, parseWeight, DefaultWeight)
+	top, _ := tree.chain(OrganisationsSection)
+	inherited := effective(top, WeightKey, parseWeight, DefaultWeight)
 	tree.below(OrganisationsSection, func(section *section) bool {
 		text, own := section.value(WeightKey)
 		weight, err := parseWeight(text)
@@ -266,7 +267,8 @@
 		case depthOfPath(section.path) == depthOfPath(OrganisationsSection)+1:
 			total += inherited
 		default:
-			total += effective(tree, section.path, WeightKey, parseWeight, DefaultWeight)
+			chain, _ := tree.chain(section.path)
+			total += effective(chain, WeightKey, parseWeight, DefaultWeight)
 		}
 		return true
 	})
