--- a/cmd/clementinewind/fault_test.go
+++ b/cmd/clementinewind/fault_test.go
@@ -254,6 +254,7 @@
 	fleet.check(attempts)
 	only(t, attempts, "a zone leaves and returns without a failed request", answered)
 
+	quicktest.Check(t, fleet.nodes[0].output.String(), quicktest.Contains, "OpenAccess")
 	status := fleet.command(0, 0, "status")
 	for _, want := range []string{"Router1 in zone A: Serving", "Router2", "Router3", "Patel", "Engine1", "Booking2", "log reachable"} {
 		quicktest.Check(t, status, quicktest.Contains, want)
--- a/router/control.go
+++ b/router/control.go
@@ -303,6 +303,7 @@
 	router.members.SetSession(session)
 	router.assign()
 	router.logger.Info("session opened", "session", session)
+	router.authority.Warn()
 	return nil
 }
 
