--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -159,7 +159,7 @@
 func (cli *CLI) timelineCommand() *urfave.Command {
 	return &urfave.Command{
 		Name: "timeline", Usage: "show what the fleet did and when", Category: "Operators",
-		Description: "Example: clementinewind timeline --since 2h --zone b --output html > timeline.html\n" +
+		Description: "Example: clementinewind timeline --since 2h --zone ZoneB --output html > timeline.html\n" +
 			"The token of an organisation shows the events of that organisation only.",
 		Flags: []urfave.Flag{
 			&urfave.StringFlag{Name: "organisation", Usage: "only events of this organisation"},
