--- a/conf/parse_test.go
+++ b/conf/parse_test.go
@@ -31,7 +31,7 @@
 func TestLoadExample(t *testing.T) {
 	router, err := conf.Load("testdata/router.ini")
 	quicktest.Assert(t, err, quicktest.IsNil)
-	want := conf.Default().WithName("router-a1").WithZone("a").
+	want := conf.Default().WithName("router-a1").WithZone("ZoneA").
 		WithCaller(netip.MustParseAddrPort("10.0.1.1:7000")).
 		WithPeer(netip.MustParseAddrPort("10.0.1.1:7001")).
 		WithAdmin(netip.MustParseAddrPort("127.0.0.1:7002")).
