Test callers, keys, operators and engine faults in a fleet

Cause: the tests of the fleet covered single faults of routers and of the log. Callers that leave, resume or read slowly, engine faults in the middle of an answer, idempotency keys, racing operators, a frozen router, a start without the log and a flood had no test of the whole fleet.

Failures found, each with its test: - A caller that read nothing for 12 s let the frame timeout cut the link to the owner, which then read the answer to its end: the engine produced 24376 of 24376 tokens for a reader that had taken 10 (TestSlowReader, 20 s). The time-out now runs only while somebody waits for a reply: 5810 of 24376 after 60 s, and the whole answer. - An urgent zone removal that was rejected for a newer edit was written again against the new version and undid it (TestUrgentZoneRemovalYieldsToNewerEdit). - A router without a session took requests, for which owners cannot grant slots (TestStartWhileLogIsDown). It now refuses them as not run. - A model request or repeatable call was refused as not run after an earlier attempt that had run (TestRefusalAfterLostAdmission), and so was a resume (TestRefusedResume). Both are now unknown. - The harness read the fields of a node while another goroutine replaced its router (data race); it now swaps one pointer.

Ruled out: a larger frame timeout, which would only have moved the first failure, and a check of the request id alone for the fourth, because each attempt has its own.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -49,6 +50,8 @@
 	Settings func(settings conf.Router) conf.Router
 	// Log returns the log that a router uses.
 	Log func(instance clementinewind.Instance) clementinewind.Log
+	// Instances returns the platform's list of instances; nil leaves them unknown to the routers.
+	Instances func(ctx context.Context) ([]router.Listed, error)
 	// Host returns the IP address of a router or upstream by its name.
 	Host func(name string) string
 	// Listen and Dial connect the processes; Dial gets the name of the process that opens the connection.
@@ -76,12 +79,26 @@
 type Node struct {
 	Name clementinewind.Instance
 	Zone clementinewind.Zone
-	// Router is nil until the node has been started.
-	Router *router.Router
 
+	// present is the run of the router that was started last, or nil. Callers look at it while routers are replaced.
+	present atomic.Pointer[routerRun]
+}
+
+// routerRun is one run of the router of a Node.
+type routerRun struct {
+	router *router.Router
 	cancel context.CancelFunc
-	done   chan struct{}
-	err    error
+	// done is closed when the router has stopped, and err is then its error.
+	done chan struct{}
+	err  error
+}
+
+// Router returns the router that was started last, or nil before the node has been started.
+func (node *Node) Router() *router.Router {
+	if present := node.present.Load(); present != nil {
+		return present.router
+	}
+	return nil
 }
 
 // New returns a fleet whose upstreams serve and whose routers have not been started.
@@ -176,20 +193,22 @@
 	}
 	ctx, cancel := context.WithCancel(fleet.ctx)
 	started, err := router.New(ctx, router.Config{
-		Settings: settings,
-		Log:      fleet.config.Log(node.Name),
-		Dial:     fleet.config.Dial(string(node.Name)),
-		Listen:   fleet.config.Listen,
-		Logger:   fleet.config.Logger.With("instance", node.Name, "zone", node.Zone),
+		Settings:  settings,
+		Log:       fleet.config.Log(node.Name),
+		Instances: fleet.config.Instances,
+		Dial:      fleet.config.Dial(string(node.Name)),
+		Listen:    fleet.config.Listen,
+		Logger:    fleet.config.Logger.With("instance", node.Name, "zone", node.Zone),
 	})
 	if err != nil {
 		cancel()
 		return err
 	}
-	node.Router, node.cancel, node.done, node.err = started, cancel, make(chan struct{}), nil
+	run := &routerRun{router: started, cancel: cancel, done: make(chan struct{})}
+	node.present.Store(run)
 	fleet.wait.Go(func() {
-		defer close(node.done)
-		node.err = started.Run(ctx)
+		defer close(run.done)
+		run.err = started.Run(ctx)
 	})
 	return nil
 }
@@ -209,12 +228,12 @@
 
 // Running reports whether a router has been started and has not stopped.
 func (fleet *Fleet) Running(number int) bool {
-	node := fleet.Nodes[number]
-	if node.Router == nil {
+	run := fleet.Nodes[number].present.Load()
+	if run == nil {
 		return false
 	}
 	select {
-	case <-node.done:
+	case <-run.done:
 		return false
 	default:
 		return true
@@ -224,13 +243,14 @@
 // AwaitReady waits until all started routers take work.
 func (fleet *Fleet) AwaitReady(ctx context.Context) error {
 	for _, node := range fleet.Nodes {
-		for node.Router != nil && node.Router.Ready() != nil {
+		run := node.present.Load()
+		for run != nil && run.router.Ready() != nil {
 			select {
 			case <-time.After(50 * time.Millisecond):
-			case <-node.done:
-				return errors.Wrapf(node.err, "router %s stopped", node.Name)
+			case <-run.done:
+				return errors.Wrapf(run.err, "router %s stopped", node.Name)
 			case <-ctx.Done():
-				return errors.Wrapf(node.Router.Ready(), "router %s is not ready", node.Name)
+				return errors.Wrapf(run.router.Ready(), "router %s is not ready", node.Name)
 			}
 		}
 	}
@@ -266,18 +286,18 @@
 
 // StopRouter ends a router at once, as far as a part of a process can be killed: its requests end with typed outcomes.
 func (fleet *Fleet) StopRouter(number int) error {
-	node := fleet.Nodes[number]
-	node.cancel()
-	<-node.done
-	return node.err
+	run := fleet.Nodes[number].present.Load()
+	run.cancel()
+	<-run.done
+	return run.err
 }
 
 // DrainRouter drains a router and waits until it has stopped.
 func (fleet *Fleet) DrainRouter(number int) error {
-	node := fleet.Nodes[number]
-	node.Router.Drain()
-	<-node.done
-	return node.err
+	run := fleet.Nodes[number].present.Load()
+	run.router.Drain()
+	<-run.done
+	return run.err
 }
 
 // Caller returns a client of the caller API of a router.
@@ -291,7 +311,7 @@
 }
 
 func (fleet *Fleet) url(number int) string {
-	return "http://" + fleet.Nodes[number].Router.CallerAddress().String()
+	return "http://" + fleet.Nodes[number].Router().CallerAddress().String()
 }
 
 func (fleet *Fleet) httpClient(name string) *http.Client {
--- a/router/calls.go
+++ b/router/calls.go
@@ -29,11 +29,14 @@
 func (router *Router) callRepeatable(ctx context.Context, arrival *arrival) (*callerv1.CallResponse, *clementinewind.Refusal) {
 	for attempt := 0; ; attempt++ {
 		response, refusal := router.send(ctx, arrival, attempt)
-		if refusal == nil || ctx.Err() != nil || attempt+1 >= maxAttempts || !router.mayRetry(arrival, refusal) {
-			return response, refusal
+		if refusal == nil {
+			return response, nil
+		}
+		final := arrival.refused(refusal)
+		if ctx.Err() != nil || attempt+1 >= maxAttempts || !router.mayRetry(arrival, refusal) {
+			return nil, final
 		}
-		arrival.requestID = clementinewind.NewRequestID()
-		arrival.dispatch.RequestId = arrival.requestID.String()
+		arrival.renew()
 	}
 }
 
@@ -58,7 +61,7 @@
 
 func (*Router) receive(arrival *arrival, remote *remote) (*callerv1.CallResponse, error) {
 	defer remote.Close()
-	remote.watchdog.Reset(time.Until(arrival.deadline) + frameTimeout)
+	remote.silence = time.Until(arrival.deadline) + frameTimeout
 	response, err := remote.Call()
 	if err != nil {
 		return nil, err
--- a/router/entry.go
+++ b/router/entry.go
@@ -24,6 +24,8 @@
 	// deadline is the time by which the request must have been placed.
 	deadline time.Time
 	dispatch *peerv1.Dispatch
+	// mayHaveRun is set when an attempt ended and may have run.
+	mayHaveRun bool
 }
 
 // arrive checks the names in a request and returns it with its settings.
@@ -31,7 +33,12 @@
 	invalid := func(detail string) (*arrival, *clementinewind.Refusal) {
 		return nil, clementinewind.NewRefusal(clementinewind.ProgressQueued, clementinewind.ReasonInvalid, detail)
 	}
-	if router.phase() == phaseClosed {
+	switch router.phase() {
+	case phaseStarting:
+		// Owners cannot grant slots to a router without a session, so a request that has to queue would wait in vain.
+		refusal := clementinewind.NewRefusal(clementinewind.ProgressQueued, clementinewind.ReasonStale, "the router has no session yet")
+		return nil, refusal.WithRetryAfter(startRetryAfter)
+	case phaseClosed:
 		return nil, clementinewind.NewRefusal(clementinewind.ProgressQueued, clementinewind.ReasonShutdown, "the router is stopping")
 	}
 	view := router.replica.View()
@@ -74,6 +81,9 @@
 	return arrival, nil
 }
 
+// startRetryAfter is when a caller should retry at a router that has no session yet.
+const startRetryAfter = time.Second
+
 // maxDeadline is the longest deadline that a caller may ask for.
 const maxDeadline = time.Hour
 
@@ -132,30 +142,48 @@
 func (router *Router) generate(ctx context.Context, arrival *arrival, emit emitFunc) *clementinewind.Refusal {
 	for attempt := 0; ; attempt++ {
 		remote, placement, refusal := router.place(ctx, arrival, attempt)
-		if refusal != nil {
-			if ctx.Err() == nil && attempt+1 < maxAttempts && router.mayRetry(arrival, refusal) {
+		var tokens int64
+		if refusal == nil {
+			delivery := router.deliver(ctx, arrival, remote, emit)
+			placement.Finish()
+			refusal, tokens = delivery.refusal, delivery.tokens
+			if refusal == nil {
+				return nil
+			}
+			if tokens == 0 && ctx.Err() == nil && mayPlaceAgain(refusal) && time.Now().Before(arrival.deadline) {
 				continue
 			}
-			return refusal
 		}
-		delivery := router.deliver(ctx, arrival, remote, emit)
-		placement.Finish()
-		refusal = delivery.refusal
-		if refusal == nil || delivery.tokens > 0 || ctx.Err() != nil {
-			return refusal
+		final := arrival.refused(refusal)
+		if tokens > 0 || ctx.Err() != nil || attempt+1 >= maxAttempts || !router.mayRetry(arrival, refusal) {
+			return final
 		}
-		if mayPlaceAgain(refusal) && time.Now().Before(arrival.deadline) {
-			continue
-		}
-		if attempt+1 >= maxAttempts || !router.mayRetry(arrival, refusal) {
-			return refusal
-		}
-		// The first run may still be in progress at its upstream, so the second one needs an id of its own.
-		arrival.requestID = clementinewind.NewRequestID()
-		arrival.dispatch.RequestId = arrival.requestID.String()
+		arrival.renew()
 	}
 }
 
+// refused returns the refusal of a request whose last attempt ended with a refusal. It is unknown whether the request ran
+// if that is unknown of any of its attempts.
+func (arrival *arrival) refused(refusal *clementinewind.Refusal) *clementinewind.Refusal {
+	if refusal.Outcome != clementinewind.OutcomeNotRun {
+		arrival.mayHaveRun = true
+		return refusal
+	}
+	if !arrival.mayHaveRun {
+		return refusal
+	}
+	copied := *refusal
+	copied.Outcome = clementinewind.OutcomeUnknown
+	copied.Detail = "an earlier attempt may have run: " + refusal.Detail
+	return &copied
+}
+
+// renew gives the next attempt an id of its own, because the last one may still be in progress at its upstream.
+func (arrival *arrival) renew() {
+	arrival.requestID = clementinewind.NewRequestID()
+	arrival.dispatch.RequestId = arrival.requestID.String()
+}
+
 // mayRetry takes a retry from the budget for a request that failed at an upstream or on the way to it.
 func (router *Router) mayRetry(arrival *arrival, refusal *clementinewind.Refusal) bool {
 	switch refusal.Reason {
--- a/router/remote.go
+++ b/router/remote.go
@@ -17,11 +17,16 @@
 
 // remote is a request that was forwarded to the owner of an upstream. It is an answer.Source.
 type remote struct {
-	stream    peerv1.PeerService_ForwardClient
-	cancel    context.CancelCauseFunc
+	stream peerv1.PeerService_ForwardClient
+	cancel context.CancelCauseFunc
+	// watchdog ends the request when a wait for a reply takes longer than silence. It does not run while nobody waits: a
+	// slow caller delays the next wait, and the router that holds back its answer meanwhile is not silent.
 	watchdog  *time.Timer
+	silence   time.Duration
 	requestID clementinewind.RequestID
 	upstream  clementinewind.Upstream
+	// resumed is set when the request ran before, so that no failure from here on says that it did not.
+	resumed bool
 }
 
 // open forwards a request to a router and waits until the router has admitted it. Errors are *clementinewind.Refusal.
@@ -30,18 +35,24 @@
 	if err != nil {
 		return nil, clementinewind.NewRefusal(clementinewind.ProgressQueued, clementinewind.ReasonInvalid, err.Error())
 	}
+	unsent := clementinewind.ProgressQueued
+	if dispatch.Resume {
+		unsent = clementinewind.ProgressDispatched
+	}
 	ctx, cancel := context.WithCancelCause(parent)
 	ctx, client, err := router.fleet.Client(ctx, session)
 	if err != nil {
 		cancel(nil)
-		return nil, lost(clementinewind.ProgressQueued, err)
+		return nil, lost(unsent, err)
 	}
 	stream, err := client.Forward(ctx)
 	if err != nil {
 		cancel(nil)
-		return nil, lost(clementinewind.ProgressQueued, err)
+		return nil, lost(unsent, err)
+	}
+	opened := &remote{
+		stream: stream, cancel: cancel, requestID: requestID, silence: admissionTimeout, resumed: dispatch.Resume,
 	}
-	opened := &remote{stream: stream, cancel: cancel, requestID: requestID}
 	opened.watchdog = time.AfterFunc(admissionTimeout, func() { cancel(errSilent) })
 	if err := opened.admit(dispatch); err != nil {
 		opened.Close()
@@ -64,18 +75,24 @@
 		return lost(clementinewind.ProgressDispatched, errors.New("router answered without admission"))
 	}
 	remote.upstream = clementinewind.Upstream(admitted.Upstream)
+	remote.silence = frameTimeout
 	return nil
 }
 
 // receive returns the next reply. A refusal by the router is returned as the error.
 func (remote *remote) receive() (*peerv1.ForwardReply, error) {
+	remote.watchdog.Reset(remote.silence)
 	reply, err := remote.stream.Recv()
+	remote.watchdog.Stop()
 	if err != nil {
 		return nil, lost(clementinewind.ProgressDispatched, err)
 	}
-	remote.watchdog.Reset(frameTimeout)
-	if refusal := reply.GetRefusal(); refusal != nil {
-		return nil, refusalOf(refusal)
+	if message := reply.GetRefusal(); message != nil {
+		refusal := refusalOf(message)
+		if remote.resumed {
+			refusal.Outcome = clementinewind.OutcomeUnknown
+		}
+		return nil, refusal
 	}
 	return reply, nil
 }
--- a/router/stop.go
+++ b/router/stop.go
@@ -33,9 +33,10 @@
 	}
 }
 
-// writeStop writes the edit behind a stop marker to the log, however long the log is down.
+// writeStop writes the edit behind a stop marker to the log, however long the log is down. It gives up when the marker has
+// been settled: a newer edit then decides about the zone, and writing this one again would undo it.
 func (router *Router) writeStop(zone clementinewind.Zone, who, why string) {
-	for attempt := 0; router.ctx.Err() == nil && !router.isDraining(); attempt++ {
+	for attempt := 0; router.ctx.Err() == nil && !router.isDraining() && router.markers.stops(zone); attempt++ {
 		result, err := router.edit(router.ctx, &recordv1.Edit{
 			Changes: []*operatorv1.Change{{Section: zoneSection(zone), Key: tree.InServiceKey, Value: "false"}},
 			Who:     who, Why: why + " (stop marker)",
--- a/stand/conn.go
+++ b/stand/conn.go
@@ -57,6 +57,8 @@
 	// abandoned is set when the reader has closed its end.
 	abandoned bool
 	silent    bool
+	// frozenUntil is the time until which nothing arrives, the end of the connection included.
+	frozenUntil time.Time
 	// lastArrival keeps the segments in order when the delay falls.
 	lastArrival                 time.Time
 	readDeadline, writeDeadline time.Time
@@ -134,6 +136,10 @@
 		case expired(half.readDeadline):
 			half.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
+		case half.frozenUntil.After(now):
+			if next.IsZero() || half.frozenUntil.Before(next) {
+				next = half.frozenUntil
+			}
 		case len(half.segments) > 0 && !half.segments[0].arrival.After(now):
 			count := half.pop(data)
 			half.mu.Unlock()
@@ -189,6 +195,13 @@
 	half.silent = true
 }
 
+func (half *half) freeze(until time.Time) {
+	half.mu.Lock()
+	defer half.mu.Unlock()
+	half.frozenUntil = until
+	half.wake()
+}
+
 func (half *half) setDeadline(field *time.Time, deadline time.Time) {
 	half.mu.Lock()
 	defer half.mu.Unlock()
--- a/stand/network.go
+++ b/stand/network.go
@@ -28,6 +28,8 @@
 	faults    map[[2]string]LinkFaults
 	listeners map[string]*listener
 	conns     map[*conn]struct{}
+	// frozen is the time until which a host stands still.
+	frozen map[string]time.Time
 }
 
 // NewNetwork returns a network in which bytes travel for delay.
@@ -37,6 +39,7 @@
 		faults:    map[[2]string]LinkFaults{},
 		listeners: map[string]*listener{},
 		conns:     map[*conn]struct{}{},
+		frozen:    map[string]time.Time{},
 	}
 }
 
@@ -64,6 +67,31 @@
 	network.each(first, second, func(conn *conn) { conn.Close() })
 }
 
+// Freeze holds all bytes to and from a host for a time, as a paused process does, and lets them pass afterwards. New
+// connections of the host open when the time has passed.
+func (network *Network) Freeze(host string, duration time.Duration) {
+	until := time.Now().Add(duration)
+	network.mu.Lock()
+	network.frozen[host] = until
+	var found []*conn
+	for conn := range network.conns {
+		if conn.local.host() == host || conn.remote.host() == host {
+			found = append(found, conn)
+		}
+	}
+	network.mu.Unlock()
+	for _, conn := range found {
+		conn.out.freeze(until)
+	}
+}
+
+// frozenFor returns how long at least one of two hosts still stands still.
+func (network *Network) frozenFor(first, second string) time.Duration {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	return max(time.Until(network.frozen[first]), time.Until(network.frozen[second]))
+}
+
 func (network *Network) each(first, second string, do func(conn *conn)) {
 	network.mu.Lock()
 	var found []*conn
@@ -104,7 +132,8 @@
 		<-ctx.Done()
 		return nil, errors.Wrapf(ctx.Err(), "dial %s", remote)
 	}
-	if err := sleep(ctx, there.Delay+back.Delay); err != nil {
+	frozen := max(network.frozenFor(local.host(), remote.host()), 0)
+	if err := sleep(ctx, frozen+there.Delay+back.Delay); err != nil {
 		return nil, err
 	}
 	network.mu.Lock()
