--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -22,9 +22,12 @@
 	// pingInterval and pingTimeout bound how long a connection that has gone silent stays in use.
 	pingInterval = 10 * time.Second
 	pingTimeout  = 5 * time.Second
-	// windowBytes is a fixed flow control window. Without one gRPC measures the bandwidth with a ping after each received
-	// frame, which takes more bytes than the control frames themselves.
-	windowBytes = 1 << 20
+	// streamWindowBytes and connWindowBytes are fixed flow control windows. Without them gRPC measures the bandwidth with a
+	// ping after each received frame, which takes more bytes than the control frames themselves. The window of a stream
+	// bounds what is read ahead for a slow caller, and that of a connection is so much larger that slow callers do not
+	// hold up the others.
+	streamWindowBytes = 64 << 10
+	connWindowBytes   = 16 << 20
 	// connectTimeout bounds one attempt to connect.
 	connectTimeout = 2 * time.Second
 	// sessionKey is the metadata key that names the session of the calling router.
@@ -169,8 +172,8 @@
 		grpc.WithDisableServiceConfig(),
 		// A request must not be sent twice without the knowledge of the router.
 		grpc.WithDisableRetry(),
-		grpc.WithInitialWindowSize(windowBytes),
-		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithInitialWindowSize(streamWindowBytes),
+		grpc.WithInitialConnWindowSize(connWindowBytes),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: connectTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(fleet.config.MaxMessageBytes)),
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -19,7 +19,7 @@
 	config := config()
 	config.Routers = 12
 	run(t, config, func(t *testing.T, ctx context.Context, world *world) {
-		drained := world.Nodes[4].Router.CallerAddress().String()
+		drained := world.Nodes[4].Router().CallerAddress().String()
 		gives := func() (count int) {
 			for number := range world.Nodes {
 				for _, organisation := range []clementinewind.Organisation{"Patel", "Fjordvolt"} {
@@ -35,7 +35,7 @@
 			return count
 		}
 		quicktest.Assert(t, gives() > 0, quicktest.IsTrue, quicktest.Commentf("the drained router must be in use before"))
-		world.Nodes[4].Router.Drain()
+		world.Nodes[4].Router().Drain()
 		time.Sleep(100 * time.Millisecond)
 		quicktest.Check(t, gives(), quicktest.Equals, 0)
 	})
--- a/router/input_test.go
+++ b/router/input_test.go
@@ -81,7 +81,7 @@
 func TestPlainJSON(t *testing.T) {
 	run(t, config(), func(t *testing.T, ctx context.Context, world *world) {
 		post := func(method, body string) (int, map[string]any) {
-			url := "http://" + world.Nodes[0].Router.CallerAddress().String() + "/caller.v1.CallerService/" + method
+			url := "http://" + world.Nodes[0].Router().CallerAddress().String() + "/caller.v1.CallerService/" + method
 			request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
 			quicktest.Assert(t, err, quicktest.IsNil)
 			request.Header.Set("Content-Type", "application/json")
--- a/router/returns_test.go
+++ b/router/returns_test.go
@@ -23,7 +23,7 @@
 	settings.Routers = 1
 	run(t, settings, func(t *testing.T, ctx context.Context, world *world) {
 		time.Sleep(5 * time.Second)
-		owner := world.Nodes[0].Router
+		owner := world.Nodes[0].Router()
 		held := func() int32 {
 			listed, err := world.Operator(0).ListUpstreams(ctx, connect.NewRequest(&operatorv1.ListUpstreamsRequest{}))
 			quicktest.Assert(t, err, quicktest.IsNil)
