Renew the connection to a peer that does not admit a request

Cause: a connection between routers that goes silent while new ones work stayed in use until gRPC's pings found out, after 15 s. Requests to that peer waited 5 s each for their admission in the meantime.

Ruled out: renewal also when heartbeats are missing.

Change: when the first reply of a peer is overdue, Fleet.Renew opens a new connection, at most once in 3 s. The old one stays open for a minute, so that what runs on it is not cut off.

Conclusion: a silent connection costs one admission timeout instead of several.

--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -29,11 +29,15 @@
 	streamWindowBytes = 64 << 10
 	connWindowBytes   = 16 << 20
 	// connectTimeout bounds one attempt to connect.
-	connectTimeout = 2 * time.Second
+	connectTimeout = time.Second
 	// sessionKey is the metadata key that names the session of the calling router.
 	sessionKey = "session"
-	// lingerTime is how long the connection to a retired peer stays open for the requests that it still serves.
-	lingerTime = 10 * time.Minute
+	// retiredLinger is how long the connection to a retired peer stays open for the requests that it still serves.
+	retiredLinger = 10 * time.Minute
+	// renewedLinger is the same for a connection that was renewed. Requests on it end by their own time limits before.
+	renewedLinger = time.Minute
+	// renewInterval is the shortest time between two renewals of the connection to a peer.
+	renewInterval = 3 * time.Second
 )
 
 // ErrUnknownPeer is returned for a session that is not in the set of peers.
@@ -125,6 +129,25 @@
 	}
 }
 
+// Renew replaces the connection to a peer that no longer answers over it, and reports whether it did. An open connection
+// can have gone silent for good while new ones work; the pings of gRPC find that out only after 15 s. Requests on the old
+// connection are not cut off.
+func (fleet *Fleet) Renew(session clementinewind.Session) (bool, error) {
+	fleet.mu.Lock()
+	defer fleet.mu.Unlock()
+	silent := fleet.links[session]
+	if silent == nil || !silent.connected.Load() || time.Since(silent.opened) < renewInterval || fleet.ctx.Err() != nil {
+		return false, nil
+	}
+	opened, err := fleet.open(session, silent.address)
+	if err != nil {
+		return false, err
+	}
+	fleet.drop(silent, renewedLinger)
+	fleet.links[session] = opened
+	return true, nil
+}
+
 // remove takes a link out of the set. The caller holds mu.
 func (fleet *Fleet) remove(link *link) {
 	delete(fleet.links, link.session)
@@ -132,9 +155,14 @@
 		link.close()
 		return
 	}
+	fleet.drop(link, retiredLinger)
+}
+
+// drop closes the control stream of a link at once and its connection after linger. The caller holds mu.
+func (fleet *Fleet) drop(link *link, linger time.Duration) {
 	link.cancel()
 	fleet.wait.Go(func() {
-		timer := time.NewTimer(lingerTime)
+		timer := time.NewTimer(linger)
 		defer timer.Stop()
 		select {
 		case <-timer.C:
@@ -158,6 +186,7 @@
 		client:  peerv1.NewPeerServiceClient(conn),
 		cancel:  cancel,
 		ready:   make(chan struct{}, 1),
+		opened:  time.Now(),
 	}
 	fleet.wait.Go(func() { opened.run(ctx) })
 	return opened, nil
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -126,6 +126,23 @@
 	}
 }
 
+// Guards against a connection that has gone silent and stays in use until the pings of gRPC find out, after 15 s, and
+// against requests on it that the renewal cuts off.
+func TestRenew(t *testing.T) {
+	run(t, func(network *stand.Network, first, second *host) {
+		network.Silence(ip(1), ip(2))
+		renewed, err := first.fleet.Renew(2)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, renewed, quicktest.IsTrue)
+		again, err := first.fleet.Renew(2)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, again, quicktest.IsFalse, quicktest.Commentf("renewed twice within the interval"))
+		before := second.heard(1)
+		time.Sleep(3 * time.Second)
+		quicktest.Check(t, second.heard(1)-before >= 2, quicktest.IsTrue)
+	})
+}
+
 // Guards against frames to a peer that has left the set, and against an RPC to it.
 func TestUnknownPeer(t *testing.T) {
 	run(t, func(_ *stand.Network, first, second *host) {
--- a/peer/link.go
+++ b/peer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -19,7 +20,7 @@
 	BaseDelay:  100 * time.Millisecond,
 	Multiplier: 1.6,
 	Jitter:     0.2,
-	MaxDelay:   2 * time.Second,
+	MaxDelay:   time.Second,
 }
 
 const (
@@ -38,6 +39,9 @@
 	client  peerv1.PeerServiceClient
 	cancel  context.CancelFunc
 	ready   chan struct{}
+	opened  time.Time
+	// connected is set when the control stream has been open.
+	connected atomic.Bool
 	// retired is guarded by the mutex of the Fleet.
 	retired bool
 
@@ -114,6 +118,7 @@
 		cancel()
 		<-broken
 	}()
+	link.connected.Store(true)
 	if link.config.Connected != nil {
 		link.config.Connected(link.session)
 	}
--- a/router/control.go
+++ b/router/control.go
@@ -364,6 +364,17 @@
 	}
 }
 
+// renewLink opens a new connection to a peer that was silent for too long.
+func (router *Router) renewLink(session clementinewind.Session) {
+	renewed, err := router.fleet.Renew(session)
+	if err != nil {
+		router.logger.Error("connection to peer not renewed", "peer", session, "error", err)
+	}
+	if renewed {
+		router.logger.Debug("connection to peer renewed", "peer", session)
+	}
+}
+
 func (router *Router) sendHeartbeats() {
 	for _, session := range router.fleet.Sessions() {
 		if heartbeat := router.heartbeat(session); heartbeat != nil {
--- a/router/remote.go
+++ b/router/remote.go
@@ -61,6 +61,9 @@
 	opened.unwatch = context.AfterFunc(router.ctx, func() { cancel(errStopped) })
 	opened.watchdog = time.AfterFunc(admissionTimeout, func() { cancel(errSilent) })
 	if err := opened.admit(dispatch); err != nil {
+		if errors.Is(context.Cause(ctx), errSilent) {
+			router.renewLink(session)
+		}
 		opened.Close()
 		return nil, err
 	}
