Report an undecided key as unknown

Cause: a call whose key could not be decided before its deadline was refused as not run. An earlier call with the key may have run, which the router cannot know then.

Ruled out: the same for refusals before the claim (bad input, full queue); they speak of the attempt, and the next attempt with the key is decided by its claim.

Change: the refusal of an undecided key has the outcome unknown.

Conclusion: a retry is never told "not run" for want of a decision.

--- a/router/claims.go
+++ b/router/claims.go
@@ -113,12 +113,18 @@
 		select {
 		case <-time.After(claimRetryDelay):
 		case <-ctx.Done():
-			return nil, claimID, clementinewind.NewRefusal(clementinewind.ProgressQueued, clementinewind.ReasonLogUnavailable,
-				err.Error()).WithRetryAfter(logRetryAfter)
+			return nil, claimID, undecided(err)
 		}
 	}
 }
 
+// undecided returns the refusal of a call whose key could not be decided. The call itself was not sent, but an earlier
+// one with its key may have run.
+func undecided(err error) *clementinewind.Refusal {
+	return clementinewind.NewRefusal(clementinewind.ProgressDispatched, clementinewind.ReasonLogUnavailable,
+		"the key could not be decided, and an earlier call with it may have run: "+err.Error()).WithRetryAfter(logRetryAfter)
+}
+
 // ask sends a claim once.
 func (claims *claims) ask(ctx context.Context, request *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimAttemptTimeout)
--- a/router/keys_test.go
+++ b/router/keys_test.go
@@ -133,3 +133,39 @@
 		}
 	})
 }
+
+// Guards against a refusal "not run" for a key whose earlier call ran, when the router that decides the key is gone and
+// the log is down, so that no other router can take its place.
+func TestUndecidedKeyIsUnknown(t *testing.T) {
+	t.Parallel()
+	run(t, config(), func(t *testing.T, ctx context.Context, world *world) {
+		time.Sleep(5 * time.Second)
+		const keys = 12
+		issued := time.Now()
+		for number := range keys {
+			_, err := world.Caller(0).Call(ctx, connect.NewRequest(callOf(fmt.Sprint("key-", number), "wheel", issued)))
+			quicktest.Assert(t, err, quicktest.IsNil)
+		}
+		time.Sleep(time.Second)
+		world.log.SetFaults(stand.LogFaults{Down: true})
+		quicktest.Assert(t, world.StopRouter(1), quicktest.IsNil)
+		quicktest.Assert(t, world.StopRouter(2), quicktest.IsNil)
+		replayed, unknown := 0, 0
+		for number := range keys {
+			call := callOf(fmt.Sprint("key-", number), "wheel", issued)
+			call.DeadlineMillis = (2 * time.Second).Milliseconds()
+			response, err := world.Caller(0).Call(ctx, connect.NewRequest(call))
+			switch {
+			case err == nil && response.Msg.Replayed:
+				replayed++
+			case demo.RefusalOf(err).GetOutcome() == callerv1.Outcome_OUTCOME_UNKNOWN:
+				unknown++
+			default:
+				t.Errorf("key %d: %v", number, err)
+			}
+		}
+		t.Logf("%d keys replayed, %d unknown", replayed, unknown)
+		quicktest.Check(t, unknown > 0, quicktest.IsTrue)
+		world.log.SetFaults(stand.LogFaults{})
+	})
+}
