Test a single upstream that leaves and returns

Cause: the promise on leaving upstreams had a test of the fleet for zones only. Conclusion: the promise is tested on the fleet for single upstreams and for zones.

--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind/demo"
 	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/wire/operatorv1"
 )
 
 // faultTest is a fault that acts while a load runs.
@@ -27,6 +30,18 @@
 	alone bool
 }
 
+// setUpstream takes the first engine out of service or returns it.
+func (world *world) setUpstream(t *testing.T, ctx context.Context, inService bool) {
+	response, err := world.Operator(0).SetSettings(ctx, connect.NewRequest(&operatorv1.SetSettingsRequest{
+		Changes: []*operatorv1.Change{{
+			Section: "Pools." + demo.ModelPool + "." + demo.EngineName(0), Key: "InService", Value: strconv.FormatBool(inService),
+		}},
+		Who: "Test", Wait: true,
+	}))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, response.Msg.Accepted, quicktest.IsTrue, quicktest.Commentf("%s", response.Msg.Conflict))
+}
+
 func address(world *world, number int) string {
 	host, _ := splitHost(world.Nodes[number].Router().CallerAddress().String())
 	return host
@@ -70,6 +85,21 @@
 			lossless: true,
 			alone:    true,
 		},
+		{
+			name: "upstream leaves and returns",
+			inject: func(t *testing.T, ctx context.Context, world *world) {
+				world.setUpstream(t, ctx, false)
+				world.removed = time.Now()
+			},
+			heal: func(t *testing.T, ctx context.Context, world *world) {
+				late := world.Engines[0].ReceivedAfter(world.removed.Add(3 * time.Second))
+				quicktest.Check(t, late, quicktest.HasLen, 0)
+				quicktest.Check(t, len(world.Engines[1].ReceivedAfter(world.removed)) > 0, quicktest.IsTrue)
+				world.setUpstream(t, ctx, true)
+			},
+			lossless: true,
+			alone:    true,
+		},
 		{
 			name: "log down",
 			inject: func(_ *testing.T, _ context.Context, world *world) {
