Name the instance and zone once on each log line

Cause: lines of events named the instance and the zone twice, in lower case and in Pascal case, and the keys of other lines were in lower case.

Change: the router adds Instance and Zone to its own lines and leaves events as they are; all keys are in Pascal case.

Conclusion: one form for all log lines.

--- a/cmd/clementinewind/router.go
+++ b/cmd/clementinewind/router.go
@@ -35,8 +35,7 @@
 			if err != nil {
 				return err
 			}
-			logger := hclog.New(&hclog.LoggerOptions{Name: "router", Level: settings.LogLevel, Output: os.Stderr}).
-				With("instance", settings.Name, "zone", settings.Zone)
+			logger := hclog.New(&hclog.LoggerOptions{Name: "router", Level: settings.LogLevel, Output: os.Stderr})
 			return runRouter(ctx, settings, logger)
 		},
 	}
@@ -77,7 +76,7 @@
 		<-signals
 		cancel()
 	}()
-	logger.Info("listening", "callers", started.CallerAddress(), "admin", started.AdminAddress())
+	logger.Info("listening", "Callers", started.CallerAddress(), "Admin", started.AdminAddress())
 	return started.Run(ctx)
 }
 
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -198,7 +198,7 @@
 		Instances: fleet.config.Instances,
 		Dial:      fleet.config.Dial(string(node.Name)),
 		Listen:    fleet.config.Listen,
-		Logger:    fleet.config.Logger.With("instance", node.Name, "zone", node.Zone),
+		Logger:    fleet.config.Logger,
 	})
 	if err != nil {
 		cancel()
--- a/peer/link.go
+++ b/peer/link.go
@@ -93,7 +93,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		link.config.Logger.Debug("control link broke", "peer", link.session, "address", link.address, "error", err)
+		link.config.Logger.Debug("control link broke", "Peer", link.session, "Address", link.address, "Error", err)
 		select {
 		case <-time.After(reopenDelay/2 + rand.N(reopenDelay)):
 		case <-ctx.Done():
--- a/router/calls.go
+++ b/router/calls.go
@@ -123,7 +123,7 @@
 		ctx, cancel := context.WithTimeout(router.ctx, settleTimeout)
 		defer cancel()
 		if err := router.claims.settle(ctx, settlement); err != nil {
-			router.logger.Warn("claim not settled", "request", settlement.RequestId, "error", err)
+			router.logger.Warn("claim not settled", "Request", settlement.RequestId, "Error", err)
 		}
 	}()
 }
--- a/router/claims.go
+++ b/router/claims.go
@@ -71,7 +71,7 @@
 	})
 	claims.wait.Go(func() {
 		if err := index.Run(ctx); err != nil && ctx.Err() == nil {
-			claims.router.logger.Error("claims stream not served", "stream", number, "error", err)
+			claims.router.logger.Error("claims stream not served", "Stream", number, "Error", err)
 		}
 	})
 	return &servedIndex{index: index, stop: cancel}
--- a/router/control.go
+++ b/router/control.go
@@ -62,7 +62,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		router.logger.Warn("control stream not followed", "error", err)
+		router.logger.Warn("control stream not followed", "Error", err)
 		if err := (plog.Backoff{}).Wait(ctx, attempt); err != nil {
 			break
 		}
@@ -124,7 +124,7 @@
 		router.fleet.RetireAll()
 	}
 	if err := router.fleet.SetPeers(next.peers()); err != nil {
-		router.logger.Error("peers not set", "error", err)
+		router.logger.Error("peers not set", "Error", err)
 	}
 	router.owner.SetSelf(next.self)
 	router.owner.SetSessions(next.sessions())
@@ -231,7 +231,7 @@
 		if !live && !router.isDraining() && router.loaded.Load() {
 			router.awaitPeers(ctx)
 			if err := router.openSession(ctx); err != nil {
-				router.logger.Warn("session not opened", "error", err)
+				router.logger.Warn("session not opened", "Error", err)
 				if err := (plog.Backoff{}).Wait(ctx, 3); err != nil {
 					break
 				}
@@ -308,7 +308,7 @@
 	router.session.Store(int64(session))
 	router.members.SetSession(session)
 	router.assign()
-	router.logger.Info("session opened", "session", session)
+	router.logger.Info("session opened", "Session", session)
 	router.authority.Warn()
 	return nil
 }
@@ -368,10 +368,10 @@
 func (router *Router) renewLink(session clementinewind.Session) {
 	renewed, err := router.fleet.Renew(session)
 	if err != nil {
-		router.logger.Error("connection to peer not renewed", "peer", session, "error", err)
+		router.logger.Error("connection to peer not renewed", "Peer", session, "Error", err)
 	}
 	if renewed {
-		router.logger.Debug("connection to peer renewed", "peer", session)
+		router.logger.Debug("connection to peer renewed", "Peer", session)
 	}
 }
 
@@ -390,7 +390,7 @@
 	if _, err := router.appendControl(ctx, &recordv1.ControlRecord{Body: &recordv1.ControlRecord_SessionExpired{
 		SessionExpired: &recordv1.SessionExpired{Session: int64(session), By: int64(router.currentSession())},
 	}}); err != nil {
-		router.logger.Warn("session not expired", "session", session, "error", err)
+		router.logger.Warn("session not expired", "Session", session, "Error", err)
 	}
 }
 
@@ -420,7 +420,7 @@
 		}
 		snapshot := router.replica.Snapshot()
 		if err := state.WriteSnapshot(ctx, router.config.Log, snapshot); err != nil {
-			router.logger.Warn("snapshot not written", "error", err)
+			router.logger.Warn("snapshot not written", "Error", err)
 			continue
 		}
 		covered = clementinewind.Offset(snapshot.Covers)
--- a/router/drain.go
+++ b/router/drain.go
@@ -102,7 +102,7 @@
 	if _, err := router.appendControl(ctx, &recordv1.ControlRecord{Body: &recordv1.ControlRecord_SessionClosed{
 		SessionClosed: &recordv1.SessionClosed{Session: int64(session)},
 	}}); err != nil {
-		router.logger.Warn("session not closed; other routers will expire it", "error", err)
+		router.logger.Warn("session not closed; other routers will expire it", "Error", err)
 	}
 }
 
--- a/router/fault_test.go
+++ b/router/fault_test.go
@@ -31,7 +31,7 @@
 }
 
 // setUpstream takes the first engine out of service or returns it.
-func (world *world) setUpstream(t *testing.T, ctx context.Context, inService bool) {
+func (world *world) setUpstream(ctx context.Context, t *testing.T, inService bool) {
 	response, err := world.Operator(0).SetSettings(ctx, connect.NewRequest(&operatorv1.SetSettingsRequest{
 		Changes: []*operatorv1.Change{{
 			Section: "Pools." + demo.ModelPool + "." + demo.EngineName(0), Key: "InService", Value: strconv.FormatBool(inService),
@@ -88,14 +88,14 @@
 		{
 			name: "upstream leaves and returns",
 			inject: func(t *testing.T, ctx context.Context, world *world) {
-				world.setUpstream(t, ctx, false)
+				world.setUpstream(ctx, t, false)
 				world.removed = time.Now()
 			},
 			heal: func(t *testing.T, ctx context.Context, world *world) {
 				late := world.Engines[0].ReceivedAfter(world.removed.Add(3 * time.Second))
 				quicktest.Check(t, late, quicktest.HasLen, 0)
 				quicktest.Check(t, len(world.Engines[1].ReceivedAfter(world.removed)) > 0, quicktest.IsTrue)
-				world.setUpstream(t, ctx, true)
+				world.setUpstream(ctx, t, true)
 			},
 			lossless: true,
 			alone:    true,
--- a/router/instances.go
+++ b/router/instances.go
@@ -58,7 +58,7 @@
 		if err == nil {
 			router.instances.set(list)
 		} else {
-			router.logger.Debug("instances not listed", "error", err)
+			router.logger.Debug("instances not listed", "Error", err)
 		}
 		if err := pause(ctx, listInterval); err != nil {
 			return err
--- a/router/loads.go
+++ b/router/loads.go
@@ -76,7 +76,7 @@
 func (loads *loads) ask(ctx context.Context, upstream clementinewind.Upstream, address string, sequence int64) int64 {
 	report, err := loads.router.models.Load(ctx, address, sequence)
 	if err != nil {
-		loads.router.logger.Debug("no load report", "upstream", upstream, "error", err)
+		loads.router.logger.Debug("no load report", "Upstream", upstream, "Error", err)
 		return sequence
 	}
 	if loads.boot(upstream, report.BootID) {
--- a/router/peers.go
+++ b/router/peers.go
@@ -73,7 +73,7 @@
 func (router *Router) HandleControl(session clementinewind.Session, frame *peerv1.ControlFrame) {
 	router.meter.ControlReceived(proto.Size(frame))
 	if err := router.clock.Observe(frame.Stamp); err != nil {
-		router.logger.Warn("clock of peer is ahead", "peer", session, "error", err)
+		router.logger.Warn("clock of peer is ahead", "Peer", session, "Error", err)
 	}
 	if frame.Heartbeat != nil && router.members.Receive(frame.Heartbeat) {
 		if heartbeat := router.heartbeat(session); heartbeat != nil {
@@ -139,7 +139,7 @@
 		}
 		snapshot, err := router.fetchState(ctx, instance.Address)
 		if err != nil {
-			router.logger.Debug("state not fetched", "instance", instance.Name, "error", err)
+			router.logger.Debug("state not fetched", "Peer", instance.Name, "Error", err)
 			continue
 		}
 		if snapshot.Covers > int64(router.replica.View().Version) {
--- a/router/router.go
+++ b/router/router.go
@@ -92,7 +92,7 @@
 // New returns a router that has opened its listeners and done nothing else. Run must be called, which closes them.
 func New(ctx context.Context, config Config) (*Router, error) {
 	router := &Router{config: config.withDefaults(), drain: make(chan struct{})}
-	router.logger = router.config.Logger
+	router.logger = router.config.Logger.With("Instance", config.Settings.Name, "Zone", config.Settings.Zone)
 	router.ctx, router.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	router.session.Store(int64(clementinewind.NoSession))
 	if err := router.listen(ctx); err != nil {
@@ -155,7 +155,9 @@
 		Instance: settings.Name, Zone: settings.Zone, Clock: router.clock, Appender: router.events, Logger: router.logger,
 	})
 	router.ring = event.NewRing(event.RingConfig{
-		Instance: settings.Name, Zone: settings.Zone, Clock: router.clock, Size: settings.Events, Logger: router.logger,
+		Instance: settings.Name, Zone: settings.Zone, Clock: router.clock, Size: settings.Events,
+		// An event names its instance and zone itself.
+		Logger:    router.config.Logger,
 		Discloser: router.discloser,
 	})
 	var err error
--- a/router/serve.go
+++ b/router/serve.go
@@ -378,7 +378,7 @@
 
 func (router *Router) cancelJob(relaying *relaying) {
 	if err := router.models.Cancel(router.ctx, relaying.target); err != nil {
-		router.logger.Debug("cancellation failed", "request", relaying.target.RequestID, "error", err)
+		router.logger.Debug("cancellation failed", "Request", relaying.target.RequestID, "Error", err)
 	}
 	router.endJob(relaying, admit.ResultCancelled)
 }
@@ -400,7 +400,7 @@
 		// The connection to the upstream is lost, not the one between the routers, over which this answer travels.
 		refusal.Reason = clementinewind.ReasonUpstreamFailed
 	}
-	router.logger.Debug("upstream request failed", "upstream", upstream, "error", err)
+	router.logger.Debug("upstream request failed", "Upstream", upstream, "Error", err)
 	return refusal
 }
 
