--- a/router/operator.go
+++ b/router/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
@@ -170,22 +171,18 @@
 		}
 		return connect.NewResponse(service.router.stopZone(ctx, zone, editor(ctx, message.Who), message.Why)), nil
 	}
-	value := "false"
-	if message.InService {
-		value = "true"
-	}
-	result, err := service.router.edit(ctx, &recordv1.Edit{
-		Changes: []*operatorv1.Change{{Section: zoneSection(zone), Key: tree.InServiceKey, Value: value}},
-		Who:     editor(ctx, message.Who), Why: message.Why,
-	})
+	result, err := service.SetSettings(ctx, connect.NewRequest(&operatorv1.SetSettingsRequest{
+		Changes: []*operatorv1.Change{{
+			Section: zoneSection(zone), Key: tree.InServiceKey, Value: strconv.FormatBool(message.InService),
+		}},
+		Who: message.Who, Why: message.Why, Wait: message.Wait, WaitMillis: message.WaitMillis,
+	}))
 	if err != nil {
 		return nil, err
 	}
-	response := &operatorv1.SetZoneResponse{Accepted: result.Accepted, Version: int64(result.Version), Conflict: result.Conflict}
-	if message.Wait && result.Accepted {
-		response.Missing = service.router.awaitInForce(ctx, result.Version, message.WaitMillis)
-	}
-	return connect.NewResponse(response), nil
+	return connect.NewResponse(&operatorv1.SetZoneResponse{
+		Accepted: result.Msg.Accepted, Version: result.Msg.Version, Conflict: result.Msg.Conflict, Missing: result.Msg.Missing,
+	}), nil
 }
 
 // Timeline returns the time lines of all routers in causal order.
--- a/sched/doc.go
+++ b/sched/doc.go
@@ -10,6 +10,7 @@
 package sched
 
 import (
+	"context"
 	"time"
 
 	"github.com/clementinewind/clementinewind"
@@ -55,3 +56,17 @@
 	// maxWaiting is the highest waiting count in an ask. It only bounds the grants on the way to one entry router.
 	maxWaiting = 64
 )
+
+// runTicks calls tick every tickInterval until the context ends.
+func runTicks(ctx context.Context, tick func()) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			tick()
+		}
+	}
+}
--- a/sched/entry.go
+++ b/sched/entry.go
@@ -115,16 +115,7 @@
 
 // Run does the periodic tasks until the context ends.
 func (entry *Entry) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			entry.Tick()
-		}
-	}
+	return runTicks(ctx, entry.Tick)
 }
 
 // Tick does the periodic tasks once: it withdraws the asks of empty queues and forgets what is no longer used.
--- a/sched/owner.go
+++ b/sched/owner.go
@@ -121,16 +121,7 @@
 
 // Run does the periodic tasks until the context ends.
 func (owner *Owner) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			owner.Tick()
-		}
-	}
+	return runTicks(ctx, owner.Tick)
 }
 
 // Tick does the periodic tasks once: expiry of grants, service reports, ejection and spare hints.
