Ask again when a claims stream moves during a claim

Its claims streams moved to other routers, which stopped its indexes and cancelled their calls to the log; the log client reports a cancelled call as an unavailable log, and the router took that for an outage.

Ruled out: an outage (the platform ran throughout), and the drain itself, which waits for the router's own callers.

Change: an error of an index that this router no longer serves goes back to the entry router, which asks the new one. The fleet tests now report cancelled calls to the log as the client does.

--- a/router/claims.go
+++ b/router/claims.go
@@ -202,19 +202,25 @@
 	}
 	decision, err := index.Claim(ctx, key, claim.Digest(request.Digest), claim.ID(request.ClaimId),
 		time.UnixMilli(request.KeyIssuedMillis))
-	if errors.Is(err, clementinewind.ErrLogUnavailable) {
-		// The index gives the claim up by itself, so the answer need not wait for the log.
-		refusal := clementinewind.NewRefusal(clementinewind.ProgressQueued, clementinewind.ReasonLogUnavailable, err.Error())
-		return &peerv1.ClaimResponse{Refusal: wireRefusal(refusal.WithRetryAfter(logRetryAfter), "")}, nil
-	}
 	if err != nil {
-		return nil, err
+		return router.claimFailed(index, key, err)
 	}
 	response := claimResponse(decision)
 	response.Holder = decision.Holder[:]
 	return response, nil
 }
 
+// claimFailed returns the end of a claim that the index could not decide. An error makes the entry router ask again.
+func (router *Router) claimFailed(index *claim.Index, key claim.Key, err error) (*peerv1.ClaimResponse, error) {
+	// A stream that moves to another router stops the index and fails its calls to the log, which says nothing about the log.
+	if served, ok := router.claims.served(key); !ok || served != index || !errors.Is(err, clementinewind.ErrLogUnavailable) {
+		return nil, err
+	}
+	// The index gives the claim up by itself, so the answer need not wait for the log.
+	refusal := clementinewind.NewRefusal(clementinewind.ProgressQueued, clementinewind.ReasonLogUnavailable, err.Error())
+	return &peerv1.ClaimResponse{Refusal: wireRefusal(refusal.WithRetryAfter(logRetryAfter), "")}, nil
+}
+
 func claimResponse(decision claim.Decision) *peerv1.ClaimResponse {
 	refuse := func(outcome clementinewind.Outcome, reason clementinewind.Reason, retryAfter time.Duration, detail string) *peerv1.ClaimResponse {
 		refusal := &clementinewind.Refusal{Outcome: outcome, Reason: reason, RetryAfter: retryAfter, Detail: detail}
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -10,6 +10,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/stand"
 	"github.com/clementinewind/clementinewind/wire/callerv1"
 )
 
@@ -40,3 +41,23 @@
 		quicktest.Check(t, gives(), quicktest.Equals, 0)
 	})
 }
+
+// Guards against calls that are refused because the claims streams of a draining router move while their claims are on the
+// way to the log. A slow log makes that happen to many of them.
+func TestClaimsSurviveDrain(t *testing.T) {
+	t.Parallel()
+	run(t, config(), func(t *testing.T, ctx context.Context, world *world) {
+		time.Sleep(5 * time.Second)
+		world.log.SetFaults(stand.LogFaults{Delay: 100 * time.Millisecond})
+		load := world.startLoad(ctx, 24, 1)
+		time.Sleep(3 * time.Second)
+		for number := range 2 {
+			quicktest.Assert(t, world.DrainRouter(number), quicktest.IsNil)
+			quicktest.Assert(t, world.StartRouter(number), quicktest.IsNil)
+			quicktest.Assert(t, world.AwaitReady(ctx), quicktest.IsNil)
+		}
+		attempts := load.stop()
+		world.check(t, attempts)
+		quicktest.Check(t, failures(attempts), quicktest.HasLen, 0)
+	})
+}
--- a/router/fleet_test.go
+++ b/router/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/conf"
 	"github.com/clementinewind/clementinewind/demo"
+	"github.com/clementinewind/clementinewind/plog"
 	"github.com/clementinewind/clementinewind/router"
 	"github.com/clementinewind/clementinewind/stand"
 	"github.com/clementinewind/clementinewind/wire/callerv1"
@@ -78,7 +79,7 @@
 			if world.views[instance] == nil {
 				world.views[instance] = stand.NewFlakyLog(stand.FlakyLogConfig{Log: world.log})
 			}
-			return world.views[instance]
+			return clientLog{world.views[instance]}
 		}
 		config.Instances = world.instances
 		config.Listen = func(_ context.Context, _, address string) (net.Listener, error) { return world.network.Listen(address) }
@@ -100,6 +101,17 @@
 	})
 }
 
+// clientLog reports a call that its caller gave up as plog.Client does: the log was unavailable.
+type clientLog struct{ clementinewind.Log }
+
+func (log clientLog) Append(ctx context.Context, stream string, records []clementinewind.Record) (clementinewind.Offset, error) {
+	offset, err := log.Log.Append(ctx, stream, records)
+	if err != nil && ctx.Err() != nil {
+		err = &plog.CallError{Kind: clementinewind.ErrLogUnavailable, Cause: err}
+	}
+	return offset, err
+}
+
 // instances is the platform's list of instances.
 func (world *world) instances(context.Context) ([]router.Listed, error) {
 	var list []router.Listed
