Count rejected messages, queued requests and grants

Cause: a body that is malformed or too large is rejected by Connect before a handler sees it, and was counted nowhere. The metrics for queue length and grants existed, but the router never set them. The name of an unknown pool became a label, so a caller could add series without limit.

Change: clementinewind_rejected counts rejected bodies by status; refusals by a handler carry the header Clementinewind-Refused and are counted with their reason, as before. Queue length and grants (sent, used, expired) are set. Refusals for pools that do not exist count under the pool "unknown". The result Returned is gone, since a returned grant does not name its pool.

Conclusion: bad input is counted, and each metric on the page is set.

--- a/router/caller.go
+++ b/router/caller.go
@@ -138,6 +138,10 @@
 	router.record(clementinewind.Event{
 		Kind: kind, RequestID: requestID, Organisation: clementinewind.Organisation(organisation), Detail: refusal.Error(),
 	})
+	if _, ok := router.replica.View().Tree.Pool(clementinewind.Pool(pool)); !ok {
+		// A caller must not be able to add series to the metrics.
+		pool = "unknown"
+	}
 	router.meter.Request(clementinewind.Pool(pool), refusal.Outcome, refusal.Reason)
 	return connectError(refusal, requestID)
 }
--- a/router/entry.go
+++ b/router/entry.go
@@ -10,6 +10,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/answer"
 	"github.com/clementinewind/clementinewind/sched"
+	"github.com/clementinewind/clementinewind/telem"
 	"github.com/clementinewind/clementinewind/tree"
 	"github.com/clementinewind/clementinewind/wire/callerv1"
 	"github.com/clementinewind/clementinewind/wire/peerv1"
@@ -106,6 +107,7 @@
 // gives the request back to the queue.
 func (router *Router) place(ctx context.Context, arrival *arrival, attempt int) (*remote, sched.Placement, *clementinewind.Refusal) {
 	for ; ; attempt++ {
+		router.meter.Queued(arrival.pool.Name, 1)
 		placement, refusal := router.entry.Acquire(ctx, sched.Request{
 			Pool:         arrival.pool.Name,
 			Organisation: arrival.organisation.Name,
@@ -114,6 +116,7 @@
 			Deadline:     arrival.deadline,
 			Attempt:      attempt,
 		})
+		router.meter.Queued(arrival.pool.Name, -1)
 		if refusal != nil {
 			if router.ctx.Err() != nil {
 				refusal = stopped(clementinewind.ProgressQueued)
@@ -125,6 +128,7 @@
 		dispatch.Tag = placement.Tag
 		dispatch.Weight = placement.Weight
 		remote, err := router.open(context.WithoutCancel(ctx), placement.Session, dispatch)
+		router.countGrant(arrival.pool.Name, placement, err)
 		if err == nil {
 			router.meter.Waited(arrival.pool.Name, time.Since(arrival.started))
 			return remote, placement, nil
@@ -138,6 +142,17 @@
 	}
 }
 
+// countGrant counts what became of the grant of a placement, if it had one.
+func (router *Router) countGrant(pool clementinewind.Pool, placement sched.Placement, err error) {
+	switch {
+	case placement.GrantID == 0:
+	case err == nil:
+		router.meter.Grant(pool, telem.GrantUsed)
+	default:
+		router.meter.Grant(pool, telem.GrantExpired)
+	}
+}
+
 // mayPlaceAgain reports whether a refusal says that the request has not run and that another owner may have a slot.
 func mayPlaceAgain(refusal *clementinewind.Refusal) bool {
 	if refusal.Outcome != clementinewind.OutcomeNotRun {
--- a/router/input_test.go
+++ b/router/input_test.go
@@ -100,12 +100,29 @@
 		status, fault := post("Locate", `{"Organisation":`)
 		quicktest.Check(t, status, quicktest.Equals, http.StatusBadRequest)
 		quicktest.Check(t, fault["code"], quicktest.Equals, "invalid_argument")
+		quicktest.Check(t, world.metrics(ctx, t), quicktest.Contains, `clementinewind_rejected_total{status="400"} 1`)
 		status, fault = post("Call", `{"Organisation":"Nobody","Pool":"Bookings","Path":"/book"}`)
 		quicktest.Check(t, status, quicktest.Equals, http.StatusBadRequest)
 		quicktest.Check(t, fault["message"], quicktest.Contains, "unknown organisation")
+		metrics := world.metrics(ctx, t)
+		quicktest.Check(t, metrics, quicktest.Contains, `clementinewind_rejected_total{status="400"} 1`)
+		quicktest.Check(t, metrics, quicktest.Contains, `outcome="NotRun",pool="Bookings",reason="Invalid"`)
 	})
 }
 
+// metrics returns the metrics of the first router.
+func (world *world) metrics(ctx context.Context, t *testing.T) string {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet,
+		"http://"+world.Nodes[0].Router().AdminAddress().String()+"/metrics", nil)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	response, err := world.HTTP().Do(request)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return string(data)
+}
+
 // Guards against a status that shows nothing of what the organisations do.
 func TestStatusCountsUsage(t *testing.T) {
 	run(t, config(), func(t *testing.T, ctx context.Context, world *world) {
--- a/router/peers.go
+++ b/router/peers.go
@@ -12,6 +12,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/event"
 	"github.com/clementinewind/clementinewind/peer"
+	"github.com/clementinewind/clementinewind/telem"
 	"github.com/clementinewind/clementinewind/wire/operatorv1"
 	"github.com/clementinewind/clementinewind/wire/peerv1"
 	"github.com/clementinewind/clementinewind/wire/recordv1"
@@ -90,6 +91,9 @@
 	if len(frame.Services) > 0 {
 		router.owner.HandleServices(session, frame.Services)
 	}
+	for _, grant := range frame.Grants {
+		router.meter.Grant(clementinewind.Pool(grant.Pool), telem.GrantSent)
+	}
 	if len(frame.Grants) > 0 {
 		router.entry.HandleGrants(session, frame.Grants)
 	}
--- a/router/refuse.go
+++ b/router/refuse.go
@@ -38,6 +38,7 @@
 	if detail, err := connect.NewErrorDetail(wireRefusal(refusal, requestID)); err == nil {
 		failure.AddDetail(detail)
 	}
+	failure.Meta().Set(refusedHeader, refusal.Reason.String())
 	if refusal.RetryAfter > 0 {
 		seconds := (refusal.RetryAfter + time.Second - 1) / time.Second
 		failure.Meta().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
--- a/router/servers.go
+++ b/router/servers.go
@@ -32,13 +32,49 @@
 		connect.WithInterceptors(router.authority.CallerInterceptor())))
 	mux.Handle(operatorv1connect.NewOperatorServiceHandler(&operatorService{router}, limit,
 		connect.WithInterceptors(router.authority.OperatorInterceptor())))
-	router.callerServer = router.httpServer(mux)
+	router.callerServer = router.httpServer(router.countRejected(mux))
 	router.adminServer = router.httpServer(router.meter.Handler())
 	router.peerServer = peer.NewServer(peer.ServerConfig{
 		Handler: router, MaxMessageBytes: router.maxMessageBytes(),
 	})
 }
 
+// countRejected counts the requests that Connect rejects before a handler of this package sees them: those with a body
+// that is malformed or too large. A refusal by a handler carries a reason and is counted with it.
+func (router *Router) countRejected(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		watched := &statusWriter{ResponseWriter: writer}
+		handler.ServeHTTP(watched, request)
+		if status := watched.status; status >= http.StatusBadRequest && watched.Header().Get(refusedHeader) == "" {
+			router.meter.Rejected(status)
+		}
+	})
+}
+
+// refusedHeader marks responses that carry the refusal of a handler.
+const refusedHeader = "Clementinewind-Refused"
+
+// statusWriter remembers the status of a response.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader writes the status.
+func (writer *statusWriter) WriteHeader(status int) {
+	writer.status = status
+	writer.ResponseWriter.WriteHeader(status)
+}
+
+// Flush implements http.Flusher, which streamed answers need.
+func (writer *statusWriter) Flush() {
+	// An error of the connection is reported by the next Write.
+	_ = http.NewResponseController(writer.ResponseWriter).Flush()
+}
+
+// Unwrap lets http.ResponseController reach the original writer.
+func (writer *statusWriter) Unwrap() http.ResponseWriter { return writer.ResponseWriter }
+
 func (router *Router) httpServer(handler http.Handler) *http.Server {
 	settings := router.config.Settings
 	return serve.New(serve.Config{
--- a/telem/grantresult_string.go
+++ b/telem/grantresult_string.go
@@ -10,13 +10,12 @@
 	var x [1]struct{}
 	_ = x[GrantSent-0]
 	_ = x[GrantUsed-1]
-	_ = x[GrantReturned-2]
-	_ = x[GrantExpired-3]
+	_ = x[GrantExpired-2]
 }
 
-const _GrantResult_name = "SentUsedReturnedExpired"
+const _GrantResult_name = "SentUsedExpired"
 
-var _GrantResult_index = [...]uint8{0, 4, 8, 16, 23}
+var _GrantResult_index = [...]uint8{0, 4, 8, 15}
 
 func (i GrantResult) String() string {
 	idx := int(i) - 0
--- a/telem/telem.go
+++ b/telem/telem.go
@@ -30,12 +30,10 @@
 //go:generate stringer -type GrantResult -trimprefix Grant -output grantresult_string.go
 
 const (
-	// GrantSent is a grant that this router sent as an owner.
+	// GrantSent is a grant that an owner sent to this router.
 	GrantSent GrantResult = iota
 	// GrantUsed is a grant that a request was bound to.
 	GrantUsed
-	// GrantReturned is a grant that the entry router gave back because its queue was empty.
-	GrantReturned
 	// GrantExpired is a grant that was not used in time.
 	GrantExpired
 )
@@ -95,6 +93,7 @@
 	controlSent     metric.Int64Counter
 	controlReceived metric.Int64Counter
 	grants          metric.Int64Counter
+	rejected        metric.Int64Counter
 }
 
 // New returns a meter with a registry and a meter provider of its own.
@@ -176,6 +175,8 @@
 	meter.controlReceived = builder.counter("clementinewind.control.received", "By",
 		"Control bytes received from other routers and the platform.")
 	meter.grants = builder.counter("clementinewind.grants", "", "Grants by result.")
+	meter.rejected = builder.counter("clementinewind.rejected", "",
+		"Messages of callers and operators that could not be read, by HTTP status.")
 	if meter.config.State != nil {
 		meter.observe(builder)
 	}
@@ -275,6 +276,11 @@
 	meter.controlReceived.Add(context.Background(), int64(bytes))
 }
 
+// Rejected counts a message that was malformed or too large to be read.
+func (meter *Meter) Rejected(status int) {
+	meter.rejected.Add(context.Background(), 1, metric.WithAttributes(attribute.Int("status", status)))
+}
+
 // Grant counts a grant.
 func (meter *Meter) Grant(name clementinewind.Pool, result GrantResult) {
 	meter.grants.Add(context.Background(), 1, metric.WithAttributes(pool(name), attribute.String("result", result.String())))
--- a/telem/telem_test.go
+++ b/telem/telem_test.go
@@ -65,6 +65,7 @@
 	meter.ControlSent(100)
 	meter.ControlReceived(50)
 	meter.Grant("large", telem.GrantExpired)
+	meter.Rejected(http.StatusBadRequest)
 	status, metrics := get(meter, "/metrics")
 	quicktest.Assert(t, status, quicktest.Equals, http.StatusOK)
 	want, err := os.ReadFile("testdata/metrics.txt")
