Use the scheduler's retry budget instead of a second one

Cause: the router kept a retry budget for each pool, and sched.Entry, which came later, keeps the same one for the same requests. Both counted every request.

Change: the router takes retries from sched.Entry.Retry; its own budget is gone.

--- a/router/costs.go
+++ b/router/costs.go
@@ -2,10 +2,8 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
 )
 
 const (
@@ -47,36 +45,3 @@
 		costs.averages[organisation] = tokens
 	}
 }
-
-// retries holds the retry budget of each pool at an entry router.
-type retries struct {
-	mu      sync.Mutex
-	budgets map[clementinewind.Pool]*admit.RetryBudget
-}
-
-func newRetries() *retries {
-	return &retries{budgets: map[clementinewind.Pool]*admit.RetryBudget{}}
-}
-
-func (retries *retries) budget(pool clementinewind.Pool) *admit.RetryBudget {
-	budget := retries.budgets[pool]
-	if budget == nil {
-		budget = &admit.RetryBudget{}
-		retries.budgets[pool] = budget
-	}
-	return budget
-}
-
-// request adds a request to the budget.
-func (retries *retries) request(pool clementinewind.Pool) {
-	retries.mu.Lock()
-	defer retries.mu.Unlock()
-	retries.budget(pool).Request(time.Now())
-}
-
-// take takes one retry and reports whether there was one.
-func (retries *retries) take(pool clementinewind.Pool) bool {
-	retries.mu.Lock()
-	defer retries.mu.Unlock()
-	return retries.budget(pool).Retry(time.Now())
-}
--- a/router/entry.go
+++ b/router/entry.go
@@ -64,7 +64,6 @@
 			allowed = organisationSettings.Deadline
 		}
 	}
-	router.retries.request(poolSettings.Name)
 	now := time.Now()
 	arrival := &arrival{
 		requestID:    clementinewind.NewRequestID(),
@@ -221,7 +220,7 @@
 func (router *Router) mayRetry(arrival *arrival, refusal *clementinewind.Refusal) bool {
 	switch refusal.Reason {
 	case clementinewind.ReasonUpstreamFailed, clementinewind.ReasonConnectionLost:
-		return time.Now().Before(arrival.deadline) && router.retries.take(arrival.pool.Name)
+		return time.Now().Before(arrival.deadline) && router.entry.Retry(arrival.pool.Name)
 	default:
 		return false
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -56,7 +56,6 @@
 	claims   *claims
 	jobs     *jobs
 	costs    *costs
-	retries  *retries
 	usage    *usage
 	// requests counts the requests forwarded to this router, and arrivals those of its own callers.
 	requests  *requests
@@ -180,7 +179,6 @@
 	router.claims = newClaims(router)
 	router.jobs = newJobs()
 	router.costs = newCosts()
-	router.retries = newRetries()
 	router.usage = newUsage()
 	router.requests = newRequests()
 	router.arrivals = newRequests()
