--- a/cmd/clementinewind/bench_test.go
+++ b/cmd/clementinewind/bench_test.go
@@ -18,8 +18,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/frankban/quicktest"
 
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/callerv1/callerv1connect"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1/callerv1connect"
 )
 
 const (
--- a/cmd/clementinewind/demo.go
+++ b/cmd/clementinewind/demo.go
@@ -9,7 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/clementinewind/clementinewind/demo"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
 )
 
 // demoCommand returns the command that runs a small fleet with its stand-ins in this process.
--- a/cmd/clementinewind/fault_test.go
+++ b/cmd/clementinewind/fault_test.go
@@ -11,10 +11,10 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/callerv1/callerv1connect"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1/callerv1connect"
 )
 
 // awaitSuccessors waits until engines have got new work under a fencing token.
@@ -265,7 +265,7 @@
 	}
 	quicktest.Check(t, fleet.command(0, 0, "settings", "history", "Zones"), quicktest.Contains, "power works done")
 	fleet.command(0, 0, "check", fleet.nodes[0].config)
-	fleet.command(0, 2, "check", "../../conf/testdata/faults/structure.ini")
+	fleet.command(0, 2, "check", "../../internal/admin/conf/testdata/faults/structure.ini")
 	fleet.command(0, 2, "zone", "out")
 	fleet.command(0, 3, "zone", "out", "Nowhere")
 	version := fleet.status(fleet.nodes[0]).Version
--- a/cmd/clementinewind/main.go
+++ b/cmd/clementinewind/main.go
@@ -7,8 +7,8 @@
 
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/clementinewind/clementinewind/cli"
-	"github.com/clementinewind/clementinewind/tree"
+	"github.com/clementinewind/clementinewind/internal/admin/cli"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
 )
 
 func main() {
--- a/cmd/clementinewind/process_test.go
+++ b/cmd/clementinewind/process_test.go
@@ -24,11 +24,11 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/operatorv1/operatorv1connect"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1/operatorv1connect"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 const (
--- a/cmd/clementinewind/router.go
+++ b/cmd/clementinewind/router.go
@@ -12,12 +12,12 @@
 	urfave "github.com/urfave/cli/v3"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/conf"
-	"github.com/clementinewind/clementinewind/keys"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/router"
-	"github.com/clementinewind/clementinewind/wire/platformv1"
-	"github.com/clementinewind/clementinewind/wire/platformv1/platformv1connect"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/edge/keys"
+	"github.com/clementinewind/clementinewind/internal/route/router"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/wire/platformv1"
+	"github.com/clementinewind/clementinewind/internal/wire/platformv1/platformv1connect"
 )
 
 // routerCommand returns the command that runs the daemon.
--- a/cmd/standin/engine.go
+++ b/cmd/standin/engine.go
@@ -6,7 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 func engineCommand() *cli.Command {
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -8,7 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
 
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // platformCommand returns the subcommand that serves the platform API.
--- a/cmd/standin/platform_test.go
+++ b/cmd/standin/platform_test.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // mainVariable makes the test binary run main, so that the tests need no second build.
--- a/cli/caller.go
+++ b/internal/admin/cli/caller.go
@@ -12,7 +12,7 @@
 	urfave "github.com/urfave/cli/v3"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 // idleTimeout ends an answer stream on which nothing arrives: three heartbeat frames of 5 s are missing.
--- a/cli/cli.go
+++ b/internal/admin/cli/cli.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/clementinewind/clementinewind/auth"
-	"github.com/clementinewind/clementinewind/keys"
+	"github.com/clementinewind/clementinewind/internal/edge/auth"
+	"github.com/clementinewind/clementinewind/internal/edge/keys"
 )
 
 // Exit codes of the program.
--- a/cli/cli_test.go
+++ b/internal/admin/cli/cli_test.go
@@ -20,12 +20,12 @@
 	urfave "github.com/urfave/cli/v3"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/clementinewind/clementinewind/auth"
-	"github.com/clementinewind/clementinewind/cli"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/callerv1/callerv1connect"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/operatorv1/operatorv1connect"
+	"github.com/clementinewind/clementinewind/internal/admin/cli"
+	"github.com/clementinewind/clementinewind/internal/edge/auth"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1/callerv1connect"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1/operatorv1connect"
 )
 
 var update = flag.Bool("update", false, "rewrite the expected output in testdata")
--- a/cli/error.go
+++ b/internal/admin/cli/error.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 // Error is the error of a command.
--- a/cli/fleet.go
+++ b/internal/admin/cli/fleet.go
@@ -9,8 +9,8 @@
 	urfave "github.com/urfave/cli/v3"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/event"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/admin/event"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 const (
--- a/cli/local.go
+++ b/internal/admin/cli/local.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/clementinewind/clementinewind/conf"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
 )
 
 func (cli *CLI) checkCommand() *urfave.Command {
--- a/cli/session.go
+++ b/internal/admin/cli/session.go
@@ -14,10 +14,10 @@
 	"github.com/pkg/errors"
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/clementinewind/clementinewind/auth"
-	"github.com/clementinewind/clementinewind/keys"
-	"github.com/clementinewind/clementinewind/wire/callerv1/callerv1connect"
-	"github.com/clementinewind/clementinewind/wire/operatorv1/operatorv1connect"
+	"github.com/clementinewind/clementinewind/internal/edge/auth"
+	"github.com/clementinewind/clementinewind/internal/edge/keys"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1/callerv1connect"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1/operatorv1connect"
 )
 
 const (
--- a/cli/settings.go
+++ b/internal/admin/cli/settings.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 // editFlags are the flags of every command that changes the settings.
--- a/conf/fuzz_test.go
+++ b/internal/admin/conf/fuzz_test.go
@@ -7,7 +7,7 @@
 	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
-	"github.com/clementinewind/clementinewind/conf"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
 )
 
 // Guards against a file that makes a router panic, that is accepted without what a router needs, or whose faults are not
--- a/conf/parse_test.go
+++ b/internal/admin/conf/parse_test.go
@@ -12,7 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
-	"github.com/clementinewind/clementinewind/conf"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
 )
 
 const minimal = `
--- a/event/disclosed_test.go
+++ b/internal/admin/event/disclosed_test.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/event"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/admin/event"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // reads counts the reads of a log.
--- a/event/event_test.go
+++ b/internal/admin/event/event_test.go
@@ -18,8 +18,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/event"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/admin/event"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 var update = flag.Bool("update", false, "rewrite the expected output in testdata")
--- a/event/query.go
+++ b/internal/admin/event/query.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 // Query selects events. A zero field selects all.
--- a/event/wire.go
+++ b/internal/admin/event/wire.go
@@ -7,8 +7,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 // UnknownKind is the kind of an event that a newer version of the router recorded. The name of the kind is at the start
--- a/telem/telem_test.go
+++ b/internal/admin/telem/telem_test.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/telem"
+	"github.com/clementinewind/clementinewind/internal/admin/telem"
 )
 
 func get(meter *telem.Meter, path string) (int, string) {
@@ -81,7 +81,7 @@
 
 // Guards against an alert in the operators' page whose metric does not exist, so that it never fires.
 func TestAlertMetrics(t *testing.T) {
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	quicktest.Assert(t, err, quicktest.IsNil)
 	metrics, err := os.ReadFile("testdata/metrics.txt")
 	quicktest.Assert(t, err, quicktest.IsNil)
--- a/auth/auth_test.go
+++ b/internal/edge/auth/auth_test.go
@@ -14,11 +14,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/auth"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/callerv1/callerv1connect"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/operatorv1/operatorv1connect"
+	"github.com/clementinewind/clementinewind/internal/edge/auth"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1/callerv1connect"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1/operatorv1connect"
 )
 
 type store struct {
--- a/auth/authority.go
+++ b/internal/edge/auth/authority.go
@@ -10,7 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 // Access tells whether tokens are needed.
--- a/auth/interceptor.go
+++ b/internal/edge/auth/interceptor.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 // permission checks a message against the rights of its sender and completes the fields that the identity determines.
--- a/keys/keys_test.go
+++ b/internal/edge/keys/keys_test.go
@@ -21,7 +21,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
-	"github.com/clementinewind/clementinewind/keys"
+	"github.com/clementinewind/clementinewind/internal/edge/keys"
 )
 
 // authority signs the certificates of a test.
--- a/keys/protocol_test.go
+++ b/internal/edge/keys/protocol_test.go
@@ -16,10 +16,10 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
-	"github.com/clementinewind/clementinewind/cli"
-	"github.com/clementinewind/clementinewind/keys"
-	"github.com/clementinewind/clementinewind/serve"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/admin/cli"
+	"github.com/clementinewind/clementinewind/internal/edge/keys"
+	"github.com/clementinewind/clementinewind/internal/edge/serve"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // Guards against connections of a store that grpc-go, HTTP/2 of net/http or the commands cannot use.
--- a/serve/serve_test.go
+++ b/internal/edge/serve/serve_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/frankban/quicktest"
 
-	"github.com/clementinewind/clementinewind/serve"
+	"github.com/clementinewind/clementinewind/internal/edge/serve"
 )
 
 // pipes is a listener whose connections are pipes in memory, so that a test runs in virtual time.
--- a/lease/keeper.go
+++ b/internal/fleet/lease/keeper.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/state"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/store/state"
 )
 
 const (
--- a/lease/keeper_test.go
+++ b/internal/fleet/lease/keeper_test.go
@@ -10,10 +10,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/lease"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/tree"
+	"github.com/clementinewind/clementinewind/internal/fleet/lease"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
 )
 
 func settings(t *testing.T, upstreams int) tree.Tree {
--- a/lease/past.go
+++ b/internal/fleet/lease/past.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/place"
-	"github.com/clementinewind/clementinewind/state"
+	"github.com/clementinewind/clementinewind/internal/share/place"
+	"github.com/clementinewind/clementinewind/internal/store/state"
 )
 
 // past is a set of owners that the session record at offset superseded. A router that has not read the record may still
--- a/member/bench_test.go
+++ b/internal/fleet/member/bench_test.go
@@ -8,12 +8,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/lease"
-	"github.com/clementinewind/clementinewind/member"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/fleet/lease"
+	"github.com/clementinewind/clementinewind/internal/fleet/member"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // atTargetSize returns a view of 350 sessions and 1,300 upstreams, the target size of the design page.
--- a/member/detector.go
+++ b/internal/fleet/member/detector.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/lease"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/fleet/lease"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 const (
--- a/member/detector_test.go
+++ b/internal/fleet/member/detector_test.go
@@ -10,10 +10,10 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/lease"
-	"github.com/clementinewind/clementinewind/member"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/fleet/lease"
+	"github.com/clementinewind/clementinewind/internal/fleet/member"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // viewOf returns a view with sessions 0 to count-1.
--- a/member/fleet_test.go
+++ b/internal/fleet/member/fleet_test.go
@@ -17,14 +17,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/lease"
-	"github.com/clementinewind/clementinewind/member"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/fleet/lease"
+	"github.com/clementinewind/clementinewind/internal/fleet/member"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 const (
--- a/peer/fleet.go
+++ b/internal/fleet/peer/fleet.go
@@ -15,7 +15,7 @@
 	"google.golang.org/grpc/metadata"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 const (
--- a/peer/fleet_test.go
+++ b/internal/fleet/peer/fleet_test.go
@@ -11,9 +11,9 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/peer"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/fleet/peer"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // host is one router's share of a test: a server that keeps what it receives, and a Fleet.
--- a/peer/link.go
+++ b/internal/fleet/peer/link.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // reconnectBackoff is short, because a peer that restarts is back within seconds and the links between routers are few.
--- a/peer/server.go
+++ b/internal/fleet/peer/server.go
@@ -11,8 +11,8 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // minPingInterval is the shortest ping interval accepted from a peer; it must lie below pingInterval.
--- a/answer/order_test.go
+++ b/internal/route/answer/order_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/answer"
+	"github.com/clementinewind/clementinewind/internal/route/answer"
 )
 
 // tokensOf returns the tokens of an answer, each different from its neighbours.
--- a/answer/stream.go
+++ b/internal/route/answer/stream.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/send"
+	"github.com/clementinewind/clementinewind/internal/route/send"
 )
 
 const (
--- a/answer/token_test.go
+++ b/internal/route/answer/token_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/answer"
+	"github.com/clementinewind/clementinewind/internal/route/answer"
 )
 
 // Guards against a token that names another answer after a round trip, or that serves another organisation.
--- a/call/client_test.go
+++ b/internal/route/call/client_test.go
@@ -7,9 +7,9 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/call"
-	"github.com/clementinewind/clementinewind/send"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/route/call"
+	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 const bookingAddress = "booking:80"
--- a/call/outcome_test.go
+++ b/internal/route/call/outcome_test.go
@@ -18,9 +18,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/call"
-	"github.com/clementinewind/clementinewind/send"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/route/call"
+	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // Guards against an outcome that contradicts what the service ran, double runs, and short responses passed as whole,
--- a/infer/client_test.go
+++ b/internal/route/infer/client_test.go
@@ -15,10 +15,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/answer"
-	"github.com/clementinewind/clementinewind/infer"
-	"github.com/clementinewind/clementinewind/send"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/route/answer"
+	"github.com/clementinewind/clementinewind/internal/route/infer"
+	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 const engineAddress = "engine:80"
--- a/infer/outcome_test.go
+++ b/internal/route/infer/outcome_test.go
@@ -17,10 +17,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/answer"
-	"github.com/clementinewind/clementinewind/infer"
-	"github.com/clementinewind/clementinewind/send"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/route/answer"
+	"github.com/clementinewind/clementinewind/internal/route/infer"
+	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // errStale is what the dispatch step returns when it refuses.
--- a/infer/stream.go
+++ b/internal/route/infer/stream.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/answer"
-	"github.com/clementinewind/clementinewind/send"
+	"github.com/clementinewind/clementinewind/internal/route/answer"
+	"github.com/clementinewind/clementinewind/internal/route/send"
 )
 
 const (
--- a/router/assignment.go
+++ b/internal/route/router/assignment.go
@@ -4,10 +4,10 @@
 	"slices"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/place"
-	"github.com/clementinewind/clementinewind/sched"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/tree"
+	"github.com/clementinewind/clementinewind/internal/share/place"
+	"github.com/clementinewind/clementinewind/internal/share/sched"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
 )
 
 // assignment is the placement of all work on the live sessions of one view of the state. It is immutable.
--- a/router/caller.go
+++ b/internal/route/router/caller.go
@@ -7,8 +7,8 @@
 	"connectrpc.com/connect"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/answer"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/route/answer"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 // callerService serves the callers of organisations.
--- a/router/calls.go
+++ b/internal/route/router/calls.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/claim"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/store/claim"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // settleTimeout bounds the time for which the end of a claim is written after the answer is known.
--- a/router/claims.go
+++ b/internal/route/router/claims.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/claim"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/store/claim"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 const (
--- a/router/config.go
+++ b/internal/route/router/config.go
@@ -8,8 +8,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/conf"
-	"github.com/clementinewind/clementinewind/keys"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/edge/keys"
 )
 
 const (
--- a/router/drain.go
+++ b/internal/route/router/drain.go
@@ -7,9 +7,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 // errDrained ends the run group after a drain.
--- a/router/drain_test.go
+++ b/internal/route/router/drain_test.go
@@ -10,8 +10,8 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 // Guards against a router that still gives out the address of one that drains, which would cut off the callers that come
--- a/router/engine_test.go
+++ b/internal/route/router/engine_test.go
@@ -11,8 +11,8 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 func organisationOf(number int) clementinewind.Organisation {
--- a/router/entry.go
+++ b/internal/route/router/entry.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/answer"
-	"github.com/clementinewind/clementinewind/sched"
-	"github.com/clementinewind/clementinewind/telem"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/admin/telem"
+	"github.com/clementinewind/clementinewind/internal/route/answer"
+	"github.com/clementinewind/clementinewind/internal/share/sched"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // arrival is a request as it arrived from a caller, with the settings that apply to it.
--- a/router/fault_test.go
+++ b/internal/route/router/fault_test.go
@@ -10,9 +10,9 @@
 	"connectrpc.com/connect"
 	"github.com/frankban/quicktest"
 
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 // faultTest is a fault that acts while a load runs.
--- a/router/fleet_test.go
+++ b/internal/route/router/fleet_test.go
@@ -17,12 +17,12 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/conf"
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/router"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/route/router"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 // world is a fleet in a bubble of virtual time with the network and the log below it.
--- a/router/input_test.go
+++ b/internal/route/router/input_test.go
@@ -13,11 +13,11 @@
 	"connectrpc.com/connect"
 	"github.com/frankban/quicktest"
 
-	"github.com/clementinewind/clementinewind/conf"
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 // Guards against bad input that gets no clear error, runs something, or ends the process.
--- a/router/jobs.go
+++ b/internal/route/router/jobs.go
@@ -5,8 +5,8 @@
 	"sync"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
-	"github.com/clementinewind/clementinewind/sched"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
+	"github.com/clementinewind/clementinewind/internal/share/sched"
 )
 
 // jobs holds the model requests that this router runs on its upstreams.
--- a/router/keys_test.go
+++ b/internal/route/router/keys_test.go
@@ -12,9 +12,9 @@
 	"connectrpc.com/connect"
 	"github.com/frankban/quicktest"
 
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 // callOf returns a booking with a key that was issued at a time.
--- a/router/load_test.go
+++ b/internal/route/router/load_test.go
@@ -15,9 +15,9 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 // attempt is what a caller saw of one request.
--- a/router/loads.go
+++ b/internal/route/router/loads.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
-	"github.com/clementinewind/clementinewind/tree"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
 )
 
 // loads asks the model engines that this router owns for their load reports, with one goroutine for each.
--- a/router/markers.go
+++ b/internal/route/router/markers.go
@@ -4,9 +4,9 @@
 	"sync"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // markers holds the stop markers of availability zones that were taken out of service while the log was down.
--- a/router/matrix_test.go
+++ b/internal/route/router/matrix_test.go
@@ -12,7 +12,7 @@
 )
 
 // matrixFile is the fault matrix: a section for each fault with a table of steps and the tests that cover them.
-const matrixFile = "../docs/faults.md"
+const matrixFile = "../../../docs/faults.md"
 
 var (
 	steps = []string{
--- a/router/operator.go
+++ b/internal/route/router/operator.go
@@ -10,13 +10,13 @@
 	"connectrpc.com/connect"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/auth"
-	"github.com/clementinewind/clementinewind/event"
-	"github.com/clementinewind/clementinewind/fair"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/admin/event"
+	"github.com/clementinewind/clementinewind/internal/edge/auth"
+	"github.com/clementinewind/clementinewind/internal/share/fair"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 const (
--- a/router/operator_test.go
+++ b/internal/route/router/operator_test.go
@@ -12,10 +12,10 @@
 	"connectrpc.com/connect"
 	"github.com/frankban/quicktest"
 
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 // race sends one edit from each of several operators at once and returns the responses, which are nil after an error.
--- a/router/pair_test.go
+++ b/internal/route/router/pair_test.go
@@ -12,8 +12,8 @@
 	"connectrpc.com/connect"
 	"github.com/frankban/quicktest"
 
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 var (
--- a/router/peers.go
+++ b/internal/route/router/peers.go
@@ -10,12 +10,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/event"
-	"github.com/clementinewind/clementinewind/peer"
-	"github.com/clementinewind/clementinewind/telem"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/admin/event"
+	"github.com/clementinewind/clementinewind/internal/admin/telem"
+	"github.com/clementinewind/clementinewind/internal/fleet/peer"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 const (
--- a/router/refuse.go
+++ b/internal/route/router/refuse.go
@@ -9,7 +9,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 // codes maps the reasons of refusals to Connect codes; a reason that is missing here is Unavailable. An unknown outcome
--- a/router/remote.go
+++ b/internal/route/router/remote.go
@@ -8,9 +8,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/answer"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/route/answer"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 var (
--- a/router/returns_test.go
+++ b/internal/route/router/returns_test.go
@@ -9,9 +9,9 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // Guards against an ask that its owner drops because it comes in one frame with the return of an earlier grant. Requests
--- a/router/serve.go
+++ b/internal/route/router/serve.go
@@ -7,15 +7,15 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
-	"github.com/clementinewind/clementinewind/answer"
-	"github.com/clementinewind/clementinewind/call"
-	"github.com/clementinewind/clementinewind/infer"
-	"github.com/clementinewind/clementinewind/sched"
-	"github.com/clementinewind/clementinewind/send"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/route/answer"
+	"github.com/clementinewind/clementinewind/internal/route/call"
+	"github.com/clementinewind/clementinewind/internal/route/infer"
+	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
+	"github.com/clementinewind/clementinewind/internal/share/sched"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 var errNoRight = clementinewind.NewRefusal(clementinewind.ProgressQueued, clementinewind.ReasonStale,
--- a/router/servers.go
+++ b/internal/route/router/servers.go
@@ -9,11 +9,11 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
-	"github.com/clementinewind/clementinewind/peer"
-	"github.com/clementinewind/clementinewind/serve"
-	"github.com/clementinewind/clementinewind/telem"
-	"github.com/clementinewind/clementinewind/wire/callerv1/callerv1connect"
-	"github.com/clementinewind/clementinewind/wire/operatorv1/operatorv1connect"
+	"github.com/clementinewind/clementinewind/internal/admin/telem"
+	"github.com/clementinewind/clementinewind/internal/edge/serve"
+	"github.com/clementinewind/clementinewind/internal/fleet/peer"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1/callerv1connect"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1/operatorv1connect"
 )
 
 // compressMinBytes keeps the frames of a few tokens from being compressed one by one, which took a fifth of the processor
--- a/router/session_test.go
+++ b/internal/route/router/session_test.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 // Guards against a router that opens one session after the other while it reaches the log but not its peers, and against
--- a/router/stop.go
+++ b/internal/route/router/stop.go
@@ -4,11 +4,11 @@
 	"context"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 // stopZone spreads a stop marker for a zone without waiting for the log, and writes the edit to the log when it can.
--- a/router/token_test.go
+++ b/internal/route/router/token_test.go
@@ -8,10 +8,10 @@
 	"connectrpc.com/connect"
 	"github.com/frankban/quicktest"
 
-	"github.com/clementinewind/clementinewind/auth"
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/edge/auth"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 // Guards against a router that serves one organisation to the callers of another, or its settings to anyone, once tokens
--- a/router/tokens.go
+++ b/internal/route/router/tokens.go
@@ -1,8 +1,8 @@
 package router
 
 import (
-	"github.com/clementinewind/clementinewind/auth"
-	"github.com/clementinewind/clementinewind/state"
+	"github.com/clementinewind/clementinewind/internal/edge/auth"
+	"github.com/clementinewind/clementinewind/internal/store/state"
 )
 
 // tokens looks up bearer tokens in the settings tree.
--- a/router/usage.go
+++ b/internal/route/router/usage.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 // usage counts what the organisations do at this router, for the status that operators see.
--- a/send/transport_test.go
+++ b/internal/route/send/transport_test.go
@@ -16,8 +16,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/send"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 const address = "upstream:80"
--- a/admit/admit_test.go
+++ b/internal/share/admit/admit_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
 )
 
 var start = time.Unix(1_000_000, 0)
--- a/fair/fair_test.go
+++ b/internal/share/fair/fair_test.go
@@ -7,8 +7,8 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/fair"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/share/fair"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 var (
--- a/place/place_test.go
+++ b/internal/share/place/place_test.go
@@ -9,7 +9,7 @@
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/clementinewind/clementinewind/place"
+	"github.com/clementinewind/clementinewind/internal/share/place"
 )
 
 func ring(members []int) *place.Ring[int] {
--- a/sched/demand.go
+++ b/internal/share/sched/demand.go
@@ -10,8 +10,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/fair"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/share/fair"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // pool holds the demand for, and the upstreams of, one pool at this owner.
--- a/sched/doc.go
+++ b/internal/share/sched/doc.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // SendFunc queues a control frame to a session, which may be the sender's own. It is called with internal locks held, so
--- a/sched/entry.go
+++ b/internal/share/sched/entry.go
@@ -11,9 +11,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
-	"github.com/clementinewind/clementinewind/fair"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
+	"github.com/clementinewind/clementinewind/internal/share/fair"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 const (
--- a/sched/grant.go
+++ b/internal/share/sched/grant.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // HandleReturns takes grants that an entry router cannot use. The return of a grant also withdraws the ask.
--- a/sched/owner_test.go
+++ b/internal/share/sched/owner_test.go
@@ -6,8 +6,8 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/fair"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/share/fair"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // Guards against owners that all round the slots of an organisation in the same direction, because they were built before
--- a/sched/sched_test.go
+++ b/internal/share/sched/sched_test.go
@@ -11,10 +11,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
-	"github.com/clementinewind/clementinewind/fair"
-	"github.com/clementinewind/clementinewind/sched"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
+	"github.com/clementinewind/clementinewind/internal/share/fair"
+	"github.com/clementinewind/clementinewind/internal/share/sched"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // node is one router; messages wait in the fleet until deliver.
--- a/sched/slot.go
+++ b/internal/share/sched/slot.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
-	"github.com/clementinewind/clementinewind/fair"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
+	"github.com/clementinewind/clementinewind/internal/share/fair"
 )
 
 // Slot is the right to have one request in progress at an upstream. Its methods are safe for concurrent use. Finish must
--- a/claim/bench_test.go
+++ b/internal/store/claim/bench_test.go
@@ -15,9 +15,9 @@
 	"golang.org/x/time/rate"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/claim"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/store/claim"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // processorTime returns the time that this process has spent on processors.
--- a/claim/fuzz_test.go
+++ b/internal/store/claim/fuzz_test.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 // Guards against a record of any content that stops a reader, that frees a key without the id of its holder, or that
--- a/claim/index_test.go
+++ b/internal/store/claim/index_test.go
@@ -14,10 +14,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/claim"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/store/claim"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 // runIndex runs an index until the end of the test and waits for its replay.
--- a/claim/property_test.go
+++ b/internal/store/claim/property_test.go
@@ -13,9 +13,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/claim"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/store/claim"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // router is one of the routers that believe that they serve the stream.
--- a/claim/table.go
+++ b/internal/store/claim/table.go
@@ -4,8 +4,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 // cachedOverhead is charged for each answer in memory, so that many small answers are bounded too.
--- a/plog/client.go
+++ b/internal/store/plog/client.go
@@ -7,8 +7,8 @@
 	"connectrpc.com/connect"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/platformv1"
-	"github.com/clementinewind/clementinewind/wire/platformv1/platformv1connect"
+	"github.com/clementinewind/clementinewind/internal/wire/platformv1"
+	"github.com/clementinewind/clementinewind/internal/wire/platformv1/platformv1connect"
 )
 
 const (
--- a/plog/client_test.go
+++ b/internal/store/plog/client_test.go
@@ -12,8 +12,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // pipeListener accepts connections within the process, so that a server runs in virtual time.
--- a/plog/dedup.go
+++ b/internal/store/plog/dedup.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 // DefaultForgetAfter is six times as long as a Writer retries a record, which leaves room for copies that are delayed
--- a/plog/dedup_test.go
+++ b/internal/store/plog/dedup_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
 )
 
 // Guards against readers that disagree on which records take effect, because one restored a snapshot.
--- a/plog/tail_test.go
+++ b/internal/store/plog/tail_test.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // Guards against lost or repeated batches around an outage, and against a proof of freshness dated after the read was
--- a/plog/writer_test.go
+++ b/internal/store/plog/writer_test.go
@@ -14,8 +14,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 type appendCase struct {
--- a/state/accept.go
+++ b/internal/store/state/accept.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/tree"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
 )
 
 // againstWindow is the number of control records for which the versions of keys are kept. An edit against an older
--- a/state/bench_test.go
+++ b/internal/store/state/bench_test.go
@@ -6,9 +6,9 @@
 	"testing"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 	"google.golang.org/protobuf/proto"
 )
 
--- a/state/replica_test.go
+++ b/internal/store/state/replica_test.go
@@ -13,10 +13,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 // stream builds a control stream.
--- a/state/snapshot.go
+++ b/internal/store/state/snapshot.go
@@ -13,10 +13,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 const (
--- a/state/view.go
+++ b/internal/store/state/view.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 // View is an immutable snapshot of a replica. Its slices must not be changed.
--- a/tree/derived_test.go
+++ b/internal/store/tree/derived_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/frankban/quicktest"
 
-	"github.com/clementinewind/clementinewind/tree"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
 )
 
 // Guards against a tree that takes over upstreams or weights from before a change that affects them.
--- a/tree/tree_test.go
+++ b/internal/store/tree/tree_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/tree"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
 )
 
 const sample = `
--- a/bench/engine.go
+++ b/internal/tools/bench/engine.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
 )
 
 // engine is a model engine with continuous batching. A warm engine runs engineSlots answers at full pace. A cold one
--- a/bench/gauge.go
+++ b/internal/tools/bench/gauge.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/clementinewind/clementinewind/fair"
-	"github.com/clementinewind/clementinewind/sched"
+	"github.com/clementinewind/clementinewind/internal/share/fair"
+	"github.com/clementinewind/clementinewind/internal/share/sched"
 )
 
 // Result holds the figures of a run.
--- a/bench/scenario.go
+++ b/internal/tools/bench/scenario.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/clementinewind/clementinewind/admit"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
 )
 
 // Scenario is a course of events that is measured.
--- a/bench/slope_test.go
+++ b/internal/tools/bench/slope_test.go
@@ -7,10 +7,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/admit"
-	"github.com/clementinewind/clementinewind/fair"
-	"github.com/clementinewind/clementinewind/sched"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/share/admit"
+	"github.com/clementinewind/clementinewind/internal/share/fair"
+	"github.com/clementinewind/clementinewind/internal/share/sched"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 // target is one router of the target size: 350 routers, 1,300 upstreams, 29,000 organisations of which 2,900 are
--- a/demo/fleet.go
+++ b/internal/tools/demo/fleet.go
@@ -19,14 +19,14 @@
 	"golang.org/x/net/http2"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/conf"
-	"github.com/clementinewind/clementinewind/router"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/callerv1/callerv1connect"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
-	"github.com/clementinewind/clementinewind/wire/operatorv1/operatorv1connect"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/route/router"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1/callerv1connect"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1/operatorv1connect"
 )
 
 const (
--- a/demo/run.go
+++ b/internal/tools/demo/run.go
@@ -17,12 +17,12 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/conf"
-	"github.com/clementinewind/clementinewind/event"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/admin/event"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 const (
--- a/slope/edit_test.go
+++ b/internal/tools/slope/edit_test.go
@@ -12,9 +12,9 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/operatorv1"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 )
 
 const (
--- a/slope/tap_test.go
+++ b/internal/tools/slope/tap_test.go
@@ -13,7 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/peerv1"
+	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 )
 
 const (
--- a/slope/target_test.go
+++ b/internal/tools/slope/target_test.go
@@ -10,9 +10,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/state"
-	"github.com/clementinewind/clementinewind/tree"
-	"github.com/clementinewind/clementinewind/wire/recordv1"
+	"github.com/clementinewind/clementinewind/internal/store/state"
+	"github.com/clementinewind/clementinewind/internal/store/tree"
+	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
 )
 
 // The target size of docs/design.md.
--- a/slope/traffic_test.go
+++ b/internal/tools/slope/traffic_test.go
@@ -16,10 +16,10 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/conf"
-	"github.com/clementinewind/clementinewind/demo"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/callerv1"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/tools/demo"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
 )
 
 const (
--- a/stand/audit_test.go
+++ b/internal/tools/stand/audit_test.go
@@ -6,7 +6,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // Guards against an audit that misses a wrong report, which would let every test above it pass.
--- a/stand/cache.go
+++ b/internal/tools/stand/cache.go
@@ -4,7 +4,7 @@
 	"container/list"
 	"time"
 
-	"github.com/clementinewind/clementinewind/infer"
+	"github.com/clementinewind/clementinewind/internal/route/infer"
 )
 
 // cacheEventLimit bounds the cache events that are kept for readers.
--- a/stand/engine.go
+++ b/internal/tools/stand/engine.go
@@ -13,8 +13,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/infer"
-	"github.com/clementinewind/clementinewind/send"
+	"github.com/clementinewind/clementinewind/internal/route/infer"
+	"github.com/clementinewind/clementinewind/internal/route/send"
 )
 
 const (
--- a/stand/engine_test.go
+++ b/internal/tools/stand/engine_test.go
@@ -17,9 +17,9 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/infer"
-	"github.com/clementinewind/clementinewind/send"
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/route/infer"
+	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 const engineAddress = "engine:80"
--- a/stand/http.go
+++ b/internal/tools/stand/http.go
@@ -4,7 +4,7 @@
 	"net"
 	"net/http"
 
-	"github.com/clementinewind/clementinewind/send"
+	"github.com/clementinewind/clementinewind/internal/route/send"
 )
 
 // reset breaks the connection of a request. TCP peers get a reset instead of an orderly end.
--- a/stand/network_test.go
+++ b/internal/tools/stand/network_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/frankban/quicktest"
 
-	"github.com/clementinewind/clementinewind/stand"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
 // Guards against a frozen host that still gets bytes or the end of a connection, or that loses them.
--- a/stand/platform.go
+++ b/internal/tools/stand/platform.go
@@ -16,8 +16,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/wire/platformv1"
-	"github.com/clementinewind/clementinewind/wire/platformv1/platformv1connect"
+	"github.com/clementinewind/clementinewind/internal/wire/platformv1"
+	"github.com/clementinewind/clementinewind/internal/wire/platformv1/platformv1connect"
 )
 
 const (
--- a/stand/platform_test.go
+++ b/internal/tools/stand/platform_test.go
@@ -18,10 +18,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/plog"
-	"github.com/clementinewind/clementinewind/stand"
-	"github.com/clementinewind/clementinewind/wire/platformv1"
-	"github.com/clementinewind/clementinewind/wire/platformv1/platformv1connect"
+	"github.com/clementinewind/clementinewind/internal/store/plog"
+	"github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/internal/wire/platformv1"
+	"github.com/clementinewind/clementinewind/internal/wire/platformv1/platformv1connect"
 )
 
 // handlerTransport passes requests to a handler in the same process, without a network.
--- a/stand/record.go
+++ b/internal/tools/stand/record.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/send"
+	"github.com/clementinewind/clementinewind/internal/route/send"
 )
 
 // receivedLimit bounds the requests that a stand-in remembers.
--- a/stand/run.go
+++ b/internal/tools/stand/run.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
-	"github.com/clementinewind/clementinewind/infer"
-	"github.com/clementinewind/clementinewind/send"
+	"github.com/clementinewind/clementinewind/internal/route/infer"
+	"github.com/clementinewind/clementinewind/internal/route/send"
 )
 
 // stopCause tells why a run ended before its last token.
--- a/wire/callerv1/callerv1connect/caller.connect.go
+++ b/internal/wire/callerv1/callerv1connect/caller.connect.go
@@ -8,7 +8,7 @@
 	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
-	callerv1 "github.com/clementinewind/clementinewind/wire/callerv1"
+	callerv1 "github.com/clementinewind/clementinewind/internal/wire/callerv1"
 	http "net/http"
 	strings "strings"
 )
--- a/wire/operatorv1/operatorv1connect/operator.connect.go
+++ b/internal/wire/operatorv1/operatorv1connect/operator.connect.go
@@ -8,7 +8,7 @@
 	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
-	operatorv1 "github.com/clementinewind/clementinewind/wire/operatorv1"
+	operatorv1 "github.com/clementinewind/clementinewind/internal/wire/operatorv1"
 	http "net/http"
 	strings "strings"
 )
--- a/wire/platformv1/platformv1connect/platform.connect.go
+++ b/internal/wire/platformv1/platformv1connect/platform.connect.go
@@ -8,7 +8,7 @@
 	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
-	platformv1 "github.com/clementinewind/clementinewind/wire/platformv1"
+	platformv1 "github.com/clementinewind/clementinewind/internal/wire/platformv1"
 	http "net/http"
 	strings "strings"
 )
