--- a/internal/admin/conf/parse.go
+++ b/internal/admin/conf/parse.go
@@ -16,15 +16,15 @@
 const maxFileBytes = mebibyte
 
 // field is one key of the file.
-type field struct {
+type field[S any] struct {
 	section  string
 	key      string
 	required bool
-	set      func(router *Router, text string) *problem
+	set      func(settings *S, text string) *problem
 }
 
-// fields returns every key that a file may have.
-func fields() []field {
+// routerFields returns every key that the file of a router may have.
+func routerFields() []field[Router] {
 	listen := func(target func(*Router) *netip.AddrPort) func(*Router, string) *problem {
 		return func(router *Router, text string) *problem { return setAddress(text, true, target(router)) }
 	}
@@ -34,7 +34,7 @@
 	file := func(target func(*Router) *string) func(*Router, string) *problem {
 		return func(router *Router, text string) *problem { return setFile(text, target(router)) }
 	}
-	return []field{
+	return []field[Router]{
 		{"Instance", "Name", true, func(router *Router, text string) *problem { return setName(text, &router.Name) }},
 		{"Instance", "Zone", true, func(router *Router, text string) *problem { return setName(text, &router.Zone) }},
 		{"Listen", "Caller", true, listen(func(router *Router) *netip.AddrPort { return &router.CallerListen })},
@@ -79,49 +79,72 @@
 
 // Load reads and checks a file. The error is a *FaultsError if the file could be read but is not valid.
 func Load(path string) (Router, error) {
+	text, err := readFile(path)
+	if err != nil {
+		return Router{}, err
+	}
+	return Parse(path, text)
+}
+
+func readFile(path string) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return Router{}, errors.Wrap(err, "read router settings")
+		return nil, errors.Wrap(err, "read settings")
 	}
 	if info.Size() > maxFileBytes {
-		return Router{}, errors.Errorf("read router settings: %s has %d bytes, more than %d", path, info.Size(), maxFileBytes)
+		return nil, errors.Errorf("read settings: %s has %d bytes, more than %d", path, info.Size(), maxFileBytes)
 	}
 	text, err := os.ReadFile(path)
-	if err != nil {
-		return Router{}, errors.Wrap(err, "read router settings")
-	}
-	return Parse(path, text)
+	return text, errors.Wrap(err, "read settings")
 }
 
 // Parse checks the text of a file as a whole. The error is a *FaultsError that names file in each fault.
 func Parse(file string, text []byte) (Router, error) {
-	parser := &parser{file: file, router: Default(), given: map[place]bool{}}
+	router := &routerParser{newParser(file, Default())}
+	router.parse(text, routerFields())
+	router.completeAddresses()
+	router.checkAddresses()
+	router.checkTLS()
+	return router.result()
+}
+
+type place struct{ section, key string }
+
+// parser collects the settings and the faults of one file.
+type parser[S any] struct {
+	file     string
+	settings S
+	// given holds the keys whose values could be read.
+	given  map[place]bool
+	faults []Fault
+}
+
+func newParser[S any](file string, defaults S) *parser[S] {
+	return &parser[S]{file: file, settings: defaults, given: map[place]bool{}}
+}
+
+func (parser *parser[S]) parse(text []byte, fields []field[S]) {
 	sections := parser.sections(text)
-	fields := fields()
 	parser.rejectUnknown(sections, fields)
 	for _, field := range fields {
 		parser.apply(sections, field)
 	}
-	parser.completeAddresses()
-	parser.checkAddresses()
-	parser.checkTLS()
+}
+
+func (parser *parser[S]) result() (S, error) {
 	if len(parser.faults) > 0 {
-		return Router{}, &FaultsError{Faults: parser.faults}
+		var none S
+		return none, &FaultsError{Faults: parser.faults}
 	}
-	return parser.router, nil
+	return parser.settings, nil
 }
 
-type place struct{ section, key string }
-
-type parser struct {
-	file   string
-	router Router
-	// given holds the keys whose values could be read.
-	given  map[place]bool
-	faults []Fault
+// routerParser adds the checks between the keys of a router.
+type routerParser struct {
+	*parser[Router]
 }
 
-func (parser *parser) report(section, key string, kind FaultKind, detail string) {
+func (parser *parser[S]) report(section, key string, kind FaultKind, detail string) {
 	parser.faults = append(parser.faults, Fault{
 		File: parser.file, Section: printable(section), Key: printable(key), Kind: kind, Detail: printable(detail),
 	})
@@ -139,7 +162,7 @@
 
 // sections reads the text. After a syntax fault it reads it again without the faulty lines, so that the other faults
 // are reported too.
-func (parser *parser) sections(text []byte) *ini.File {
+func (parser *parser[S]) sections(text []byte) *ini.File {
 	options := ini.LoadOptions{
 		IgnoreContinuation:         true,
 		SpaceBeforeInlineComment:   true,
@@ -160,10 +183,10 @@
 	return sections
 }
 
-func (parser *parser) rejectUnknown(sections *ini.File, fields []field) {
+func (parser *parser[S]) rejectUnknown(sections *ini.File, fields []field[S]) {
 	for _, section := range sections.Sections() {
 		name := section.Name()
-		known := slices.ContainsFunc(fields, func(field field) bool { return field.section == name })
+		known := slices.ContainsFunc(fields, func(field field[S]) bool { return field.section == name })
 		if !known && (name != ini.DefaultSection || len(section.Keys()) > 0) {
 			detail := "unknown section"
 			if name == ini.DefaultSection {
@@ -172,7 +195,7 @@
 			parser.report(name, "", FaultUnknownSection, detail)
 		}
 		for _, key := range section.Keys() {
-			if known && !slices.ContainsFunc(fields, func(field field) bool {
+			if known && !slices.ContainsFunc(fields, func(field field[S]) bool {
 				return field.section == name && field.key == key.Name()
 			}) {
 				parser.report(name, key.Name(), FaultUnknownKey, "unknown key")
@@ -181,7 +204,7 @@
 	}
 }
 
-func (parser *parser) apply(sections *ini.File, field field) {
+func (parser *parser[S]) apply(sections *ini.File, field field[S]) {
 	var values []string
 	if section, err := sections.GetSection(field.section); err == nil && section.HasKey(field.key) {
 		values = section.Key(field.key).ValueWithShadows()
@@ -194,7 +217,7 @@
 			parser.report(field.section, field.key, FaultMissing, "required")
 		}
 	default:
-		if problem := field.set(&parser.router, values[0]); problem != nil {
+		if problem := field.set(&parser.settings, values[0]); problem != nil {
 			parser.report(field.section, field.key, problem.kind, problem.detail)
 			return
 		}
@@ -203,7 +226,7 @@
 }
 
 // completeAddresses takes the listen address where no advertised address is given.
-func (parser *parser) completeAddresses() {
+func (parser *routerParser) completeAddresses() {
 	complete := func(key string, listen netip.AddrPort, advertise *netip.AddrPort) {
 		switch {
 		case advertise.IsValid() || !listen.IsValid():
@@ -213,13 +236,13 @@
 			*advertise = listen
 		}
 	}
-	complete("Caller", parser.router.CallerListen, &parser.router.CallerAdvertise)
-	complete("Peer", parser.router.PeerListen, &parser.router.PeerAdvertise)
+	complete("Caller", parser.settings.CallerListen, &parser.settings.CallerAdvertise)
+	complete("Peer", parser.settings.PeerListen, &parser.settings.PeerAdvertise)
 }
 
 // checkAddresses reports addresses that cannot be used together.
-func (parser *parser) checkAddresses() {
-	router := parser.router
+func (parser *routerParser) checkAddresses() {
+	router := parser.settings
 	type named struct {
 		place
 		address netip.AddrPort
@@ -255,13 +278,13 @@
 	return first.Addr() == second.Addr() || first.Addr().IsUnspecified() || second.Addr().IsUnspecified()
 }
 
-func (parser *parser) checkTLS() {
+func (parser *routerParser) checkTLS() {
 	require := func(section, key, value, because string) {
 		if value == "" {
 			parser.report(section, key, FaultMissing, "required because "+because+" is set")
 		}
 	}
-	tls := parser.router.TLS
+	tls := parser.settings.TLS
 	if tls.CallerCertificate != "" {
 		require("TLS", "CallerKey", tls.CallerKey, "CallerCertificate")
 	}
--- a/internal/admin/telem/admin.go
+++ b/internal/admin/telem/admin.go
@@ -6,6 +6,7 @@
 	"net/http/pprof"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
@@ -13,11 +14,7 @@
 // control; its address must not be reachable by callers.
 func (meter *Meter) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(meter.registry, promhttp.HandlerOpts{
-		ErrorLog: meter.config.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
-		// One scrape reads all state; a few at once are enough and bound the load.
-		MaxRequestsInFlight: 4,
-	}))
+	mux.Handle("GET /metrics", exposition(meter.registry, meter.config.Logger))
 	mux.HandleFunc("GET /healthz", func(writer http.ResponseWriter, _ *http.Request) {
 		respond(writer, http.StatusOK, "ok")
 	})
@@ -40,6 +37,15 @@
 	return mux
 }
 
+// exposition serves the metrics of a registry as text.
+func exposition(registry *prometheus.Registry, logger hclog.Logger) http.Handler {
+	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{
+		ErrorLog: logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
+		// One scrape reads all state; a few at once are enough and bound the load.
+		MaxRequestsInFlight: 4,
+	})
+}
+
 func respond(writer http.ResponseWriter, status int, text string) {
 	writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	writer.Header().Set("Cache-Control", "no-store")
--- /dev/null
+++ b/internal/edge/entry/entry.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
+	"github.com/clementinewind/clementinewind/internal/fleet/roster"
+	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/route/relay"
+	"github.com/clementinewind/clementinewind/internal/store/view"
+	"github.com/clementinewind/clementinewind/platform"
+)
+
+const (
+	// timeToLive is how long callers keep an answer of Locate: long enough that asking costs little, short enough that few
+	// callers still use a router that stops.
+	timeToLive = 2 * time.Second
+	// addressGrace is how long a router that stops still takes new connections: callers keep addresses for timeToLive.
+	addressGrace = 2500 * time.Millisecond
+	// drainTail is the part of the grace period after which new requests are refused, and lastShare the part after which
+	// the process ends, whatever still runs.
+	drainTail = 0.35
+	lastShare = 0.96
+	// drainPoll is how often a stopping router looks whether its requests have ended.
+	drainPoll = 50 * time.Millisecond
+	// flushTime is for the last log lines.
+	flushTime = 100 * time.Millisecond
+)
+
+// Config configures an Entry.
+type Config struct {
+	Settings conf.Entry
+	Meter    Meter
+	Logger   hclog.Logger
+}
+
+// Meter counts what the entry does.
+type Meter interface {
+	relay.Meter
+	// StoreCall counts a call to the platform's store.
+	StoreCall(call string, status int, took time.Duration)
+	// Handler serves the metrics.
+	Handler() http.Handler
+}
+
+// Entry is a router on the users' platform.
+type Entry struct {
+	settings atomic.Pointer[conf.Entry]
+	config   Config
+
+	roster  *roster.Roster
+	board   *board.Board
+	view    *view.View
+	relay   *relay.Relay
+	store   *platform.Store
+	readers readers
+
+	inFlight atomic.Int64
+	closing  atomic.Bool
+	refusing atomic.Bool
+	stop     chan struct{}
+	stopped  atomic.Bool
+}
+
+// New returns an entry that has not started.
+func New(config Config) *Entry {
+	entry := &Entry{config: config, stop: make(chan struct{})}
+	entry.settings.Store(&config.Settings)
+	settings := config.Settings
+	self := roster.Member{
+		Instance: settings.Name, Zone: settings.Zone, Incarnation: time.Now().UnixNano(),
+		CallerAddress: settings.CallerListen.String(), PeerAddress: entry.peerAddress().String(),
+	}
+	entry.roster = roster.New(roster.Config{Self: self})
+	entry.board = board.New(board.Config{
+		ColdRatio: settings.ColdRatio, ColdExtra: settings.ColdExtra,
+		Owns: func(upstream clementinewind.Upstream) bool { return entry.roster.Owns(string(upstream), time.Now()) },
+	})
+	entry.view = view.New(view.Config{
+		Board: entry.board, Logger: config.Logger,
+		Gone: func(upstream clementinewind.Upstream) { entry.relay.Retire(upstream) },
+	})
+	dialer := dialer()
+	entry.store = platform.NewStore(platform.StoreConfig{
+		Address: settings.StoreAddress.String(), Dial: dialer.DialContext, Observe: config.Meter.StoreCall,
+	})
+	entry.relay = relay.New(relay.Config{
+		Zone: settings.Zone, Board: entry.board, Table: entry.view.Table, Routers: entry.roster.Known,
+		Closing: entry.closing.Load, Refusing: entry.refusing.Load, Dial: dialer.DialContext, Budget: entry.budget,
+		Meter: config.Meter, Logger: config.Logger,
+	})
+	entry.readers = newReaders(entry)
+	return entry
+}
+
+func (entry *Entry) budget() budget.Config {
+	settings := entry.settings.Load()
+	return budget.Config{Window: settings.RetryWindow, Ratio: settings.RetryRatio, Extra: float64(settings.RetryExtra)}
+}
+
+// peerAddress is the first of the ports that are free for traffic between routers.
+func (entry *Entry) peerAddress() netip.AddrPort {
+	settings := entry.settings.Load()
+	return netip.AddrPortFrom(settings.CallerListen.Addr(), uint16(settings.FirstPort))
+}
+
+// ready reports whether the router can serve requests.
+func (entry *Entry) ready() bool {
+	return !entry.closing.Load() && entry.view.Table() != nil && entry.board.Count() > 0
+}
+
+func (entry *Entry) locate(zone clementinewind.Zone) ([]string, time.Duration) {
+	entry.roster.Update(entry.ready(), entry.closing.Load())
+	return entry.roster.Addresses(zone, time.Now()), min(timeToLive, entry.settings.Load().AddressTimeToLive)
+}
+
+// Reload applies new settings. Addresses stay as they were at the start.
+func (entry *Entry) Reload(settings conf.Entry) {
+	entry.settings.Store(&settings)
+	entry.config.Logger.Info("settings reloaded", "Name", settings.Name)
+}
+
+// Run serves until Stop is called and the requests have ended, or the context ends.
+func (entry *Entry) Run(ctx context.Context) error {
+	settings := entry.settings.Load()
+	logger := entry.config.Logger
+	conn, err := net.ListenPacket("udp4", entry.peerAddress().String())
+	if err != nil {
+		return errors.Wrap(err, "listen for beats")
+	}
+	defer conn.Close()
+	chatter := gossip.New(gossip.Config{
+		Conn: conn, Roster: entry.roster, Board: entry.board, Offsets: entry.readers.offsets, Ahead: entry.readers.ahead,
+		Version: entry.version, Logger: logger,
+	})
+	callers, err := entry.callerServer()
+	if err != nil {
+		return err
+	}
+	servers := []*server{callers}
+	for _, other := range []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{"Ready", settings.ReadyListen, platform.ReadyHandler(entry.ready)},
+		{"Locate", settings.LocateListen, platform.LocateHandler(entry.locate, logger)},
+		{"Peer", entry.peerAddress(), gossip.FeedHandler(entry.readers.mirrors(), logger)},
+		{"Metrics", settings.MetricsListen, entry.config.Meter.Handler()},
+	} {
+		if !other.address.IsValid() {
+			continue
+		}
+		started, err := listen(other.address, other.handler, logger)
+		if err != nil {
+			return errors.Wrapf(err, "listen at [Listen] %s", other.name)
+		}
+		servers = append(servers, started)
+	}
+	logger.Info("started", "Instance", settings.Name, "Zone", settings.Zone, "Callers", settings.CallerListen, "Store", settings.StoreAddress)
+	var group run.Group
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	actor := func(work func(ctx context.Context) error) {
+		group.Add(func() error { return work(ctx) }, func(error) { cancel() })
+	}
+	actor(entry.readers.operator.Run)
+	actor(entry.readers.upstreams.Run)
+	actor(entry.announce)
+	actor(chatter.Send)
+	group.Add(func() error { return chatter.Receive(ctx) }, func(error) { cancel(); conn.Close() })
+	for _, server := range servers {
+		group.Add(server.serve, func(error) { server.close() })
+	}
+	group.Add(func() error { return entry.drain(ctx, callers) }, func(error) { cancel() })
+	err = group.Run()
+	logger.Info("stopped", "Instance", settings.Name, "InFlight", entry.inFlight.Load())
+	if errors.Is(err, errDrained) {
+		return nil
+	}
+	return err
+}
+
+func (entry *Entry) version() int64 {
+	if current := entry.view.Table(); current != nil {
+		return int64(current.Version())
+	}
+	return 0
+}
+
+// serving counts the requests in flight.
+func (entry *Entry) serving(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		entry.inFlight.Add(1)
+		defer entry.inFlight.Add(-1)
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+// errDrained ends the run group after a planned stop.
+var errDrained = errors.New("drained")
+
+// Stop begins the drain. Later calls do nothing.
+func (entry *Entry) Stop() {
+	if entry.stopped.CompareAndSwap(false, true) {
+		close(entry.stop)
+	}
+}
+
+// drain waits for Stop and then leaves in steps: callers are told to connect elsewhere at once, new connections are
+// refused when all of them must know, new requests when they could not end in time.
+func (entry *Entry) drain(ctx context.Context, callers *server) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-entry.stop:
+	}
+	started := time.Now()
+	grace := entry.settings.Load().Grace
+	entry.closing.Store(true)
+	entry.roster.Update(false, true)
+	entry.config.Logger.Info("stopping", "Grace", grace, "InFlight", entry.inFlight.Load())
+	refuseAt := time.Duration(drainTail * float64(grace))
+	endAt := time.Duration(lastShare * float64(grace))
+	for {
+		waited := time.Since(started)
+		if waited >= min(addressGrace, refuseAt) {
+			callers.stopAccepting()
+		}
+		if waited >= refuseAt {
+			entry.refusing.Store(true)
+		}
+		idle := waited >= refuseAt && entry.inFlight.Load() == 0
+		if idle || waited >= endAt {
+			return errDrained
+		}
+		time.Sleep(drainPoll)
+	}
+}
--- /dev/null
+++ b/internal/fleet/roster/roster.go
@@ -0,0 +1,215 @@
+// Package roster keeps which routers of the fleet are alive.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/share/place"
+)
+
+const (
+	// silence is the time without a beat after which a router is left out of answers to callers. Beats come at least three
+	// times in it.
+	silence = 1800 * time.Millisecond
+	// forget is the time after which a router gets no more beats.
+	forget = time.Minute
+	// readersPerZone read the platform's store; the other routers of the zone read from them.
+	readersPerZone = 2
+	// fewestPerZone is the number of routers that a zone must have for its callers to use only those.
+	fewestPerZone = 2
+	// isolation is the share of the other routers whose silence means that this router is cut off.
+	isolation = 0.5
+)
+
+// Member is one router.
+type Member struct {
+	Instance clementinewind.Instance
+	Zone     clementinewind.Zone
+	// Incarnation is the start of the process in Unix nanoseconds.
+	Incarnation int64
+	// CallerAddress is where callers connect, PeerAddress where routers connect.
+	CallerAddress string
+	PeerAddress   string
+	Ready         bool
+	Leaving       bool
+}
+
+// Config configures a Roster.
+type Config struct {
+	Self Member
+}
+
+// Roster holds the routers that are known. Its methods may be called by many goroutines.
+type Roster struct {
+	mutex   sync.Mutex
+	self    Member
+	members map[clementinewind.Instance]*known
+}
+
+type known struct {
+	Member
+	// heard is when the last beat arrived, or when the router was first listed.
+	heard time.Time
+	// beaten is set after the first beat of the incarnation.
+	beaten bool
+}
+
+// New returns a roster with only the router itself.
+func New(config Config) *Roster {
+	return &Roster{self: config.Self, members: map[clementinewind.Instance]*known{}}
+}
+
+// List adds a router that is listed in the platform's store. It counts as alive for a short time only, because entries
+// outlive the processes that wrote them.
+func (roster *Roster) List(member Member, now time.Time) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	if member.Instance == roster.self.Instance {
+		return
+	}
+	if old, ok := roster.members[member.Instance]; ok && old.Incarnation >= member.Incarnation {
+		return
+	}
+	member.Ready = true
+	roster.members[member.Instance] = &known{Member: member, heard: now}
+}
+
+// Hear records a beat. It reports whether the router was silent, or unknown, before.
+func (roster *Roster) Hear(member Member, now time.Time) bool {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	if member.Instance == roster.self.Instance {
+		return false
+	}
+	old, ok := roster.members[member.Instance]
+	if ok && old.Incarnation > member.Incarnation {
+		return false
+	}
+	fresh := !ok || old.Incarnation < member.Incarnation || now.Sub(old.heard) > silence
+	roster.members[member.Instance] = &known{Member: member, heard: now, beaten: true}
+	return fresh
+}
+
+// Silent returns the routers whose silence has just begun, and forgets those that were silent for long.
+func (roster *Roster) Silent(now time.Time, since time.Time) []Member {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	var silent []Member
+	for instance, member := range roster.members {
+		switch end := member.heard.Add(silence); {
+		case now.Sub(member.heard) > forget:
+			delete(roster.members, instance)
+		case end.After(since) && !end.After(now):
+			silent = append(silent, member.Member)
+		}
+	}
+	return silent
+}
+
+// Update changes the router's own state.
+func (roster *Roster) Update(ready, leaving bool) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	roster.self.Ready, roster.self.Leaving = ready, leaving
+}
+
+// Self returns the router itself.
+func (roster *Roster) Self() Member {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	return roster.self
+}
+
+// Peers returns the addresses of all other routers that are not forgotten.
+func (roster *Roster) Peers() []string {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	var addresses []string
+	for _, member := range roster.members {
+		addresses = append(addresses, member.PeerAddress)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// Known returns how many routers there are, including those that fell silent a short time ago.
+func (roster *Roster) Known() int {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	return len(roster.members) + 1
+}
+
+// Alive returns the routers that are heard, and the router itself.
+func (roster *Roster) Alive(now time.Time) []Member {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	return roster.aliveLocked(now)
+}
+
+func (roster *Roster) aliveLocked(now time.Time) []Member {
+	alive := []Member{roster.self}
+	for _, member := range roster.members {
+		if now.Sub(member.heard) <= silence {
+			alive = append(alive, member.Member)
+		}
+	}
+	slices.SortFunc(alive, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	return alive
+}
+
+// Addresses returns where the callers of a zone connect: at the routers of their zone, or at all routers if the zone has
+// too few. A router that hears hardly any other one is cut off itself, and goes on to name those it knows.
+func (roster *Roster) Addresses(zone clementinewind.Zone, now time.Time) []string {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	members := roster.aliveLocked(now)
+	if heard, all := len(members)-1, len(roster.members); all > 0 && float64(heard) < isolation*float64(all) {
+		members = []Member{roster.self}
+		for _, member := range roster.members {
+			if member.beaten {
+				members = append(members, member.Member)
+			}
+		}
+	}
+	var near, all []string
+	for _, member := range members {
+		if member.Leaving || !member.Ready {
+			continue
+		}
+		all = append(all, member.CallerAddress)
+		if member.Zone == zone {
+			near = append(near, member.CallerAddress)
+		}
+	}
+	if len(near) >= fewestPerZone {
+		return near
+	}
+	return all
+}
+
+// Owns reports whether this router is the owner of a key. While routers disagree on the members, several may be.
+func (roster *Roster) Owns(key string, now time.Time) bool {
+	members := slices.DeleteFunc(roster.Alive(now), func(member Member) bool { return member.Leaving || !member.Ready })
+	owner, ok := place.New(place.Config[Member]{Members: members, ID: memberID}).Owner(key)
+	return ok && owner.Instance == roster.Self().Instance
+}
+
+// Readers returns the routers of the own zone that read the platform's store.
+func (roster *Roster) Readers(now time.Time) []Member {
+	zone := roster.Self().Zone
+	var readers []Member
+	for _, member := range roster.Alive(now) {
+		if member.Zone == zone && !member.Leaving && len(readers) < readersPerZone {
+			readers = append(readers, member)
+		}
+	}
+	return readers
+}
+
+func memberID(member Member) uint64 { return xxhash.Sum64String(string(member.Instance)) }
--- /dev/null
+++ b/internal/load/board/board.go
@@ -0,0 +1,345 @@
+package board
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/load/pick"
+	"github.com/clementinewind/clementinewind/internal/route/prompt"
+	"github.com/clementinewind/clementinewind/internal/route/table"
+)
+
+// peerAge is the age at which the work that a peer told of no longer counts.
+const peerAge = 2 * time.Second
+
+// Work is the work of one router at one upstream.
+type Work struct {
+	Running int
+	// QueuedTokens are prompt tokens that the upstream has yet to read.
+	QueuedTokens int
+	// ResidentTokens are held by running requests, without shared prefixes.
+	ResidentTokens int
+}
+
+func (work Work) plus(other Work) Work {
+	return Work{
+		Running:        work.Running + other.Running,
+		QueuedTokens:   work.QueuedTokens + other.QueuedTokens,
+		ResidentTokens: work.ResidentTokens + other.ResidentTokens,
+	}
+}
+
+// Placement says that a prefix was sent to an upstream.
+type Placement struct {
+	Upstream uint32
+	Prefix   prompt.Prefix
+}
+
+// Config configures a Board.
+type Config struct {
+	// ColdRatio and ColdExtra bound the requests of all routers to a cold upstream in one second: ColdRatio times its rate
+	// plus ColdExtra.
+	ColdRatio float64
+	ColdExtra float64
+	// Owns reports whether this router may send to an upstream while it is cold.
+	Owns func(upstream clementinewind.Upstream) bool
+}
+
+// Board is the state of all upstreams. Its methods may be called by many goroutines.
+type Board struct {
+	config Config
+
+	mutex      sync.Mutex
+	upstreams  map[clementinewind.Upstream]*upstream
+	byHash     map[uint32]*upstream
+	byService  map[table.Service][]*upstream
+	settings   map[table.Service]table.ServiceSettings
+	zonesOut   map[clementinewind.Zone]bool
+	peers      map[clementinewind.Instance]peer
+	placements []Placement
+}
+
+type peer struct {
+	work map[uint32]Work
+	at   time.Time
+}
+
+// New returns a board without upstreams.
+func New(config Config) *Board {
+	return &Board{
+		config:    config,
+		upstreams: map[clementinewind.Upstream]*upstream{},
+		byHash:    map[uint32]*upstream{},
+		byService: map[table.Service][]*upstream{},
+		settings:  map[table.Service]table.ServiceSettings{},
+		zonesOut:  map[clementinewind.Zone]bool{},
+		peers:     map[clementinewind.Instance]peer{},
+	}
+}
+
+// SetServices replaces the settings of the services.
+func (board *Board) SetServices(services []table.ServiceSettings) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	known := board.settings
+	board.settings = make(map[table.Service]table.ServiceSettings, len(services))
+	for _, service := range services {
+		board.settings[service.Name] = service
+		if _, ok := known[service.Name]; ok {
+			continue
+		}
+		// The entries of its upstreams came first.
+		for _, upstream := range board.byService[service.Name] {
+			upstream.reset(service)
+		}
+	}
+}
+
+// Set adds an upstream or applies a newer entry of it. It reports whether the entry was taken.
+func (board *Board) Set(entry table.Entry, now time.Time) bool {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	settings := board.settings[entry.Service]
+	known, ok := board.upstreams[entry.Upstream]
+	if ok && known.entry.Service == entry.Service {
+		if !entry.Replaces(known.entry) {
+			return false
+		}
+		known.update(entry, settings, now)
+		return true
+	}
+	if ok {
+		board.removeLocked(entry.Upstream)
+	}
+	added := newUpstream(entry, settings)
+	added.zoneOut = board.zonesOut[entry.Zone]
+	added.update(entry, settings, now)
+	board.upstreams[entry.Upstream] = added
+	board.byHash[added.hash] = added
+	board.byService[entry.Service] = append(board.byService[entry.Service], added)
+	return true
+}
+
+// Remove forgets an upstream.
+func (board *Board) Remove(name clementinewind.Upstream) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	board.removeLocked(name)
+}
+
+func (board *Board) removeLocked(name clementinewind.Upstream) {
+	known, ok := board.upstreams[name]
+	if !ok {
+		return
+	}
+	delete(board.upstreams, name)
+	delete(board.byHash, known.hash)
+	service := known.entry.Service
+	board.byService[service] = slices.DeleteFunc(board.byService[service], func(other *upstream) bool { return other == known })
+}
+
+// SetZoneOut takes a zone out of service or returns it. Its upstreams may have turned cold meanwhile.
+func (board *Board) SetZoneOut(zone clementinewind.Zone, out bool, now time.Time) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	board.zonesOut[zone] = out
+	for _, upstream := range board.upstreams {
+		if upstream.entry.Zone != zone {
+			continue
+		}
+		if upstream.zoneOut && !out {
+			upstream.coldUntil = now.Add(board.settings[upstream.entry.Service].ColdTime)
+			upstream.failedAt = now
+		}
+		upstream.zoneOut = out
+	}
+}
+
+// Count returns the number of known upstreams.
+func (board *Board) Count() int {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	return len(board.upstreams)
+}
+
+// SetPeer replaces the work of another router.
+func (board *Board) SetPeer(instance clementinewind.Instance, work map[uint32]Work, now time.Time) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	board.peers[instance] = peer{work: work, at: now}
+	board.sumLocked(now)
+}
+
+func (board *Board) sumLocked(now time.Time) {
+	for _, upstream := range board.upstreams {
+		upstream.remote = Work{}
+	}
+	for instance, peer := range board.peers {
+		if now.Sub(peer.at) > peerAge {
+			delete(board.peers, instance)
+			continue
+		}
+		for hash, work := range peer.work {
+			if upstream, ok := board.byHash[hash]; ok {
+				upstream.remote = upstream.remote.plus(work)
+			}
+		}
+	}
+}
+
+// AddPlacements records what other routers placed.
+func (board *Board) AddPlacements(placements []Placement) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	for _, placement := range placements {
+		if upstream, ok := board.byHash[placement.Upstream]; ok {
+			upstream.prefixes.Use(placement.Prefix.Hash, placement.Prefix.Tokens)
+		}
+	}
+}
+
+// Own returns the work of this router at each upstream, and the placements since the last call.
+func (board *Board) Own(now time.Time) (map[uint32]Work, []Placement) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	board.sumLocked(now)
+	work := map[uint32]Work{}
+	for _, upstream := range board.upstreams {
+		if upstream.running > 0 {
+			work[upstream.hash] = Work{Running: upstream.running, QueuedTokens: upstream.queued, ResidentTokens: upstream.resident}
+		}
+	}
+	placements := board.placements
+	board.placements = nil
+	return work, placements
+}
+
+// Request is a request to be placed.
+type Request struct {
+	Service table.Service
+	Zone    clementinewind.Zone
+	Prompt  prompt.Prompt
+	// Goal is the time to the first event that is left, Left the time to the deadline.
+	Goal time.Duration
+	Left time.Duration
+	// Tried are upstreams that already had the request.
+	Tried []clementinewind.Upstream
+}
+
+// Place chooses an upstream and counts the request there. It returns nil if no upstream takes the request.
+func (board *Board) Place(request Request, now time.Time) *Ticket {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	shared := request.Prompt.Shared()
+	eligible := board.eligibleLocked(request, now)
+	candidates := candidatesOf(eligible, shared, board.settings[request.Service], now)
+	sharedTokens := 0
+	if len(shared) > 0 {
+		sharedTokens = shared[len(shared)-1].Tokens
+	}
+	decision := pick.Best(candidates, pick.Request{
+		Zone: request.Zone, Goal: request.Goal, Left: request.Left,
+		InputTokens: request.Prompt.InputTokens, SharedTokens: sharedTokens, OutputTokens: request.Prompt.OutputTokens,
+	})
+	if decision.Index < 0 {
+		return nil
+	}
+	chosen := eligible[decision.Index]
+	ticket := &Ticket{
+		Entry: chosen.entry, Expected: decision.Expected, Uncached: decision.UncachedTokens, Candidates: len(eligible),
+		board: board, upstream: chosen, placed: now,
+		ahead:    candidates[decision.Index].QueuedTokens + decision.UncachedTokens,
+		resident: decision.UncachedTokens + request.Prompt.OutputTokens,
+	}
+	board.startLocked(ticket, shared, now)
+	return ticket
+}
+
+func (board *Board) startLocked(ticket *Ticket, shared []prompt.Prefix, now time.Time) {
+	chosen := ticket.upstream
+	chosen.running++
+	chosen.queued += ticket.Uncached
+	chosen.resident += ticket.resident
+	chosen.unanswered[ticket] = struct{}{}
+	if chosen.cold(now) {
+		chosen.coldSends = append(chosen.coldSends, now)
+		ticket.Cold = true
+	}
+	before := 0
+	for _, prefix := range shared {
+		own := prompt.Prefix{Hash: prefix.Hash, Tokens: prefix.Tokens - before}
+		chosen.prefixes.Use(own.Hash, own.Tokens)
+		board.placements = append(board.placements, Placement{Upstream: chosen.hash, Prefix: own})
+		before = prefix.Tokens
+	}
+}
+
+// eligibleLocked returns the upstreams that may get a request now.
+func (board *Board) eligibleLocked(request Request, now time.Time) []*upstream {
+	var eligible []*upstream
+	settings := board.settings[request.Service]
+	allowance := int((settings.ColdRate*board.config.ColdRatio + board.config.ColdExtra) / coldOwners)
+	for _, upstream := range board.byService[request.Service] {
+		switch {
+		case upstream.entry.Leaving || upstream.zoneOut || now.Before(upstream.downUntil):
+		case slices.Contains(request.Tried, upstream.entry.Upstream):
+		case settings.ColdRate > 0 && upstream.cold(now) &&
+			(!board.config.Owns(upstream.entry.Upstream) || upstream.coldLeft(allowance, now) <= 0):
+		default:
+			eligible = append(eligible, upstream)
+		}
+	}
+	return eligible
+}
+
+func candidatesOf(eligible []*upstream, shared []prompt.Prefix, settings table.ServiceSettings, now time.Time) []pick.Candidate {
+	candidates := make([]pick.Candidate, len(eligible))
+	for i, upstream := range eligible {
+		candidate := pick.Candidate{
+			Upstream: upstream.entry.Upstream, Zone: upstream.entry.Zone, Slots: upstream.entry.Slots,
+			Running:        upstream.running + upstream.remote.Running,
+			QueuedTokens:   upstream.queued + upstream.remote.QueuedTokens,
+			ResidentTokens: upstream.resident + upstream.remote.ResidentTokens,
+			PerToken:       upstream.perToken, Base: upstream.base, Service: upstream.service,
+			FailureRate: upstream.failureRate(now), Overdue: upstream.overdue(now),
+		}
+		if settings.Engine != nil {
+			candidate.MemoryTokens = settings.Engine.MemoryTokens
+		}
+		for _, prefix := range shared {
+			if !upstream.prefixes.Holds(prefix.Hash) {
+				break
+			}
+			candidate.CachedTokens = prefix.Tokens
+		}
+		candidates[i] = candidate
+	}
+	if len(shared) > 0 {
+		rank(eligible, candidates, shared[len(shared)-1].Hash)
+	}
+	return candidates
+}
+
+// rank sets the rendezvous order of the candidates for a prefix.
+func rank(eligible []*upstream, candidates []pick.Candidate, prefix uint32) {
+	order := make([]int, len(eligible))
+	scores := make([]uint64, len(eligible))
+	for i, upstream := range eligible {
+		var key [8]byte
+		binary.LittleEndian.PutUint32(key[:4], prefix)
+		binary.LittleEndian.PutUint32(key[4:], upstream.hash)
+		order[i], scores[i] = i, xxhash.Sum64(key[:])
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	for position, i := range order {
+		candidates[i].Rank = position
+	}
+}
+
+func hash32(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
--- /dev/null
+++ b/internal/load/board/ticket.go
@@ -0,0 +1,96 @@
+package board
+
+import (
+	"time"
+
+	"github.com/clementinewind/clementinewind/internal/route/table"
+)
+
+// Result is how a placed request ended.
+type Result int
+
+//go:generate stringer -type Result -trimprefix Result -output result_string.go
+
+const (
+	// ResultServed is an answer that the upstream completed.
+	ResultServed Result = iota
+	// ResultFailed is an answer that the upstream failed, broke off or never gave.
+	ResultFailed
+	// ResultDeclined is a request that the upstream rejected before running it.
+	ResultDeclined
+	// ResultUnreachable is a request that could not be sent.
+	ResultUnreachable
+	// ResultAbandoned is a request that ended for a reason that says nothing of the upstream.
+	ResultAbandoned
+)
+
+// declineTime is how long an upstream that rejected a request gets no other one.
+const declineTime = 50 * time.Millisecond
+
+// Ticket is a request that is counted at an upstream. Each ticket must be ended.
+type Ticket struct {
+	// Entry is the upstream as it was when the request was placed.
+	Entry table.Entry
+	// Expected is the expected time to the first event.
+	Expected time.Duration
+	// Uncached is the number of prompt tokens that the upstream has to read.
+	Uncached int
+	// Candidates is the number of upstreams that the choice was made from.
+	Candidates int
+	// Cold is set if the upstream was cold.
+	Cold bool
+
+	board    *Board
+	upstream *upstream
+	placed   time.Time
+	// ahead counts the prompt tokens to be read until the first event.
+	ahead    int
+	resident int
+	first    bool
+	ended    bool
+}
+
+// First records the first event of the answer.
+func (ticket *Ticket) First(now time.Time) {
+	ticket.board.mutex.Lock()
+	defer ticket.board.mutex.Unlock()
+	ticket.firstLocked()
+	ticket.upstream.learn(ticket, now.Sub(ticket.placed))
+}
+
+func (ticket *Ticket) firstLocked() {
+	if !ticket.first {
+		ticket.first = true
+		ticket.upstream.queued -= ticket.Uncached
+		delete(ticket.upstream.unanswered, ticket)
+	}
+}
+
+// End records how the request ended. Later calls do nothing.
+func (ticket *Ticket) End(result Result, now time.Time) {
+	ticket.board.mutex.Lock()
+	defer ticket.board.mutex.Unlock()
+	if ticket.ended {
+		return
+	}
+	ticket.ended = true
+	ticket.firstLocked()
+	upstream := ticket.upstream
+	upstream.running--
+	upstream.resident -= ticket.resident
+	switch result {
+	case ResultServed:
+		upstream.result(false, now)
+		upstream.unreachable = 0
+		upstream.service = average(upstream.service, now.Sub(ticket.placed), upstream.service)
+	case ResultFailed:
+		upstream.result(true, now)
+	case ResultDeclined:
+		if until := now.Add(declineTime); until.After(upstream.downUntil) {
+			upstream.downUntil = until
+		}
+	case ResultUnreachable:
+		upstream.unreach(ticket.board.settings[upstream.entry.Service], now)
+	case ResultAbandoned:
+	}
+}
--- /dev/null
+++ b/internal/load/board/upstream.go
@@ -0,0 +1,179 @@
+package board
+
+import (
+	"math"
+	"time"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/load/cache"
+	"github.com/clementinewind/clementinewind/internal/route/table"
+)
+
+const (
+	// defaultPerToken and defaultBase are the estimates for engines before the first answers.
+	defaultPerToken = 22 * time.Microsecond
+	defaultBase     = 100 * time.Millisecond
+	// defaultAnswer is the estimate of a plain service's answer time before the first answers.
+	defaultAnswer = 35 * time.Millisecond
+	// tokenSample is the smallest number of tokens from which the time for a token is measured; below it the base time
+	// hides the difference.
+	tokenSample = 4000
+	// baseSample is the largest number of tokens from which the base time is measured.
+	baseSample = 2000
+	// estimateWeight is the weight of a new sample in an average.
+	estimateWeight = 0.2
+	// estimateRange bounds an estimate to this factor around the default.
+	estimateRange = 20
+	// failureWeight is the weight of one result in the failure rate; failureHalfLife is how fast it is forgotten.
+	failureWeight   = 0.15
+	failureHalfLife = 2 * time.Second
+	// overdueFactor and overdueSlack say when an unanswered request is later than the estimate explains.
+	overdueFactor = 2
+	overdueSlack  = 300 * time.Millisecond
+	// firstRetry and lastRetry bound the time for which an unreachable upstream gets no requests.
+	firstRetry = 250 * time.Millisecond
+	lastRetry  = 2 * time.Second
+	// heartbeatAge is the age after which an entry was certainly written after an event: a heartbeat interval and the
+	// delay of reading it.
+	heartbeatAge = 1500 * time.Millisecond
+	// cacheShare is the part of an engine's memory that is taken for prompts of ended requests.
+	cacheShare = 0.6
+	// coldOwners is how many routers may at once believe that they own a cold upstream while they disagree on the members
+	// of the fleet; each takes its part of the allowance.
+	coldOwners = 3
+	// coldWindow is the window of the allowance.
+	coldWindow = time.Second
+)
+
+// upstream is the state of one upstream.
+type upstream struct {
+	entry   table.Entry
+	hash    uint32
+	zoneOut bool
+
+	running  int
+	queued   int
+	resident int
+	// remote sums the work of the other routers.
+	remote Work
+
+	prefixes *cache.Prefixes
+	perToken time.Duration
+	base     time.Duration
+	service  time.Duration
+
+	failure   float64
+	failureAt time.Time
+	// unanswered holds the requests without a first event.
+	unanswered map[*Ticket]struct{}
+
+	unreachable int
+	downUntil   time.Time
+	failedAt    time.Time
+	coldUntil   time.Time
+	coldSends   []time.Time
+}
+
+func newUpstream(entry table.Entry, settings table.ServiceSettings) *upstream {
+	created := &upstream{entry: entry, hash: Hash(entry.Upstream), unanswered: map[*Ticket]struct{}{}}
+	created.reset(settings)
+	return created
+}
+
+// reset forgets what an earlier incarnation showed.
+func (upstream *upstream) reset(settings table.ServiceSettings) {
+	upstream.base, upstream.perToken, upstream.service = defaultAnswer, 0, defaultAnswer
+	memory := 0
+	if settings.Engine != nil {
+		memory = settings.Engine.MemoryTokens
+		upstream.base, upstream.perToken, upstream.service = defaultBase, defaultPerToken, time.Second
+	}
+	upstream.prefixes = cache.New(int(cacheShare * float64(memory)))
+	upstream.failure = 0
+	upstream.unreachable = 0
+	upstream.downUntil = time.Time{}
+}
+
+// update applies a newer entry.
+func (upstream *upstream) update(entry table.Entry, settings table.ServiceSettings, now time.Time) {
+	if entry.Incarnation != upstream.entry.Incarnation {
+		upstream.reset(settings)
+	}
+	upstream.entry = entry
+	switch {
+	case entry.ColdLeft > 0:
+		upstream.coldUntil = now.Add(entry.ColdLeft)
+	case !upstream.failedAt.IsZero() && now.Sub(upstream.failedAt) > heartbeatAge:
+		// The entry was written after the failure and says that the upstream is warm.
+		upstream.coldUntil, upstream.failedAt = time.Time{}, time.Time{}
+	}
+}
+
+func (upstream *upstream) cold(now time.Time) bool { return now.Before(upstream.coldUntil) }
+
+// coldLeft returns how many more requests this router may send now while the upstream is cold.
+func (upstream *upstream) coldLeft(allowance int, now time.Time) int {
+	first := 0
+	for first < len(upstream.coldSends) && now.Sub(upstream.coldSends[first]) > coldWindow {
+		first++
+	}
+	upstream.coldSends = upstream.coldSends[first:]
+	return allowance - len(upstream.coldSends)
+}
+
+func (upstream *upstream) failureRate(now time.Time) float64 {
+	if upstream.failure == 0 {
+		return 0
+	}
+	return upstream.failure * math.Exp2(-now.Sub(upstream.failureAt).Seconds()/failureHalfLife.Seconds())
+}
+
+func (upstream *upstream) result(failed bool, now time.Time) {
+	rate := upstream.failureRate(now) * (1 - failureWeight)
+	if failed {
+		rate += failureWeight
+	}
+	upstream.failure, upstream.failureAt = rate, now
+}
+
+// unreach records that no connection could be opened.
+func (upstream *upstream) unreach(settings table.ServiceSettings, now time.Time) {
+	upstream.unreachable++
+	upstream.downUntil = now.Add(min(firstRetry<<min(upstream.unreachable-1, 8), lastRetry))
+	upstream.failedAt = now
+	// It may come back under the same name and cold, before its entry says so.
+	if until := now.Add(settings.ColdTime); until.After(upstream.coldUntil) {
+		upstream.coldUntil = until
+	}
+	upstream.prefixes.Clear()
+}
+
+// overdue returns by how much the oldest unanswered request is later than its estimate explains.
+func (upstream *upstream) overdue(now time.Time) time.Duration {
+	var overdue time.Duration
+	for ticket := range upstream.unanswered {
+		late := now.Sub(ticket.placed) - overdueFactor*ticket.Expected - overdueSlack
+		overdue = max(overdue, late)
+	}
+	return overdue
+}
+
+// learn adjusts the estimates to the time of a first event.
+func (upstream *upstream) learn(ticket *Ticket, took time.Duration) {
+	switch tokens := ticket.ahead; {
+	case upstream.perToken == 0:
+		upstream.base = average(upstream.base, took, defaultAnswer)
+	case tokens < baseSample:
+		upstream.base = average(upstream.base, took-time.Duration(tokens)*upstream.perToken, defaultBase)
+	case tokens >= tokenSample:
+		upstream.perToken = average(upstream.perToken, (took-upstream.base)/time.Duration(tokens), defaultPerToken)
+	}
+}
+
+func average(current, sample, standard time.Duration) time.Duration {
+	mixed := time.Duration((1-estimateWeight)*float64(current) + estimateWeight*float64(sample))
+	return min(max(mixed, standard/estimateRange), standard*estimateRange)
+}
+
+// Hash returns the number that stands for an upstream in datagrams.
+func Hash(name clementinewind.Upstream) uint32 { return hash32(string(name)) }
--- /dev/null
+++ b/internal/load/pick/pick.go
@@ -0,0 +1,118 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/clementinewind/clementinewind"
+)
+
+const (
+	// rereadWeight prices shared parts that are read again, on top of the time that the reading takes: it delays the other
+	// requests of that upstream too.
+	rereadWeight = 0.5
+	// zoneCost is the price of sending a request to another zone, against a millisecond on the way and paid traffic.
+	zoneCost = 15 * time.Millisecond
+	// runningCost is how much one more running request delays each of the others.
+	runningCost = time.Millisecond
+	// failureCost prices the expected loss when an upstream fails part of its requests, as a share of the goal.
+	failureCost = 4.0
+	// rankCost leads all routers to send a new prefix to the same upstream, up to lastRank.
+	rankCost = 15 * time.Millisecond
+	lastRank = 4
+	// memoryShare is the part of an engine's memory that is filled; beyond it the engine preempts running requests.
+	memoryShare = 0.9
+)
+
+// Candidate is an upstream as this router knows it.
+type Candidate struct {
+	Upstream clementinewind.Upstream
+	Zone     clementinewind.Zone
+	// Rank is the position of the upstream in the rendezvous order of the prompt's prefix.
+	Rank int
+	// Slots is the number of requests that the upstream runs at once; Running counts those of all routers.
+	Slots   int
+	Running int
+	// QueuedTokens are prompt tokens that the upstream has yet to read for all routers.
+	QueuedTokens int
+	// CachedTokens of this request's prompt are believed to be in the memory of the upstream.
+	CachedTokens int
+	// ResidentTokens are held by running requests; MemoryTokens is the size of the memory, 0 for plain services.
+	ResidentTokens int
+	MemoryTokens   int
+	// PerToken is the time to read one token, Base the time to an answer without any work ahead, and Service the time
+	// that a request holds a slot.
+	PerToken time.Duration
+	Base     time.Duration
+	Service  time.Duration
+	// FailureRate is the share of recent requests that the upstream failed.
+	FailureRate float64
+	// Overdue is by how much the oldest unanswered request is later than expected.
+	Overdue time.Duration
+}
+
+// Request is what the decision needs to know of a request.
+type Request struct {
+	Zone clementinewind.Zone
+	// Goal is the time to the first event that is still left; Left is the time to the deadline.
+	Goal time.Duration
+	Left time.Duration
+	// InputTokens is 0 for plain services.
+	InputTokens  int
+	SharedTokens int
+	OutputTokens int
+}
+
+// Decision is where a request goes.
+type Decision struct {
+	// Index is the chosen candidate, or -1 if there is none.
+	Index int
+	// Expected is the expected time to the first event.
+	Expected time.Duration
+	// UncachedTokens are those that the chosen upstream has to read.
+	UncachedTokens int
+}
+
+// Best returns the candidate with the least cost. The load it answers: many prompts with shared parts, where the upstream
+// that holds the parts may be busy while others are idle.
+func Best(candidates []Candidate, request Request) Decision {
+	best := Decision{Index: -1}
+	var bestCost time.Duration
+	for index, candidate := range candidates {
+		expected, uncached := Expect(candidate, request)
+		cost := expected + extra(candidate, request)
+		if best.Index < 0 || cost < bestCost {
+			best = Decision{Index: index, Expected: expected, UncachedTokens: uncached}
+			bestCost = cost
+		}
+	}
+	return best
+}
+
+// Expect returns the expected time to the first event at a candidate, and the prompt tokens that it has to read.
+func Expect(candidate Candidate, request Request) (time.Duration, int) {
+	uncached := max(request.InputTokens-candidate.CachedTokens, 0)
+	expected := candidate.Base + time.Duration(candidate.QueuedTokens+uncached)*candidate.PerToken + candidate.Overdue
+	if ahead := candidate.Running + 1 - candidate.Slots; candidate.Slots > 0 && ahead > 0 {
+		expected += candidate.Service * time.Duration(ahead) / time.Duration(candidate.Slots)
+	}
+	if memory := int(memoryShare * float64(candidate.MemoryTokens)); memory > 0 {
+		if over := candidate.ResidentTokens + uncached + request.OutputTokens - memory; over > 0 {
+			// A request that does not fit waits for others to end.
+			expected += candidate.Service * time.Duration(over) / time.Duration(memory)
+		}
+	}
+	return expected, uncached
+}
+
+// extra is the cost that a placement causes to others, or may cause to the request itself.
+func extra(candidate Candidate, request Request) time.Duration {
+	cost := runningCost*time.Duration(candidate.Running) + rankCost*time.Duration(min(candidate.Rank, lastRank))
+	if reread := request.SharedTokens - candidate.CachedTokens; reread > 0 {
+		cost += time.Duration(rereadWeight * float64(reread) * float64(candidate.PerToken))
+	}
+	if candidate.Zone != request.Zone {
+		cost += zoneCost
+	}
+	cost += time.Duration(failureCost * candidate.FailureRate * float64(request.Goal))
+	return cost
+}
--- /dev/null
+++ b/internal/load/usage/usage.go
@@ -0,0 +1,70 @@
+// Package usage measures what each organisation gets, and tells which ones are above their fair share.
+package usage
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Meter is an exponentially decaying sum of tokens for each organisation. It is not safe for use by many goroutines.
+type Meter[K comparable] struct {
+	window time.Duration
+	sums   map[K]decayed
+}
+
+type decayed struct {
+	tokens float64
+	at     time.Time
+}
+
+// negligible is the sum below which an organisation is forgotten.
+const negligible = 1.0
+
+// New returns an empty meter. A sum falls to a third in one window.
+func New[K comparable](window time.Duration) *Meter[K] {
+	return &Meter[K]{window: window, sums: map[K]decayed{}}
+}
+
+// Add counts tokens.
+func (meter *Meter[K]) Add(key K, tokens float64, now time.Time) {
+	meter.sums[key] = decayed{tokens: meter.Tokens(key, now) + tokens, at: now}
+}
+
+// Tokens returns the decayed sum, which is the rate times the window for a steady load.
+func (meter *Meter[K]) Tokens(key K, now time.Time) float64 {
+	sum, ok := meter.sums[key]
+	if !ok {
+		return 0
+	}
+	age := max(now.Sub(sum.at), 0)
+	return sum.tokens * math.Exp(-age.Seconds()/meter.window.Seconds())
+}
+
+// Snapshot returns all sums and forgets those that have decayed.
+func (meter *Meter[K]) Snapshot(now time.Time) map[K]float64 {
+	sums := make(map[K]float64, len(meter.sums))
+	for key := range meter.sums {
+		if tokens := meter.Tokens(key, now); tokens >= negligible {
+			sums[key] = tokens
+		} else {
+			delete(meter.sums, key)
+		}
+	}
+	return sums
+}
+
+// FairShare returns the max-min fair share of a capacity among demands: the level at which the demands, each cut at the
+// level, use the whole capacity. It is infinite if the capacity is enough for all.
+func FairShare(demands []float64, capacity float64) float64 {
+	sorted := slices.Sorted(slices.Values(demands))
+	left := capacity
+	for i, demand := range sorted {
+		level := left / float64(len(sorted)-i)
+		if demand > level {
+			return level
+		}
+		left -= demand
+	}
+	return math.Inf(1)
+}
--- /dev/null
+++ b/internal/route/relay/exchange.go
@@ -0,0 +1,263 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/route/link"
+	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/platform"
+)
+
+const (
+	// maxPlacements bounds how many upstreams a request is offered to, when they reject it or cannot be reached.
+	maxPlacements = 6
+	// placeWait is the pause before the next look when no upstream takes a request.
+	placeWait = 20 * time.Millisecond
+	// waitShare is the part of the latency goal that a request waits for an upstream that takes it.
+	waitShare = 0.125
+	// busyRetry is when to return if no upstream takes requests: cold upstreams get their next allowance, and entries of
+	// new upstreams are read within about a second.
+	busyRetry = 400 * time.Millisecond
+	// hedgeFactor and hedgeSlack say when an idempotent request that got no answer is sent to another upstream.
+	hedgeFactor = 4
+	hedgeSlack  = 150 * time.Millisecond
+	// least is the time that must be left for another attempt.
+	least = 20 * time.Millisecond
+	// overdueShare is the part of the remaining time after which the silence of an upstream is its own fault and not that
+	// of a caller that left early.
+	overdueShare = 3
+)
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	relay   *Relay
+	writer  http.ResponseWriter
+	request *http.Request
+	logger  hclog.Logger
+	arrived time.Time
+
+	call         platform.Call
+	table        *table.Table
+	route        table.Route
+	service      table.ServiceSettings
+	organisation clementinewind.Organisation
+	deadline     time.Time
+	body         []byte
+
+	// tried are the upstreams that had the request; runs counts those that may have run it.
+	tried []clementinewind.Upstream
+	runs  int
+	// sends counts the requests that reached an upstream or may have.
+	sends int
+	fallback *fallback
+	stream   stream
+}
+
+// fallback is a failure of an upstream that the caller gets if no other upstream serves the request.
+type fallback struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// verdict is what to do after an attempt.
+type verdict int
+
+const (
+	// verdictDone means that the caller has the final answer.
+	verdictDone verdict = iota
+	// verdictNotRun means that the upstream did not run the request.
+	verdictNotRun
+	// verdictUnsent means that nothing reached the upstream.
+	verdictUnsent
+	// verdictFailed means that the upstream failed, or may have run, the request.
+	verdictFailed
+)
+
+// repeatable reports whether the request may run again.
+func (exchange *exchange) repeatable() bool {
+	return exchange.route.Kind == table.RouteIdempotent || (exchange.route.Kind == table.RouteStream && exchange.route.Resumable)
+}
+
+func (exchange *exchange) left() time.Duration { return time.Until(exchange.deadline) }
+
+// run places the request until it has a final answer.
+func (exchange *exchange) run() {
+	budget := exchange.relay.budget(exchange.service.Name)
+	budget.Request(exchange.arrived)
+	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.deadline)
+	defer cancel()
+	for range maxPlacements {
+		if exchange.sends > 0 && !budget.Repeat(time.Now()) {
+			exchange.logger.Info("not sent again", "Request", exchange.call.RequestID, "Cause", "retry budget is used up")
+			break
+		}
+		ticket := exchange.place(ctx)
+		if ticket == nil {
+			break
+		}
+		switch exchange.attempt(ctx, ticket) {
+		case verdictDone:
+			return
+		case verdictNotRun:
+			exchange.sends++
+		case verdictUnsent:
+		case verdictFailed:
+			exchange.sends++
+			exchange.runs++
+			if !exchange.repeatable() || exchange.runs >= exchange.route.MaxAttempts || exchange.left() < least {
+				exchange.fail(ctx)
+				return
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	exchange.fail(ctx)
+}
+
+// place waits for an upstream that takes the request. It returns nil if there is none.
+func (exchange *exchange) place(ctx context.Context) *board.Ticket {
+	goal := exchange.route.LatencyGoal
+	giveUp := time.Now().Add(time.Duration(waitShare * float64(goal)))
+	for {
+		now := time.Now()
+		ticket := exchange.relay.config.Board.Place(board.Request{
+			Service: exchange.service.Name, Zone: exchange.relay.config.Zone, Prompt: exchange.call.Prompt,
+			Goal: goal - now.Sub(exchange.arrived), Left: exchange.deadline.Sub(now), Tried: exchange.tried,
+		}, now)
+		if ticket != nil {
+			exchange.logger.Info("placed", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream,
+				"Route", exchange.route.Name, "Version", exchange.table.Version(), "Expected", ticket.Expected,
+				"Uncached", ticket.Uncached, "Candidates", ticket.Candidates, "Cold", ticket.Cold, "Attempt", exchange.sends+1)
+			return ticket
+		}
+		if now.After(giveUp) {
+			return nil
+		}
+		timer := time.NewTimer(placeWait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
+// attempt sends the request to one upstream and passes its answer on.
+func (exchange *exchange) attempt(ctx context.Context, ticket *board.Ticket) verdict {
+	exchange.tried = append(exchange.tried, ticket.Entry.Upstream)
+	sendCtx, cancel := exchange.patience(ctx, ticket)
+	defer cancel()
+	pool := exchange.relay.pool(ticket.Entry, exchange.service)
+	answer, err := pool.Do(sendCtx, exchange.outgoing(ticket))
+	if err != nil {
+		return exchange.unanswered(ctx, ticket, pool, err)
+	}
+	defer answer.Close()
+	meaning := platform.DecodeAnswer(answer.Response.StatusCode, answer.Response.Header)
+	switch {
+	case meaning.NotRun:
+		ticket.End(board.ResultDeclined, time.Now())
+		exchange.logger.Info("declined", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream,
+			"Status", answer.Response.StatusCode, "Misdirected", meaning.Misdirected)
+		if meaning.Misdirected {
+			pool.CloseIdle()
+		}
+		return verdictNotRun
+	case !meaning.Sealed, answer.Response.Header.Get("Content-Encoding") != "":
+		ticket.End(board.ResultFailed, time.Now())
+		exchange.logger.Warn("answer is not the upstream's", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream)
+		return verdictFailed
+	case exchange.route.Kind == table.RouteStream && answer.Response.StatusCode == http.StatusOK:
+		return exchange.pass(ctx, ticket, answer)
+	default:
+		return exchange.whole(ctx, ticket, answer)
+	}
+}
+
+// patience bounds the wait for the first byte where the request may go to another upstream after it.
+func (exchange *exchange) patience(ctx context.Context, ticket *board.Ticket) (context.Context, context.CancelFunc) {
+	if exchange.route.Kind != table.RouteIdempotent || exchange.runs+1 >= exchange.route.MaxAttempts {
+		return context.WithCancel(ctx)
+	}
+	wait := max(hedgeFactor*ticket.Expected+hedgeSlack, exchange.left()/overdueShare)
+	return context.WithTimeout(ctx, wait)
+}
+
+func (exchange *exchange) outgoing(ticket *board.Ticket) link.Request {
+	maxIdle := link.DefaultIdle
+	if !exchange.repeatable() {
+		maxIdle = link.OnceIdle
+	}
+	lastEvent := exchange.stream.last
+	return link.Request{
+		Method: exchange.request.Method, Target: exchange.request.RequestURI, Host: exchange.request.Host,
+		Header: platform.ForwardHeader(exchange.request.Header, platform.Forward{
+			Upstream: ticket.Entry.Upstream, Organisation: exchange.organisation, Keyed: exchange.table.Keyed(),
+			Left: exchange.left(), LastEvent: lastEvent,
+		}),
+		Body: exchange.body, MaxIdle: maxIdle,
+		Mine: func(response *http.Response) bool {
+			meaning := platform.DecodeAnswer(response.StatusCode, response.Header)
+			return meaning.RequestID == exchange.call.RequestID || (meaning.RequestID == "" && meaning.NotRun)
+		},
+	}
+}
+
+// unanswered handles an attempt without the header of an answer.
+func (exchange *exchange) unanswered(ctx context.Context, ticket *board.Ticket, pool *link.Pool, err error) verdict {
+	now := time.Now()
+	result := board.ResultFailed
+	switch {
+	case exchange.request.Context().Err() != nil:
+		result = board.ResultAbandoned
+	case errors.Is(err, link.ErrBusy), errors.Is(err, link.ErrRetired):
+		result = board.ResultDeclined
+	case !link.Sent(err) && ctx.Err() == nil:
+		result = board.ResultUnreachable
+	}
+	ticket.End(result, now)
+	var broken *link.BrokenError
+	if errors.As(err, &broken) {
+		// Connections of the same age have probably ended too.
+		pool.CloseIdle()
+	}
+	exchange.logger.Info("attempt failed", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream,
+		"Result", result, "Took", now.Sub(exchange.arrived), "Error", err)
+	if !link.Sent(err) {
+		return verdictUnsent
+	}
+	return verdictFailed
+}
+
+// fail gives the caller the final answer of a request that no upstream served.
+func (exchange *exchange) fail(ctx context.Context) {
+	switch {
+	case exchange.request.Context().Err() != nil:
+		exchange.ended("Abandoned", "caller left")
+	case exchange.stream.started:
+		exchange.abort("stream broke off")
+	case exchange.fallback != nil:
+		exchange.write(exchange.fallback.status, exchange.fallback.header, exchange.fallback.body)
+		exchange.ended("Failed", fmt.Sprintf("upstream answered %d", exchange.fallback.status))
+	case exchange.runs == 0 && ctx.Err() == nil:
+		exchange.refuse(clementinewind.ReasonNoCapacity, busyRetry, "no upstream took the request")
+	case exchange.runs == 0:
+		exchange.refuse(clementinewind.ReasonDeadline, 0, "no upstream took the request before the deadline")
+	case ctx.Err() != nil:
+		exchange.reject(http.StatusGatewayTimeout, clementinewind.ReasonDeadline, 0, "no answer before the deadline")
+	default:
+		exchange.reject(http.StatusBadGateway, clementinewind.ReasonUpstreamFailed, 0, "upstream failed")
+	}
+}
--- /dev/null
+++ b/internal/route/relay/relay.go
@@ -0,0 +1,207 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/route/link"
+	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/platform"
+)
+
+const (
+	// defaultPatience bounds requests of callers that do not tell how long they wait, on routes without a time-out.
+	defaultPatience = 30 * time.Second
+	// defaultBodyBytes bounds bodies while the configuration sets no limit.
+	defaultBodyBytes = 4 << 20
+	// startRetry is when to return to a router that knows no configuration yet.
+	startRetry = 200 * time.Millisecond
+	// connectionShare is the part of an upstream's connections that all routers together use. The rest is for health checks
+	// and for connections that the upstream still counts after they were closed.
+	connectionShare = 0.8
+	// fewestConnections is the share of a router in a large fleet.
+	fewestConnections = 4
+)
+
+// Config configures a Relay.
+type Config struct {
+	Zone  clementinewind.Zone
+	Board *board.Board
+	// Table returns the configuration in force, or nil before the first one.
+	Table func() *table.Table
+	// Routers returns the size of the fleet.
+	Routers func() int
+	// Closing reports whether callers should open their next connection elsewhere, Refusing whether requests are refused.
+	Closing  func() bool
+	Refusing func() bool
+	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	// Budget returns the bound of repeated requests for all routers together.
+	Budget func() budget.Config
+	Meter  Meter
+	Logger hclog.Logger
+}
+
+// Meter counts what the relay does.
+type Meter interface {
+	// Ended counts a request by its kind of end.
+	Ended(service table.Service, outcome string, took time.Duration)
+	// FirstEvent tells how long an upstream took to the first event, and how long was expected.
+	FirstEvent(service table.Service, took, expected time.Duration)
+	// Connected counts a new connection to an upstream.
+	Connected(service table.Service)
+}
+
+// Relay is an http.Handler for the requests of callers.
+type Relay struct {
+	config Config
+
+	mutex   sync.Mutex
+	pools   map[clementinewind.Upstream]*link.Pool
+	budgets map[table.Service]*budget.Budget
+}
+
+// New returns a relay.
+func New(config Config) *Relay {
+	return &Relay{config: config, pools: map[clementinewind.Upstream]*link.Pool{}, budgets: map[table.Service]*budget.Budget{}}
+}
+
+// Retire closes the connections to an upstream that is gone.
+func (relay *Relay) Retire(upstream clementinewind.Upstream) {
+	relay.mutex.Lock()
+	pool, ok := relay.pools[upstream]
+	delete(relay.pools, upstream)
+	relay.mutex.Unlock()
+	if ok {
+		pool.Retire()
+	}
+}
+
+func (relay *Relay) pool(entry table.Entry, settings table.ServiceSettings) *link.Pool {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	connections := max(int(connectionShare*float64(settings.MaxConnections))/max(relay.config.Routers(), 1), fewestConnections)
+	if pool, ok := relay.pools[entry.Upstream]; ok {
+		pool.SetConnections(connections)
+		return pool
+	}
+	pool := link.New(link.Config{
+		Address: entry.Address, Dial: relay.config.Dial, Connections: connections,
+		Opened: func() { relay.config.Meter.Connected(entry.Service) },
+	})
+	relay.pools[entry.Upstream] = pool
+	return pool
+}
+
+// budget returns the part of this router in the bound of a service. It counts routers that fell silent too, so that parts
+// of a fleet that cannot reach each other do not exceed the bound together.
+func (relay *Relay) budget(service table.Service) *budget.Budget {
+	config := relay.config.Budget()
+	config.Extra /= float64(max(relay.config.Routers(), 1))
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	known, ok := relay.budgets[service]
+	if !ok {
+		known = budget.New(config)
+		relay.budgets[service] = known
+	}
+	known.SetConfig(config)
+	return known
+}
+
+// ServeHTTP implements http.Handler.
+func (relay *Relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	exchange := &exchange{relay: relay, writer: writer, request: request, arrived: time.Now(), logger: relay.config.Logger}
+	if relay.config.Closing() {
+		writer.Header().Set("Connection", "close")
+	}
+	if !exchange.admit() || !exchange.read() {
+		return
+	}
+	exchange.run()
+}
+
+// admit selects the route and checks the caller. It answers the request itself if it is not allowed.
+func (exchange *exchange) admit() bool {
+	call, err := platform.DecodeCall(exchange.request.Header)
+	exchange.call = call
+	if err != nil {
+		return exchange.deny(http.StatusBadRequest, clementinewind.ReasonInvalid, err.Error())
+	}
+	current := exchange.relay.config.Table()
+	if current == nil {
+		return exchange.refuse(clementinewind.ReasonStale, startRetry, "no configuration yet")
+	}
+	exchange.table = current
+	if !strings.HasPrefix(exchange.request.RequestURI, "/") {
+		return exchange.deny(http.StatusBadRequest, clementinewind.ReasonInvalid, "the target is not a path")
+	}
+	path, _, _ := strings.Cut(exchange.request.RequestURI, "?")
+	route, ok := current.Match(exchange.request.Host, path)
+	if !ok {
+		return exchange.deny(http.StatusNotFound, clementinewind.ReasonInvalid, "no route")
+	}
+	exchange.route = route
+	if current.Keyed() {
+		organisation, known := current.Organisation(call.Key)
+		if !known && !route.Anonymous {
+			return exchange.deny(http.StatusUnauthorized, clementinewind.ReasonUnauthorized, "unknown key")
+		}
+		exchange.organisation = organisation
+	}
+	// The choice needs no secrecy.
+	service, ok := route.Choose(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if !ok {
+		return exchange.refuse(clementinewind.ReasonNoCapacity, startRetry, "the route has no service")
+	}
+	exchange.service = current.Service(service)
+	exchange.setDeadline()
+	if exchange.relay.config.Refusing() {
+		return exchange.refuse(clementinewind.ReasonShutdown, 0, "router stops")
+	}
+	return true
+}
+
+func (exchange *exchange) setDeadline() {
+	patience := exchange.call.Patience
+	if timeout := exchange.route.Timeout; timeout > 0 && (patience == 0 || timeout < patience) {
+		patience = timeout
+	}
+	if patience == 0 {
+		patience = defaultPatience
+	}
+	exchange.deadline = exchange.arrived.Add(patience)
+}
+
+// read reads the body of the request.
+func (exchange *exchange) read() bool {
+	limit := exchange.table.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.request.Body, limit))
+	if err == nil {
+		exchange.body = body
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return exchange.deny(http.StatusRequestEntityTooLarge, clementinewind.ReasonInvalid, "body too large")
+	}
+	if exchange.request.Context().Err() != nil {
+		exchange.ended("Abandoned", "caller left while it sent the body")
+		return false
+	}
+	return exchange.deny(http.StatusBadRequest, clementinewind.ReasonInvalid, err.Error())
+}
--- /dev/null
+++ b/internal/store/feed/follower.go
@@ -0,0 +1,150 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+const (
+	// retryDelay is the pause after a failed read. At the largest fleet the reads of all routers stay below the rate
+	// limit of the store.
+	retryDelay = 250 * time.Millisecond
+	// maxRetryDelay bounds the pauses, so that the end of an outage is seen within the time for a new configuration.
+	maxRetryDelay = 600 * time.Millisecond
+)
+
+// errNudged ends a read for which a better source is known.
+var errNudged = errors.New("a newer record is known elsewhere")
+
+// FollowerConfig configures a Follower.
+type FollowerConfig struct {
+	Topic  string
+	Mirror *Mirror
+	// Source returns where to read next. It is asked before each read, so that a source that is gone is replaced.
+	Source func() Source
+	// Interval is the pause between reads; Wait is how long one read waits for new records.
+	Interval time.Duration
+	Wait     time.Duration
+	// Apply gets the changes of each read, and the time of the last failed read.
+	Apply func(records []Record, lastFailure time.Time)
+	// Reached is told whether the last read succeeded; nil is not called.
+	Reached func(err error)
+	Logger  hclog.Logger
+}
+
+// Follower keeps a mirror up to date.
+type Follower struct {
+	config  FollowerConfig
+	nudge   chan struct{}
+	failed  time.Time
+	healthy bool
+}
+
+// NewFollower returns a follower that has not read anything.
+func NewFollower(config FollowerConfig) *Follower {
+	return &Follower{config: config, nudge: make(chan struct{}, 1), healthy: true}
+}
+
+// Nudge ends the current pause or read, because newer records are known to exist elsewhere.
+func (follower *Follower) Nudge() {
+	select {
+	case follower.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Run reads until the context ends.
+func (follower *Follower) Run(ctx context.Context) error {
+	delay := retryDelay
+	for ctx.Err() == nil {
+		pause := follower.config.Interval
+		if err := follower.read(ctx); err != nil && ctx.Err() == nil {
+			follower.fail(err)
+			pause = delay
+			delay = min(delay*2, maxRetryDelay)
+		} else {
+			follower.recover()
+			delay = retryDelay
+		}
+		follower.sleep(ctx, pause)
+	}
+	return ctx.Err()
+}
+
+func (follower *Follower) sleep(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-follower.nudge:
+	}
+}
+
+func (follower *Follower) read(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-done:
+		case <-follower.nudge:
+			cancel(errNudged)
+		}
+	}()
+	err := follower.readFrom(ctx)
+	if errors.Is(context.Cause(ctx), errNudged) {
+		return nil
+	}
+	return err
+}
+
+func (follower *Follower) readFrom(ctx context.Context) error {
+	source := follower.config.Source()
+	from, loaded := follower.config.Mirror.Next()
+	if loaded {
+		batch, err := source.Read(ctx, follower.config.Topic, from, follower.config.Wait)
+		if err == nil {
+			follower.config.Apply(follower.config.Mirror.Extend(batch), follower.failed)
+			return nil
+		}
+		if !errors.Is(err, ErrTruncated) {
+			return err
+		}
+		follower.config.Logger.Info("history dropped, reading all records", "Topic", follower.config.Topic, "From", from)
+	}
+	batch, err := source.Newest(ctx, follower.config.Topic)
+	if err != nil {
+		return err
+	}
+	follower.config.Apply(follower.config.Mirror.Replace(batch), follower.failed)
+	return nil
+}
+
+func (follower *Follower) fail(err error) {
+	follower.failed = time.Now()
+	if follower.healthy {
+		follower.config.Logger.Warn("dependency lost", "Dependency", follower.config.Topic, "Error", err)
+	}
+	follower.healthy = false
+	if follower.config.Reached != nil {
+		follower.config.Reached(err)
+	}
+}
+
+func (follower *Follower) recover() {
+	if !follower.healthy {
+		follower.config.Logger.Info("dependency regained", "Dependency", follower.config.Topic)
+	}
+	follower.healthy = true
+	if follower.config.Reached != nil {
+		follower.config.Reached(nil)
+	}
+}
