Keep large prefixes at two upstreams

Change: a prefix of 1000 tokens or more has two homes by rendezvous; others are used when both homes are 0.8 s behind.

--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -16,9 +16,15 @@
 	runningCost = time.Millisecond
 	// failureCost prices the expected loss when an upstream fails part of its requests, as a share of the goal.
 	failureCost = 4.0
-	// rankCost leads all routers to send a new prefix to the same upstream, up to lastRank.
-	rankCost = 15 * time.Millisecond
-	lastRank = 4
+	// homes is the number of upstreams that a large prefix is kept at. Two are enough to even out the load between them;
+	// with more, the prefixes of all requests do not fit into the memory of the upstreams and drive each other out.
+	homes = 2
+	// largePrefix is the size from which a prefix has homes; smaller ones are read again in a few milliseconds.
+	largePrefix = 1000
+	// rankCost leads all routers to send a new prefix to the same home. strayCost is the wait at the homes from which a
+	// prefix is read elsewhere.
+	rankCost  = 15 * time.Millisecond
+	strayCost = 800 * time.Millisecond
 	// memoryShare is the part of an engine's memory that is filled; beyond it the engine preempts running requests.
 	memoryShare = 0.9
 )
@@ -106,7 +112,13 @@
 
 // extra is the cost that a placement causes to others, or may cause to the request itself.
 func extra(candidate Candidate, request Request) time.Duration {
-	cost := runningCost*time.Duration(candidate.Running) + rankCost*time.Duration(min(candidate.Rank, lastRank))
+	cost := runningCost * time.Duration(candidate.Running)
+	if request.SharedTokens >= largePrefix {
+		cost += rankCost * time.Duration(min(candidate.Rank, homes))
+		if candidate.Rank >= homes {
+			cost += strayCost
+		}
+	}
 	if reread := request.SharedTokens - candidate.CachedTokens; reread > 0 {
 		cost += time.Duration(rereadWeight * float64(reread) * float64(candidate.PerToken))
 	}
