Rank homes among all reachable upstreams

Cause: an upstream that paused for 50 ms left the rendezvous order, which moved prefixes to other upstreams. Change: the order holds all upstreams that are reachable; the wait from which a prefix is read elsewhere is 3 s.

--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -242,6 +242,7 @@
 	sharedTokens := 0
 	if len(shared) > 0 {
 		sharedTokens = shared[len(shared)-1].Tokens
+		board.rankLocked(request.Service, eligible, candidates, shared[len(shared)-1].Hash)
 	}
 	decision := pick.Best(candidates, pick.Request{
 		Zone: request.Zone, Goal: request.Goal, Left: request.Left,
@@ -320,25 +321,28 @@
 		}
 		candidates[i] = candidate
 	}
-	if len(shared) > 0 {
-		rank(eligible, candidates, shared[len(shared)-1].Hash)
-	}
 	return candidates
 }
 
-// rank sets the rendezvous order of the candidates for a prefix.
-func rank(eligible []*upstream, candidates []pick.Candidate, prefix uint32) {
-	order := make([]int, len(eligible))
-	scores := make([]uint64, len(eligible))
-	for i, upstream := range eligible {
+// rankLocked sets the position of each candidate in the rendezvous order of a prefix. Upstreams that get no request just
+// now keep their position, so that a short pause of one does not move the prefixes of all.
+func (board *Board) rankLocked(service table.Service, eligible []*upstream, candidates []pick.Candidate, prefix uint32) {
+	score := func(upstream *upstream) uint64 {
 		var key [8]byte
 		binary.LittleEndian.PutUint32(key[:4], prefix)
 		binary.LittleEndian.PutUint32(key[4:], upstream.hash)
-		order[i], scores[i] = i, xxhash.Sum64(key[:])
+		return xxhash.Sum64(key[:])
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
-	for position, i := range order {
-		candidates[i].Rank = position
+	var scores []uint64
+	for _, upstream := range board.byService[service] {
+		if !upstream.entry.Leaving && !upstream.zoneOut && upstream.unreachable == 0 {
+			scores = append(scores, score(upstream))
+		}
+	}
+	slices.SortFunc(scores, func(a, b uint64) int { return cmp.Compare(b, a) })
+	for i, upstream := range eligible {
+		own := score(upstream)
+		candidates[i].Rank, _ = slices.BinarySearchFunc(scores, own, func(a, b uint64) int { return cmp.Compare(b, a) })
 	}
 }
 
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -24,7 +24,7 @@
 	// rankCost leads all routers to send a new prefix to the same home. strayCost is the wait at the homes from which a
 	// prefix is read elsewhere.
 	rankCost  = 15 * time.Millisecond
-	strayCost = 800 * time.Millisecond
+	strayCost = 3000 * time.Millisecond
 	// memoryShare is the part of an engine's memory that is filled; beyond it the engine preempts running requests.
 	memoryShare = 0.9
 )
