Reject engine requests that cannot start in time

Cause: requests were placed however long the queues at the engines were, so that all became late and many reached their deadline; ErrBusy of the connection share refused others while connections were free. Change: a request whose expected first event is past the goal waits an eighth of the goal and is then rejected with the time to return; the share of connections follows what the other routers use; long prompts count their attention time.

--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -228,12 +228,15 @@
 	// Goal is the time to the first event that is left, Left the time to the deadline.
 	Goal time.Duration
 	Left time.Duration
+	// Patience is the longest expected time to the first event with which the request is placed.
+	Patience time.Duration
 	// Tried are upstreams that already had the request.
 	Tried []clementinewind.Upstream
 }
 
-// Place chooses an upstream and counts the request there. It returns nil if no upstream takes the request.
-func (board *Board) Place(request Request, now time.Time) *Ticket {
+// Place chooses an upstream and counts the request there. It returns nil if no upstream takes the request, with the time
+// after which one is expected to, or 0 if that is not known.
+func (board *Board) Place(request Request, now time.Time) (*Ticket, time.Duration) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	shared := request.Prompt.Shared()
@@ -249,23 +252,27 @@
 		InputTokens: request.Prompt.InputTokens, SharedTokens: sharedTokens, OutputTokens: request.Prompt.OutputTokens,
 	})
 	if decision.Index < 0 {
-		return nil
+		return nil, 0
+	}
+	if late := decision.Expected - request.Patience; len(shared) > 0 && late > 0 {
+		return nil, late
 	}
 	chosen := eligible[decision.Index]
 	ticket := &Ticket{
 		Entry: chosen.entry, Expected: decision.Expected, Uncached: decision.UncachedTokens, Candidates: len(eligible),
+		Elsewhere: chosen.remote.Running,
 		board: board, upstream: chosen, placed: now,
-		ahead:    candidates[decision.Index].QueuedTokens + decision.UncachedTokens,
+		queued: decision.EffectiveTokens, ahead: candidates[decision.Index].QueuedTokens + decision.EffectiveTokens,
 		resident: decision.UncachedTokens + request.Prompt.OutputTokens,
 	}
 	board.startLocked(ticket, shared, now)
-	return ticket
+	return ticket, 0
 }
 
 func (board *Board) startLocked(ticket *Ticket, shared []prompt.Prefix, now time.Time) {
 	chosen := ticket.upstream
 	chosen.running++
-	chosen.queued += ticket.Uncached
+	chosen.queued += ticket.queued
 	chosen.resident += ticket.resident
 	chosen.unanswered[ticket] = struct{}{}
 	if chosen.cold(now) {
--- a/internal/load/board/ticket.go
+++ b/internal/load/board/ticket.go
@@ -37,13 +37,16 @@
 	Uncached int
 	// Candidates is the number of upstreams that the choice was made from.
 	Candidates int
+	// Elsewhere is the number of requests that other routers have at the upstream.
+	Elsewhere int
 	// Cold is set if the upstream was cold.
 	Cold bool
 
 	board    *Board
 	upstream *upstream
 	placed   time.Time
-	// ahead counts the prompt tokens to be read until the first event.
+	// queued counts the prompt tokens of the request itself, ahead all that are read until its first event.
+	queued   int
 	ahead    int
 	resident int
 	first    bool
@@ -61,7 +64,7 @@
 func (ticket *Ticket) firstLocked() {
 	if !ticket.first {
 		ticket.first = true
-		ticket.upstream.queued -= ticket.Uncached
+		ticket.upstream.queued -= ticket.queued
 		delete(ticket.upstream.unanswered, ticket)
 	}
 }
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -68,14 +68,26 @@
 	OutputTokens int
 }
 
+// pairTokens is the reading time of a million pairs of tokens, in tokens: attention makes long prompts slower than their
+// length alone.
+const pairTokens = 20
+
+// Work returns the prompt tokens that a candidate has to read, and the same with the extra time of long prompts.
+func Work(candidate Candidate, request Request) (uncached, effective int) {
+	uncached = max(request.InputTokens-candidate.CachedTokens, 0)
+	pairs := float64(uncached) * (float64(candidate.CachedTokens) + float64(uncached)/2)
+	return uncached, uncached + int(pairs/1e6*pairTokens)
+}
+
 // Decision is where a request goes.
 type Decision struct {
 	// Index is the chosen candidate, or -1 if there is none.
 	Index int
 	// Expected is the expected time to the first event.
 	Expected time.Duration
-	// UncachedTokens are those that the chosen upstream has to read.
-	UncachedTokens int
+	// UncachedTokens are those that the chosen upstream has to read; EffectiveTokens include the extra time of a long prompt.
+	UncachedTokens  int
+	EffectiveTokens int
 }
 
 // Best returns the candidate with the least cost. The load it answers: many prompts with shared parts, where the upstream
@@ -84,20 +96,21 @@
 	best := Decision{Index: -1}
 	var bestCost time.Duration
 	for index, candidate := range candidates {
-		expected, uncached := Expect(candidate, request)
+		uncached, effective := Work(candidate, request)
+		expected := Expect(candidate, request)
 		cost := expected + extra(candidate, request)
 		if best.Index < 0 || cost < bestCost {
-			best = Decision{Index: index, Expected: expected, UncachedTokens: uncached}
+			best = Decision{Index: index, Expected: expected, UncachedTokens: uncached, EffectiveTokens: effective}
 			bestCost = cost
 		}
 	}
 	return best
 }
 
-// Expect returns the expected time to the first event at a candidate, and the prompt tokens that it has to read.
-func Expect(candidate Candidate, request Request) (time.Duration, int) {
-	uncached := max(request.InputTokens-candidate.CachedTokens, 0)
-	expected := candidate.Base + time.Duration(candidate.QueuedTokens+uncached)*candidate.PerToken + candidate.Overdue
+// Expect returns the expected time to the first event at a candidate.
+func Expect(candidate Candidate, request Request) time.Duration {
+	uncached, effective := Work(candidate, request)
+	expected := candidate.Base + time.Duration(candidate.QueuedTokens+effective)*candidate.PerToken + candidate.Overdue
 	if ahead := candidate.Running + 1 - candidate.Slots; candidate.Slots > 0 && ahead > 0 {
 		expected += candidate.Service * time.Duration(ahead) / time.Duration(candidate.Slots)
 	}
@@ -107,7 +120,7 @@
 			expected += candidate.Service * time.Duration(over) / time.Duration(memory)
 		}
 	}
-	return expected, uncached
+	return expected
 }
 
 // extra is the cost that a placement causes to others, or may cause to the request itself.
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -59,6 +59,8 @@
 	sends int
 	fallback *fallback
 	stream   stream
+	// late is by how much the upstreams are behind for this request.
+	late time.Duration
 }
 
 // fallback is a failure of an upstream that the caller gets if no other upstream serves the request.
@@ -131,10 +133,12 @@
 	giveUp := time.Now().Add(time.Duration(waitShare * float64(goal)))
 	for {
 		now := time.Now()
-		ticket := exchange.relay.config.Board.Place(board.Request{
+		ticket, late := exchange.relay.config.Board.Place(board.Request{
 			Service: exchange.service.Name, Zone: exchange.relay.config.Zone, Prompt: exchange.call.Prompt,
 			Goal: goal - now.Sub(exchange.arrived), Left: exchange.deadline.Sub(now), Tried: exchange.tried,
+			Patience: goal,
 		}, now)
+		exchange.late = late
 		if ticket != nil {
 			exchange.logger.Info("placed", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream,
 				"Route", exchange.route.Name, "Version", exchange.table.Version(), "Expected", ticket.Expected,
@@ -159,7 +163,7 @@
 	exchange.tried = append(exchange.tried, ticket.Entry.Upstream)
 	sendCtx, cancel := exchange.patience(ctx, ticket)
 	defer cancel()
-	pool := exchange.relay.pool(ticket.Entry, exchange.service)
+	pool := exchange.relay.pool(ticket.Entry, exchange.service, ticket.Elsewhere)
 	answer, err := pool.Do(sendCtx, exchange.outgoing(ticket))
 	if err != nil {
 		return exchange.unanswered(ctx, ticket, pool, err)
@@ -252,7 +256,7 @@
 		exchange.write(exchange.fallback.status, exchange.fallback.header, exchange.fallback.body)
 		exchange.ended("Failed", fmt.Sprintf("upstream answered %d", exchange.fallback.status))
 	case exchange.runs == 0 && ctx.Err() == nil:
-		exchange.refuse(clementinewind.ReasonNoCapacity, busyRetry, "no upstream took the request")
+		exchange.refuse(clementinewind.ReasonNoCapacity, max(busyRetry, exchange.late), "no upstream took the request")
 	case exchange.runs == 0:
 		exchange.refuse(clementinewind.ReasonDeadline, 0, "no upstream took the request before the deadline")
 	case ctx.Err() != nil:
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -31,8 +31,8 @@
 	// connectionShare is the part of an upstream's connections that all routers together use. The rest is for health checks
 	// and for connections that the upstream still counts after they were closed.
 	connectionShare = 0.8
-	// fewestConnections is the share of a router in a large fleet.
-	fewestConnections = 4
+	// fewestConnections are allowed to each router, whatever the others use.
+	fewestConnections = 8
 )
 
 // Config configures a Relay.
@@ -88,10 +88,11 @@
 	}
 }
 
-func (relay *Relay) pool(entry table.Entry, settings table.ServiceSettings) *link.Pool {
+// pool returns the connections to an upstream, of which others are in use by other routers.
+func (relay *Relay) pool(entry table.Entry, settings table.ServiceSettings, others int) *link.Pool {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
-	connections := max(int(connectionShare*float64(settings.MaxConnections))/max(relay.config.Routers(), 1), fewestConnections)
+	connections := max(int(connectionShare*float64(settings.MaxConnections))-others, fewestConnections)
 	if pool, ok := relay.pools[entry.Upstream]; ok {
 		pool.SetConnections(connections)
 		return pool
