Forget estimates without new samples

Cause: a time learned while an upstream was slow made every request look too late; nothing was sent there any more and the estimate stayed. Change: estimates return to those of the service, and these to the defaults, with half-lives of 2 s and 10 s.

--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -60,6 +60,7 @@
 	byHash     map[uint32]*upstream
 	byService  map[table.Service][]*upstream
 	settings   map[table.Service]table.ServiceSettings
+	paces      map[table.Service]*paces
 	zonesOut   map[clementinewind.Zone]bool
 	peers      map[clementinewind.Instance]peer
 	placements []Placement
@@ -78,6 +79,7 @@
 		byHash:    map[uint32]*upstream{},
 		byService: map[table.Service][]*upstream{},
 		settings:  map[table.Service]table.ServiceSettings{},
+		paces:     map[table.Service]*paces{},
 		zonesOut:  map[clementinewind.Zone]bool{},
 		peers:     map[clementinewind.Instance]peer{},
 	}
@@ -241,7 +243,7 @@
 	defer board.mutex.Unlock()
 	shared := request.Prompt.Shared()
 	eligible := board.eligibleLocked(request, now)
-	candidates := candidatesOf(eligible, shared, board.settings[request.Service], now)
+	candidates := candidatesOf(eligible, shared, board.settings[request.Service], board.pacesLocked(request.Service), now)
 	sharedTokens := 0
 	if len(shared) > 0 {
 		sharedTokens = shared[len(shared)-1].Tokens
@@ -261,7 +263,7 @@
 	ticket := &Ticket{
 		Entry: chosen.entry, Expected: decision.Expected, Uncached: decision.UncachedTokens, Candidates: len(eligible),
 		Elsewhere: chosen.remote.Running,
-		board: board, upstream: chosen, placed: now,
+		board:     board, upstream: chosen, placed: now,
 		queued: decision.EffectiveTokens, ahead: candidates[decision.Index].QueuedTokens + decision.EffectiveTokens,
 		resident: decision.UncachedTokens + request.Prompt.OutputTokens,
 	}
@@ -288,6 +290,17 @@
 	}
 }
 
+// pacesLocked returns the estimates of a service.
+func (board *Board) pacesLocked(service table.Service) *paces {
+	known, ok := board.paces[service]
+	if !ok {
+		known = &paces{}
+		board.paces[service] = known
+	}
+	known.engine = board.settings[service].Engine != nil
+	return known
+}
+
 // eligibleLocked returns the upstreams that may get a request now.
 func (board *Board) eligibleLocked(request Request, now time.Time) []*upstream {
 	var eligible []*upstream
@@ -306,7 +319,8 @@
 	return eligible
 }
 
-func candidatesOf(eligible []*upstream, shared []prompt.Prefix, settings table.ServiceSettings, now time.Time) []pick.Candidate {
+func candidatesOf(eligible []*upstream, shared []prompt.Prefix, settings table.ServiceSettings, paces *paces, now time.Time) []pick.Candidate {
+	base, token, service := paces.base(now), paces.token(now), paces.service(now)
 	candidates := make([]pick.Candidate, len(eligible))
 	for i, upstream := range eligible {
 		candidate := pick.Candidate{
@@ -314,8 +328,10 @@
 			Running:        upstream.running + upstream.remote.Running,
 			QueuedTokens:   upstream.queued + upstream.remote.QueuedTokens,
 			ResidentTokens: upstream.resident + upstream.remote.ResidentTokens,
-			PerToken:       upstream.perToken, Base: upstream.base, Service: upstream.service,
-			FailureRate: upstream.failureRate(now), Overdue: upstream.overdue(now),
+			PerToken:       upstream.pace.token.read(token, upstreamHalfLife, now),
+			Base:           upstream.pace.base.read(base, upstreamHalfLife, now),
+			Service:        upstream.pace.service.read(service, upstreamHalfLife, now),
+			FailureRate:    upstream.failureRate(now), Overdue: upstream.overdue(now),
 		}
 		if settings.Engine != nil {
 			candidate.MemoryTokens = settings.Engine.MemoryTokens
--- a/internal/load/board/ticket.go
+++ b/internal/load/board/ticket.go
@@ -58,7 +58,7 @@
 	ticket.board.mutex.Lock()
 	defer ticket.board.mutex.Unlock()
 	ticket.firstLocked()
-	ticket.upstream.learn(ticket, now.Sub(ticket.placed))
+	ticket.upstream.learn(ticket.board.pacesLocked(ticket.Entry.Service), ticket, now.Sub(ticket.placed), now)
 }
 
 func (ticket *Ticket) firstLocked() {
@@ -85,7 +85,10 @@
 	case ResultServed:
 		upstream.result(false, now)
 		upstream.unreachable = 0
-		upstream.service = average(upstream.service, now.Sub(ticket.placed), upstream.service)
+		service := ticket.board.pacesLocked(ticket.Entry.Service)
+		held, standard := now.Sub(ticket.placed), service.service(now)
+		upstream.pace.service = upstream.pace.service.with(held, standard, upstreamHalfLife, sampleWeight, now)
+		service.pace.service = service.pace.service.with(held, standard, serviceHalfLife, serviceWeight, now)
 	case ResultFailed:
 		upstream.result(true, now)
 	case ResultDeclined:
--- a/internal/load/board/upstream.go
+++ b/internal/load/board/upstream.go
@@ -13,17 +13,15 @@
 	// defaultPerToken and defaultBase are the estimates for engines before the first answers.
 	defaultPerToken = 22 * time.Microsecond
 	defaultBase     = 100 * time.Millisecond
-	// defaultAnswer is the estimate of a plain service's answer time before the first answers.
-	defaultAnswer = 35 * time.Millisecond
+	// defaultAnswer is the estimate of a plain service's answer time before the first answers, defaultService how long a
+	// request holds a slot of an engine.
+	defaultAnswer  = 35 * time.Millisecond
+	defaultService = time.Second
 	// tokenSample is the smallest number of tokens from which the time for a token is measured; below it the base time
 	// hides the difference.
 	tokenSample = 4000
 	// baseSample is the largest number of tokens from which the base time is measured.
 	baseSample = 2000
-	// estimateWeight is the weight of a new sample in an average.
-	estimateWeight = 0.2
-	// estimateRange bounds an estimate to this factor around the default.
-	estimateRange = 20
 	// failureWeight is the weight of one result in the failure rate; failureHalfLife is how fast it is forgotten.
 	failureWeight   = 0.15
 	failureHalfLife = 2 * time.Second
@@ -58,9 +56,7 @@
 	remote Work
 
 	prefixes *cache.Prefixes
-	perToken time.Duration
-	base     time.Duration
-	service  time.Duration
+	pace     pace
 
 	failure   float64
 	failureAt time.Time
@@ -82,11 +78,10 @@
 
 // reset forgets what an earlier incarnation showed.
 func (upstream *upstream) reset(settings table.ServiceSettings) {
-	upstream.base, upstream.perToken, upstream.service = defaultAnswer, 0, defaultAnswer
+	upstream.pace = pace{}
 	memory := 0
 	if settings.Engine != nil {
 		memory = settings.Engine.MemoryTokens
-		upstream.base, upstream.perToken, upstream.service = defaultBase, defaultPerToken, time.Second
 	}
 	upstream.prefixes = cache.New(int(cacheShare * float64(memory)))
 	upstream.failure = 0
@@ -158,22 +153,20 @@
 	return overdue
 }
 
-// learn adjusts the estimates to the time of a first event.
-func (upstream *upstream) learn(ticket *Ticket, took time.Duration) {
+// learn adjusts the estimates of the upstream and its service to the time of a first event.
+func (upstream *upstream) learn(service *paces, ticket *Ticket, took time.Duration, now time.Time) {
+	base, token := service.base(now), service.token(now)
 	switch tokens := ticket.ahead; {
-	case upstream.perToken == 0:
-		upstream.base = average(upstream.base, took, defaultAnswer)
-	case tokens < baseSample:
-		upstream.base = average(upstream.base, took-time.Duration(tokens)*upstream.perToken, defaultBase)
+	case !service.engine || tokens < baseSample:
+		sample := took - time.Duration(tokens)*token
+		upstream.pace.base = upstream.pace.base.with(sample, base, upstreamHalfLife, sampleWeight, now)
+		service.pace.base = service.pace.base.with(sample, base, serviceHalfLife, serviceWeight, now)
 	case tokens >= tokenSample:
-		upstream.perToken = average(upstream.perToken, (took-upstream.base)/time.Duration(tokens), defaultPerToken)
+		sample := (took - base) / time.Duration(tokens)
+		upstream.pace.token = upstream.pace.token.with(sample, token, upstreamHalfLife, sampleWeight, now)
+		service.pace.token = service.pace.token.with(sample, token, serviceHalfLife, serviceWeight, now)
 	}
 }
 
-func average(current, sample, standard time.Duration) time.Duration {
-	mixed := time.Duration((1-estimateWeight)*float64(current) + estimateWeight*float64(sample))
-	return min(max(mixed, standard/estimateRange), standard*estimateRange)
-}
-
 // Hash returns the number that stands for an upstream in datagrams.
 func Hash(name clementinewind.Upstream) uint32 { return hash32(string(name)) }
--- a/internal/route/link/error.go
+++ b/internal/route/link/error.go
@@ -32,7 +32,9 @@
 }
 
 // Error names the cause.
-func (broken *BrokenError) Error() string { return fmt.Sprintf("connection to upstream broke: %v", broken.Cause) }
+func (broken *BrokenError) Error() string {
+	return fmt.Sprintf("connection to upstream broke: %v", broken.Cause)
+}
 
 // Unwrap returns the cause.
 func (broken *BrokenError) Unwrap() error { return broken.Cause }
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -56,7 +56,7 @@
 	tried []clementinewind.Upstream
 	runs  int
 	// sends counts the requests that reached an upstream or may have.
-	sends int
+	sends    int
 	fallback *fallback
 	stream   stream
 	// late is by how much the upstreams are behind for this request.
