Let a read finish after a nudge

Change: the read after a nudge does not wait and takes no further nudge. TestNudgesDoNotStarveReads fails without it.

--- a/internal/store/feed/follower.go
+++ b/internal/store/feed/follower.go
@@ -41,6 +41,9 @@
 	nudge   chan struct{}
 	failed  time.Time
 	healthy bool
+	// nudged is set for the read after a nudge. It does not wait for records and takes no further nudge, because nudges
+	// that come faster than a read takes would otherwise keep it from ever ending.
+	nudged bool
 }
 
 // NewFollower returns a follower that has not read anything.
@@ -75,7 +78,7 @@
 }
 
 func (follower *Follower) sleep(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
+	if pause <= 0 || follower.nudged {
 		return
 	}
 	timer := time.NewTimer(pause)
@@ -84,10 +87,16 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-follower.nudge:
+		follower.nudged = true
 	}
 }
 
 func (follower *Follower) read(ctx context.Context) error {
+	wait := follower.config.Wait
+	if follower.nudged {
+		follower.nudged = false
+		return follower.readFrom(ctx, 0)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	done := make(chan struct{})
@@ -99,18 +108,19 @@
 			cancel(errNudged)
 		}
 	}()
-	err := follower.readFrom(ctx)
+	err := follower.readFrom(ctx, wait)
 	if errors.Is(context.Cause(ctx), errNudged) {
+		follower.nudged = true
 		return nil
 	}
 	return err
 }
 
-func (follower *Follower) readFrom(ctx context.Context) error {
+func (follower *Follower) readFrom(ctx context.Context, wait time.Duration) error {
 	source := follower.config.Source()
 	from, loaded := follower.config.Mirror.Next()
 	if loaded {
-		batch, err := source.Read(ctx, follower.config.Topic, from, follower.config.Wait)
+		batch, err := source.Read(ctx, follower.config.Topic, from, wait)
 		if err == nil {
 			follower.config.Apply(follower.config.Mirror.Extend(batch), follower.failed)
 			return nil
--- /dev/null
+++ b/internal/store/feed/follower_test.go
@@ -0,0 +1,108 @@
+package feed_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind/internal/store/feed"
+)
+
+// source is a topic whose reads take a time.
+type source struct {
+	mutex sync.Mutex
+	batch feed.Batch
+	took  time.Duration
+	reads int
+	fail  error
+}
+
+func (source *source) set(batch feed.Batch) {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	source.batch = batch
+}
+
+func (source *source) Newest(ctx context.Context, topic string) (feed.Batch, error) {
+	return source.Read(ctx, topic, 0, 0)
+}
+
+func (source *source) Read(ctx context.Context, _ string, _ int64, wait time.Duration) (feed.Batch, error) {
+	source.reads++
+	if source.fail != nil {
+		return feed.Batch{}, source.fail
+	}
+	select {
+	case <-ctx.Done():
+		return feed.Batch{}, ctx.Err()
+	case <-time.After(source.took + wait):
+		source.mutex.Lock()
+		defer source.mutex.Unlock()
+		return source.batch, nil
+	}
+}
+
+func follow(mirror *feed.Mirror, source *source, interval, wait time.Duration) *feed.Follower {
+	return feed.NewFollower(feed.FollowerConfig{
+		Topic: "topic", Mirror: mirror, Source: func() feed.Source { return source }, Interval: interval, Wait: wait,
+		Apply: func([]feed.Record, time.Time) {}, Logger: hclog.NewNullLogger(),
+	})
+}
+
+// Guards against beats of many routers that arrive faster than a read of the store ends and cancel each of them, so that a
+// change is not seen for seconds.
+func TestNudgesDoNotStarveReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mirror := feed.NewMirror(feed.MirrorConfig{})
+		follower := follow(mirror, &source{batch: feed.Batch{Next: 1}, took: 20 * time.Millisecond}, 0, time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.Run(ctx) }()
+		for range 20 {
+			follower.Nudge()
+			time.Sleep(5 * time.Millisecond)
+		}
+		next, loaded := mirror.Next()
+		quicktest.Check(t, loaded, quicktest.IsTrue)
+		quicktest.Check(t, next, quicktest.Equals, int64(1))
+		cancel()
+		quicktest.Check(t, <-ended, quicktest.ErrorIs, context.Canceled)
+	})
+}
+
+// Guards against a read that waits for records while another router already has newer ones.
+func TestNudgeEndsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mirror := feed.NewMirror(feed.MirrorConfig{})
+		source := &source{took: time.Millisecond}
+		follower := follow(mirror, source, 0, 10*time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- follower.Run(ctx) }()
+		time.Sleep(time.Second)
+		source.set(feed.Batch{Records: []feed.Record{{Key: "a", Value: []byte("1"), Offset: 3}}, Next: 4})
+		follower.Nudge()
+		time.Sleep(10 * time.Millisecond)
+		quicktest.Check(t, mirror.Last(), quicktest.Equals, int64(3))
+		cancel()
+		quicktest.Check(t, <-ended, quicktest.ErrorIs, context.Canceled)
+	})
+}
+
+// Guards against a store that is asked without pause while it refuses every call.
+func TestFailedReadsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &source{fail: errors.New("refused")}
+		follower := follow(feed.NewMirror(feed.MirrorConfig{}), source, 0, time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		quicktest.Check(t, follower.Run(ctx), quicktest.ErrorIs, context.DeadlineExceeded)
+		quicktest.Check(t, source.reads <= 20, quicktest.IsTrue, quicktest.Commentf("%d reads", source.reads))
+	})
+}
