Bound the wait of organisations above their fair share

Change: routers tell each other about once a second what each organisation asked and got; above the max-min share a request is rejected at a shorter queue.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/relay"
 	"github.com/clementinewind/clementinewind/internal/store/view"
 	"github.com/clementinewind/clementinewind/platform"
@@ -62,6 +63,7 @@
 
 	roster  *roster.Roster
 	board   *board.Board
+	shares  *usage.Shares
 	view    *view.View
 	relay   *relay.Relay
 	store   *platform.Store
@@ -88,6 +90,7 @@
 		ColdRatio: settings.ColdRatio, ColdExtra: settings.ColdExtra,
 		Owns: func(upstream clementinewind.Upstream) bool { return entry.roster.Owns(string(upstream), time.Now()) },
 	})
+	entry.shares = usage.NewShares(settings.ShareWindow)
 	entry.view = view.New(view.Config{
 		Board: entry.board, Logger: config.Logger,
 		Gone: func(upstream clementinewind.Upstream) { entry.relay.Retire(upstream) },
@@ -97,7 +100,7 @@
 		Address: settings.StoreAddress.String(), Dial: dialer.DialContext, Observe: config.Meter.StoreCall,
 	})
 	entry.relay = relay.New(relay.Config{
-		Zone: settings.Zone, Board: entry.board, Table: entry.view.Table, Routers: entry.roster.Known,
+		Zone: settings.Zone, Board: entry.board, Shares: entry.shares, Table: entry.view.Table, Routers: entry.roster.Known,
 		Closing: entry.closing.Load, Refusing: entry.refusing.Load, Dial: dialer.DialContext, Budget: entry.budget,
 		Meter: config.Meter, Logger: config.Logger,
 	})
@@ -142,7 +145,7 @@
 	}
 	defer conn.Close()
 	chatter := gossip.New(gossip.Config{
-		Conn: conn, Roster: entry.roster, Board: entry.board, Offsets: entry.readers.offsets, Ahead: entry.readers.ahead,
+		Conn: conn, Roster: entry.roster, Board: entry.board, Shares: entry.shares, Offsets: entry.readers.offsets, Ahead: entry.readers.ahead,
 		Version: entry.version, Logger: logger,
 	})
 	callers, err := entry.callerServer()
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 )
@@ -23,6 +24,8 @@
 	slowestBeat = 600 * time.Millisecond
 	// beatsPerSecond bounds the datagrams that a router sends, by which larger fleets beat more slowly.
 	beatsPerSecond = 100
+	// usageInterval is the pause between two reports of what the organisations used; they change over seconds.
+	usageInterval = 800 * time.Millisecond
 	// maxDatagram is far above a beat of the largest fleet.
 	maxDatagram = 60000
 	// maxPlacements bounds a beat under a burst; what is left out costs one reading of a prefix.
@@ -40,6 +43,7 @@
 	Conn   net.PacketConn
 	Roster *roster.Roster
 	Board  *board.Board
+	Shares *usage.Shares
 	// Offsets returns how far this router has read, Version its configuration.
 	Offsets func() Offsets
 	Version func() int64
@@ -52,6 +56,8 @@
 type Gossip struct {
 	config   Config
 	sequence uint64
+	// usageAt is when the usage of the organisations was last sent.
+	usageAt time.Time
 	// sequences holds the newest beat of each router, so that a datagram that arrives late is ignored.
 	sequences map[string]position
 }
@@ -127,6 +133,14 @@
 			Upstream: placement.Upstream, Prefix: placement.Prefix.Hash, Tokens: count(placement.Prefix.Tokens),
 		})
 	}
+	if now.Sub(gossip.usageAt) >= usageInterval {
+		gossip.usageAt = now
+		for organisation, sum := range gossip.config.Shares.Own(now) {
+			beat.Usages = append(beat.Usages, &fleetv1.Usage{
+				Organisation: organisation, Asked: count(int(sum.Asked)), Served: count(int(sum.Served)),
+			})
+		}
+	}
 	return beat
 }
 
@@ -195,6 +209,13 @@
 		}
 	}
 	gossip.config.Board.AddPlacements(placements)
+	if len(beat.Usages) > 0 {
+		report := make(usage.Report, len(beat.Usages))
+		for _, sum := range beat.Usages {
+			report[sum.Organisation] = usage.Sum{Asked: float64(sum.Asked), Served: float64(sum.Served)}
+		}
+		gossip.config.Shares.SetPeer(member.Instance, report, now)
+	}
 	own := gossip.config.Offsets()
 	if beat.OperatorOffset > own.Operator || beat.UpstreamOffset > own.Upstreams {
 		gossip.config.Ahead(Offsets{Operator: beat.OperatorOffset, Upstreams: beat.UpstreamOffset})
--- /dev/null
+++ b/internal/load/usage/share.go
@@ -0,0 +1,149 @@
+package usage
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementinewind/clementinewind"
+)
+
+const (
+	// peerAge is the age at which the usage that a peer told of no longer counts. Peers tell about once a second.
+	peerAge = 5 * time.Second
+	// refreshTime is how long the shares are kept before they are worked out again.
+	refreshTime = 100 * time.Millisecond
+	// outputWeight is what a generated token counts against one that is read.
+	outputWeight = 2
+	// MaxReported bounds the organisations in one report, the largest first.
+	MaxReported = 64
+)
+
+// Tokens returns what a request counts.
+func Tokens(input, output int) float64 { return float64(input + outputWeight*output) }
+
+// Sum is what one organisation asked for and got.
+type Sum struct {
+	Asked  float64
+	Served float64
+}
+
+// Report is the usage of one router, by the hashes of the organisations.
+type Report map[uint32]Sum
+
+// Shares compares what the organisations get from all routers. Its methods may be called by many goroutines.
+type Shares struct {
+	mutex  sync.Mutex
+	asked  *Meter[uint32]
+	served *Meter[uint32]
+	peers  map[clementinewind.Instance]peerReport
+
+	refreshed time.Time
+	level     float64
+	totals    Report
+}
+
+type peerReport struct {
+	report Report
+	at     time.Time
+}
+
+// NewShares returns shares over a window.
+func NewShares(window time.Duration) *Shares {
+	return &Shares{asked: New[uint32](window), served: New[uint32](window), peers: map[clementinewind.Instance]peerReport{}}
+}
+
+// Ask counts a request that arrived.
+func (shares *Shares) Ask(organisation clementinewind.Organisation, tokens float64, now time.Time) {
+	shares.mutex.Lock()
+	defer shares.mutex.Unlock()
+	shares.asked.Add(Hash(organisation), tokens, now)
+}
+
+// Serve counts a request that was handed to an upstream.
+func (shares *Shares) Serve(organisation clementinewind.Organisation, tokens float64, now time.Time) {
+	shares.mutex.Lock()
+	defer shares.mutex.Unlock()
+	shares.served.Add(Hash(organisation), tokens, now)
+}
+
+// SetPeer replaces the usage of another router.
+func (shares *Shares) SetPeer(instance clementinewind.Instance, report Report, now time.Time) {
+	shares.mutex.Lock()
+	defer shares.mutex.Unlock()
+	shares.peers[instance] = peerReport{report: report, at: now}
+}
+
+// Own returns the usage of this router, at most MaxReported organisations.
+func (shares *Shares) Own(now time.Time) Report {
+	shares.mutex.Lock()
+	defer shares.mutex.Unlock()
+	own := shares.ownLocked(now)
+	if len(own) <= MaxReported {
+		return own
+	}
+	hashes := make([]uint32, 0, len(own))
+	for hash := range own {
+		hashes = append(hashes, hash)
+	}
+	slices.SortFunc(hashes, func(a, b uint32) int { return cmp.Compare(own[b].Asked, own[a].Asked) })
+	for _, hash := range hashes[MaxReported:] {
+		delete(own, hash)
+	}
+	return own
+}
+
+func (shares *Shares) ownLocked(now time.Time) Report {
+	own := Report{}
+	for hash, tokens := range shares.asked.Snapshot(now) {
+		own[hash] = Sum{Asked: tokens}
+	}
+	for hash, tokens := range shares.served.Snapshot(now) {
+		own[hash] = Sum{Asked: own[hash].Asked, Served: tokens}
+	}
+	return own
+}
+
+// Ratio returns what an organisation got from all routers, as a part of its max-min fair share of what all organisations
+// got. It is 0 while there is enough for all.
+func (shares *Shares) Ratio(organisation clementinewind.Organisation, now time.Time) float64 {
+	shares.mutex.Lock()
+	defer shares.mutex.Unlock()
+	if now.Sub(shares.refreshed) >= refreshTime {
+		shares.refreshLocked(now)
+	}
+	if shares.level <= 0 {
+		return 0
+	}
+	return shares.totals[Hash(organisation)].Served / shares.level
+}
+
+func (shares *Shares) refreshLocked(now time.Time) {
+	shares.refreshed = now
+	shares.totals = shares.ownLocked(now)
+	for instance, peer := range shares.peers {
+		if now.Sub(peer.at) > peerAge {
+			delete(shares.peers, instance)
+			continue
+		}
+		for hash, sum := range peer.report {
+			total := shares.totals[hash]
+			shares.totals[hash] = Sum{Asked: total.Asked + sum.Asked, Served: total.Served + sum.Served}
+		}
+	}
+	demands := make([]float64, 0, len(shares.totals))
+	served := 0.0
+	for _, total := range shares.totals {
+		demands = append(demands, max(total.Asked, total.Served))
+		served += total.Served
+	}
+	shares.level = FairShare(demands, served)
+}
+
+// Hash returns the number that stands for an organisation in datagrams.
+func Hash(organisation clementinewind.Organisation) uint32 {
+	return uint32(xxhash.Sum64String(string(organisation)))
+}
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -11,6 +11,8 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/pick"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/platform"
@@ -95,6 +97,10 @@
 func (exchange *exchange) run() {
 	budget := exchange.relay.budget(exchange.service.Name)
 	budget.Request(exchange.arrived)
+	tokens := usage.Tokens(exchange.call.Prompt.InputTokens, exchange.call.Prompt.OutputTokens)
+	if exchange.service.Engine != nil {
+		exchange.relay.config.Shares.Ask(exchange.organisation, tokens, exchange.arrived)
+	}
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.deadline)
 	defer cancel()
 	for range maxPlacements {
@@ -106,6 +112,9 @@
 		if ticket == nil {
 			break
 		}
+		if exchange.service.Engine != nil && exchange.sends == 0 {
+			exchange.relay.config.Shares.Serve(exchange.organisation, tokens, time.Now())
+		}
 		switch exchange.attempt(ctx, ticket) {
 		case verdictDone:
 			return
@@ -136,7 +145,7 @@
 		ticket, late := exchange.relay.config.Board.Place(board.Request{
 			Service: exchange.service.Name, Zone: exchange.relay.config.Zone, Prompt: exchange.call.Prompt,
 			Goal: goal - now.Sub(exchange.arrived), Left: exchange.deadline.Sub(now), Tried: exchange.tried,
-			Patience: goal,
+			Patience: pick.Patience(goal, exchange.relay.config.Shares.Ratio(exchange.organisation, now)),
 		}, now)
 		exchange.late = late
 		if ticket != nil {
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/platform"
@@ -37,8 +38,9 @@
 
 // Config configures a Relay.
 type Config struct {
-	Zone  clementinewind.Zone
-	Board *board.Board
+	Zone   clementinewind.Zone
+	Board  *board.Board
+	Shares *usage.Shares
 	// Table returns the configuration in force, or nil before the first one.
 	Table func() *table.Table
 	// Routers returns the size of the fleet.
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/relay"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 )
@@ -72,7 +73,7 @@
 		}, time.Now())
 	}
 	started.server = httptest.NewServer(relay.New(relay.Config{
-		Board: started.board, Table: func() *table.Table { return current }, Routers: func() int { return 1 },
+		Board: started.board, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
 		Closing: func() bool { return false }, Refusing: func() bool { return false },
 		Dial:   new(net.Dialer).DialContext,
 		Budget: func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
