--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -256,7 +256,7 @@
 	if decision.Index < 0 {
 		return nil, 0
 	}
-	if late := decision.Expected - request.Patience; len(shared) > 0 && late > 0 {
+	if late := pick.Late(decision, request.Patience); len(shared) > 0 && late > 0 {
 		return nil, late
 	}
 	chosen := eligible[decision.Index]
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -85,6 +85,8 @@
 	Index int
 	// Expected is the expected time to the first event.
 	Expected time.Duration
+	// Own is the part of Expected that the request would take at an idle upstream.
+	Own time.Duration
 	// UncachedTokens are those that the chosen upstream has to read; EffectiveTokens include the extra time of a long prompt.
 	UncachedTokens  int
 	EffectiveTokens int
@@ -100,7 +102,8 @@
 		expected := Expect(candidate, request)
 		cost := expected + extra(candidate, request)
 		if best.Index < 0 || cost < bestCost {
-			best = Decision{Index: index, Expected: expected, UncachedTokens: uncached, EffectiveTokens: effective}
+			own := candidate.Base + time.Duration(effective)*candidate.PerToken
+			best = Decision{Index: index, Expected: expected, Own: own, UncachedTokens: uncached, EffectiveTokens: effective}
 			bestCost = cost
 		}
 	}
