Tell an outage of the store from failed reads of one router

Ruled out: a late read; the entry was read as deleted 0.35 s after it was. Change: an outage is a series of failed reads of 1 s or more during which no other router reached the store; the share of entries deleted at once no longer counts. TestOutage and TestLapsedEntry cover both sides.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -146,7 +146,7 @@
 	defer conn.Close()
 	chatter := gossip.New(gossip.Config{
 		Conn: conn, Roster: entry.roster, Board: entry.board, Shares: entry.shares, Offsets: entry.readers.offsets, Ahead: entry.readers.ahead,
-		Version: entry.version, Logger: logger,
+		Version: entry.version, StoreReachable: entry.readers.healthy, Logger: logger,
 	})
 	callers, err := entry.callerServer()
 	if err != nil {
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -62,11 +62,11 @@
 	}
 	built.operator = feed.NewFollower(feed.FollowerConfig{
 		Topic: platform.TopicOperator, Mirror: built.operatorMirror, Source: built.source, Wait: operatorWait,
-		Apply: entry.view.ApplyOperator, Reached: built.reached, Logger: logger,
+		Apply: entry.view.ApplyOperator, Reached: built.reached, ReachedElsewhere: entry.roster.StoreReached, Logger: logger,
 	})
 	built.upstreams = feed.NewFollower(feed.FollowerConfig{
 		Topic: platform.TopicUpstreams, Mirror: built.upstreamsMirror, Source: built.source, Interval: upstreamInterval,
-		Apply: entry.view.ApplyUpstreams, Reached: built.reached, Logger: logger,
+		Apply: entry.view.ApplyUpstreams, Reached: built.reached, ReachedElsewhere: entry.roster.StoreReached, Logger: logger,
 	})
 	return built
 }
@@ -93,6 +93,13 @@
 	readers.state.storeFailed = err != nil
 }
 
+// healthy reports whether the last read succeeded.
+func (readers readers) healthy() bool {
+	readers.state.mutex.Lock()
+	defer readers.state.mutex.Unlock()
+	return !readers.state.storeFailed
+}
+
 // ahead is told that another router has read further than this one.
 func (readers readers) ahead(offsets gossip.Offsets) {
 	if next, _ := readers.operatorMirror.Next(); offsets.Operator >= next {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -47,6 +47,8 @@
 	// Offsets returns how far this router has read, Version its configuration.
 	Offsets func() Offsets
 	Version func() int64
+	// StoreReachable reports whether the last read of the store succeeded.
+	StoreReachable func() bool
 	// Ahead is called when another router has read further than this one.
 	Ahead  func(offsets Offsets)
 	Logger hclog.Logger
@@ -122,6 +124,7 @@
 	offsets := gossip.config.Offsets()
 	beat.Sequence = gossip.sequence
 	beat.ConfigurationVersion = gossip.config.Version()
+	beat.StoreReachable = gossip.config.StoreReachable()
 	beat.OperatorOffset, beat.UpstreamOffset = offsets.Operator, offsets.Upstreams
 	for upstream, load := range work {
 		beat.Loads = append(beat.Loads, &fleetv1.UpstreamLoad{
@@ -209,6 +212,9 @@
 		}
 	}
 	gossip.config.Board.AddPlacements(placements)
+	if beat.StoreReachable {
+		gossip.config.Roster.ReachStore(now)
+	}
 	if len(beat.Usages) > 0 {
 		report := make(usage.Report, len(beat.Usages))
 		for _, sum := range beat.Usages {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -50,6 +50,8 @@
 	mutex   sync.Mutex
 	self    Member
 	members map[clementinewind.Instance]*known
+	// storeReached is when another router last said that it reaches the platform's store.
+	storeReached time.Time
 }
 
 type known struct {
@@ -96,6 +98,20 @@
 	return fresh
 }
 
+// ReachStore records that another router reaches the platform's store.
+func (roster *Roster) ReachStore(now time.Time) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	roster.storeReached = now
+}
+
+// StoreReached returns when another router last said that it reaches the platform's store.
+func (roster *Roster) StoreReached() time.Time {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	return roster.storeReached
+}
+
 // Silent returns the routers whose silence has just begun, and forgets those that were silent for long.
 func (roster *Roster) Silent(now time.Time, since time.Time) []Member {
 	roster.mutex.Lock()
--- a/internal/store/feed/follower.go
+++ b/internal/store/feed/follower.go
@@ -14,6 +14,9 @@
 	retryDelay = 250 * time.Millisecond
 	// maxRetryDelay bounds the pauses, so that the end of an outage is seen within the time for a new configuration.
 	maxRetryDelay = 600 * time.Millisecond
+	// outageTime is the shortest series of failed reads that counts as an outage: entries of upstreams lapse after several
+	// heartbeats only, and another router needs this time to notice an outage too.
+	outageTime = time.Second
 )
 
 // errNudged ends a read for which a better source is known.
@@ -28,8 +31,11 @@
 	// Interval is the pause between reads; Wait is how long one read waits for new records.
 	Interval time.Duration
 	Wait     time.Duration
-	// Apply gets the changes of each read, and the time of the last failed read.
-	Apply func(records []Record, lastFailure time.Time)
+	// Apply gets the changes of each read, and when the last outage of the source ended; it is zero before the first one.
+	Apply func(records []Record, outageEnd time.Time)
+	// ReachedElsewhere returns when another router last reached the source; nil knows of none. Failed reads during which
+	// another router reached the source are no outage of the source.
+	ReachedElsewhere func() time.Time
 	// Reached is told whether the last read succeeded; nil is not called.
 	Reached func(err error)
 	Logger  hclog.Logger
@@ -39,8 +45,10 @@
 type Follower struct {
 	config  FollowerConfig
 	nudge   chan struct{}
-	failed  time.Time
 	healthy bool
+	// failingSince is the first failed read of the current series, outageEnd the end of the last outage.
+	failingSince time.Time
+	outageEnd    time.Time
 	// nudged is set for the read after a nudge. It does not wait for records and takes no further nudge, because nudges
 	// that come faster than a read takes would otherwise keep it from ever ending.
 	nudged bool
@@ -69,7 +77,6 @@
 			pause = delay
 			delay = min(delay*2, maxRetryDelay)
 		} else {
-			follower.recover()
 			delay = retryDelay
 		}
 		follower.sleep(ctx, pause)
@@ -122,7 +129,8 @@
 	if loaded {
 		batch, err := source.Read(ctx, follower.config.Topic, from, wait)
 		if err == nil {
-			follower.config.Apply(follower.config.Mirror.Extend(batch), follower.failed)
+			follower.recover()
+			follower.config.Apply(follower.config.Mirror.Extend(batch), follower.outageEnd)
 			return nil
 		}
 		if !errors.Is(err, ErrTruncated) {
@@ -134,13 +142,14 @@
 	if err != nil {
 		return err
 	}
-	follower.config.Apply(follower.config.Mirror.Replace(batch), follower.failed)
+	follower.recover()
+	follower.config.Apply(follower.config.Mirror.Replace(batch), follower.outageEnd)
 	return nil
 }
 
 func (follower *Follower) fail(err error) {
-	follower.failed = time.Now()
 	if follower.healthy {
+		follower.failingSince = time.Now()
 		follower.config.Logger.Warn("dependency lost", "Dependency", follower.config.Topic, "Error", err)
 	}
 	follower.healthy = false
@@ -151,6 +160,7 @@
 
 func (follower *Follower) recover() {
 	if !follower.healthy {
+		follower.endOutage(time.Now())
 		follower.config.Logger.Info("dependency regained", "Dependency", follower.config.Topic)
 	}
 	follower.healthy = true
@@ -158,3 +168,14 @@
 		follower.config.Reached(nil)
 	}
 }
+
+// endOutage records an outage of the source, unless it was short or only this router could not reach the source.
+func (follower *Follower) endOutage(now time.Time) {
+	if now.Sub(follower.failingSince) < outageTime {
+		return
+	}
+	if elsewhere := follower.config.ReachedElsewhere; elsewhere != nil && elsewhere().After(follower.failingSince.Add(outageTime)) {
+		return
+	}
+	follower.outageEnd = now
+}
--- a/internal/store/feed/follower_test.go
+++ b/internal/store/feed/follower_test.go
@@ -106,3 +106,57 @@
 		quicktest.Check(t, source.reads <= 20, quicktest.IsTrue, quicktest.Commentf("%d reads", source.reads))
 	})
 }
+
+// Guards against taking the failed reads of one router for an outage of the store: entries that are deleted meanwhile did
+// not lapse, and their upstreams must get no more requests.
+func TestOutage(t *testing.T) {
+	tests := map[string]struct {
+		failing   time.Duration
+		elsewhere bool
+		outage    bool
+	}{
+		"store away":                       {3 * time.Second, false, true},
+		"one failed read":                  {500 * time.Millisecond, false, false},
+		"another router reaches the store": {3 * time.Second, true, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				source := &failingSource{until: began.Add(test.failing)}
+				var outageEnd time.Time
+				follower := feed.NewFollower(feed.FollowerConfig{
+					Topic: "topic", Mirror: feed.NewMirror(feed.MirrorConfig{}), Source: func() feed.Source { return source },
+					Interval: 100 * time.Millisecond,
+					Apply:    func(_ []feed.Record, end time.Time) { outageEnd = end },
+					ReachedElsewhere: func() time.Time {
+						if test.elsewhere {
+							return time.Now()
+						}
+						return began
+					},
+					Logger: hclog.NewNullLogger(),
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				quicktest.Check(t, follower.Run(ctx), quicktest.ErrorIs, context.DeadlineExceeded)
+				quicktest.Check(t, !outageEnd.IsZero(), quicktest.Equals, test.outage)
+			})
+		})
+	}
+}
+
+type failingSource struct {
+	until time.Time
+}
+
+func (source *failingSource) Newest(ctx context.Context, topic string) (feed.Batch, error) {
+	return source.Read(ctx, topic, 0, 0)
+}
+
+func (source *failingSource) Read(context.Context, string, int64, time.Duration) (feed.Batch, error) {
+	if time.Now().Before(source.until) {
+		return feed.Batch{}, errors.New("refused")
+	}
+	return feed.Batch{}, nil
+}
--- a/internal/store/view/view.go
+++ b/internal/store/view/view.go
@@ -21,11 +21,8 @@
 	// returnTime is how long entries that lapsed while the store was away may take to come back; the platform says about
 	// two seconds.
 	returnTime = 2200 * time.Millisecond
-	// outageMemory is how long after a failed read a deleted entry may be one that lapsed.
+	// outageMemory is how long after an outage of the store a deleted entry may be one that lapsed.
 	outageMemory = 3 * time.Second
-	// lapseShare is the share of all entries whose deletion at once is taken for a lapse, and lapseCount the fewest.
-	lapseShare = 0.3
-	lapseCount = 2
 )
 
 // Config configures a View.
@@ -113,18 +110,11 @@
 }
 
 // ApplyUpstreams applies records that upstreams wrote.
-func (view *View) ApplyUpstreams(records []feed.Record, lastFailure time.Time) {
+func (view *View) ApplyUpstreams(records []feed.Record, outageEnd time.Time) {
 	view.mutex.Lock()
 	defer view.mutex.Unlock()
 	now := time.Now()
-	deleted := 0
-	for _, record := range records {
-		if _, known := view.known[clementinewind.Upstream(record.Key)]; known && record.Deleted() {
-			deleted++
-		}
-	}
-	lapsed := now.Sub(lastFailure) < outageMemory ||
-		(deleted >= lapseCount && float64(deleted) > lapseShare*float64(len(view.known)))
+	lapsed := now.Sub(outageEnd) < outageMemory
 	for _, record := range records {
 		name := clementinewind.Upstream(record.Key)
 		switch {
--- /dev/null
+++ b/internal/store/view/view_test.go
@@ -0,0 +1,116 @@
+package view_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/internal/store/feed"
+	"github.com/clementinewind/clementinewind/internal/store/view"
+)
+
+func newView() (*view.View, *board.Board) {
+	upstreams := board.New(board.Config{Owns: func(clementinewind.Upstream) bool { return true }})
+	return view.New(view.Config{Board: upstreams, Logger: hclog.NewNullLogger()}), upstreams
+}
+
+func entry(state string, sequence int, born int) []byte {
+	return fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":%q,"seq":%d,"born":%d}`,
+		state, sequence, born)
+}
+
+func configuration(version int) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r%d","host":"h","pathPrefix":"/"}]}`, version, version)
+}
+
+// takes reports whether an upstream takes requests.
+func takes(upstreams *board.Board) bool {
+	ticket, _ := upstreams.Place(board.Request{Service: "s", Left: time.Second}, time.Now())
+	if ticket == nil {
+		return false
+	}
+	ticket.End(board.ResultAbandoned, time.Now())
+	return true
+}
+
+// Guards against a configuration that goes back, because a store that is behind serves an older one.
+func TestVersionNeverGoesBack(t *testing.T) {
+	built, _ := newView()
+	for offset, version := range []int{3, 7, 5} {
+		built.ApplyOperator([]feed.Record{{Key: "config", Value: configuration(version), Offset: int64(offset)}}, time.Time{})
+	}
+	quicktest.Check(t, built.Table().Version(), quicktest.Equals, table.Version(7))
+	built.ApplyOperator([]feed.Record{{Key: "config", Value: []byte(`{"version":9,"routes":[{"name":7}]}`), Offset: 9}}, time.Time{})
+	quicktest.Check(t, built.Table().Version(), quicktest.Equals, table.Version(7))
+}
+
+// Guards against requests to an upstream whose entry is gone while the store was reachable all the time: the platform
+// allows two seconds from the deletion.
+func TestDeletedEntryGetsNoRequests(t *testing.T) {
+	built, upstreams := newView()
+	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("ready", 1, 1), Offset: 1}}, time.Time{})
+	quicktest.Check(t, takes(upstreams), quicktest.IsTrue)
+	built.ApplyUpstreams([]feed.Record{{Key: "u", Offset: 2}}, time.Time{})
+	quicktest.Check(t, takes(upstreams), quicktest.IsFalse)
+}
+
+// Guards against a pool that is empty after an outage of the store, although its upstreams live and list themselves again.
+func TestLapsedEntry(t *testing.T) {
+	tests := map[string]struct {
+		returns bool
+		after   bool
+	}{
+		"comes back":     {returns: true, after: true},
+		"is really gone": {returns: false, after: false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				built, upstreams := newView()
+				built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("ready", 1, 1), Offset: 1}}, time.Time{})
+				end := time.Now()
+				built.ApplyUpstreams([]feed.Record{{Key: "u", Offset: 2}}, end)
+				quicktest.Check(t, takes(upstreams), quicktest.IsTrue)
+				if test.returns {
+					time.Sleep(time.Second)
+					built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("ready", 2, 1), Offset: 3}}, end)
+				}
+				time.Sleep(3 * time.Second)
+				quicktest.Check(t, takes(upstreams), quicktest.Equals, test.after)
+			})
+		})
+	}
+}
+
+// Guards against entries of other writers: they name no upstream, and the others hold.
+func TestUnreadableEntries(t *testing.T) {
+	built, upstreams := newView()
+	values := map[string]string{
+		"bytes":   "\x00\xff",
+		"type":    `{"service":"s","address":"10.0.0.1:80","state":"ready","slots":"four"}`,
+		"state":   `{"service":"s","address":"10.0.0.1:80","state":"resting"}`,
+		"service": `{"address":"10.0.0.1:80","state":"ready"}`,
+		"address": `{"service":"s","address":"somewhere","state":"ready"}`,
+	}
+	for key, value := range values {
+		built.ApplyUpstreams([]feed.Record{{Key: key, Value: []byte(value)}}, time.Time{})
+	}
+	quicktest.Check(t, upstreams.Count(), quicktest.Equals, 0)
+}
+
+// Guards against entries of an earlier incarnation that arrive after those of the next one.
+func TestOlderIncarnation(t *testing.T) {
+	built, upstreams := newView()
+	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("ready", 1, 20), Offset: 1}}, time.Time{})
+	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("draining", 9, 10), Offset: 2}}, time.Time{})
+	quicktest.Check(t, takes(upstreams), quicktest.IsTrue)
+	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("draining", 2, 20), Offset: 3}}, time.Time{})
+	quicktest.Check(t, takes(upstreams), quicktest.IsFalse)
+}
