Read the store from one router of each zone

Change: the first router of a zone that reaches the store reads it, the others read from it over the routers' own ports; a router that sees others ahead for 0.3 s, or whose read from another fails, reads the store itself.

--- /dev/null
+++ b/internal/edge/entry/announce.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
+	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
+	"github.com/clementinewind/clementinewind/platform"
+)
+
+const (
+	// announceRetry is the pause after a failed announcement.
+	announceRetry = 500 * time.Millisecond
+	// lonelyInterval is how often a router that hears no other one looks them up again.
+	lonelyInterval = 3 * time.Second
+)
+
+// announce lists this router in the store and learns of the others. Each router writes before it reads, so that of two that
+// start at the same time at least one learns of the other, and its beats tell the other one.
+func (entry *Entry) announce(ctx context.Context) error {
+	value, err := proto.Marshal(gossip.Describe(entry.roster.Self()))
+	if err != nil {
+		return err
+	}
+	written, listed := false, false
+	for {
+		pause := lonelyInterval
+		if !written {
+			if err := entry.store.Append(ctx, platform.TopicInstances, string(entry.roster.Self().Instance), value); err != nil {
+				entry.config.Logger.Warn("router not listed yet", "Error", err)
+				pause = announceRetry
+			} else {
+				written = true
+			}
+		}
+		if !listed || len(entry.roster.Alive(time.Now())) == 1 {
+			if err := entry.list(ctx); err != nil {
+				entry.config.Logger.Warn("routers not looked up", "Error", err)
+				pause = announceRetry
+			} else {
+				listed = true
+			}
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+func (entry *Entry) list(ctx context.Context) error {
+	batch, err := entry.store.Newest(ctx, platform.TopicInstances)
+	if err != nil {
+		return err
+	}
+	for _, record := range batch.Records {
+		var beat fleetv1.Beat
+		if err := proto.Unmarshal(record.Value, &beat); err != nil || beat.Instance == "" {
+			entry.config.Logger.Warn("entry of a router dropped", "Key", record.Key, "Error", err)
+			continue
+		}
+		entry.roster.List(gossip.MemberOf(&beat), time.Now())
+	}
+	return nil
+}
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -124,8 +124,13 @@
 	return !entry.closing.Load() && entry.view.Table() != nil && entry.board.Count() > 0
 }
 
+// refresh brings the router's own state in the roster up to date.
+func (entry *Entry) refresh() {
+	entry.roster.Update(entry.ready(), entry.closing.Load(), entry.readers.store.reachable())
+}
+
 func (entry *Entry) locate(zone clementinewind.Zone) ([]string, time.Duration) {
-	entry.roster.Update(entry.ready(), entry.closing.Load())
+	entry.refresh()
 	return entry.roster.Addresses(zone, time.Now()), min(timeToLive, entry.settings.Load().AddressTimeToLive)
 }
 
@@ -146,7 +151,7 @@
 	defer conn.Close()
 	chatter := gossip.New(gossip.Config{
 		Conn: conn, Roster: entry.roster, Board: entry.board, Shares: entry.shares, Offsets: entry.readers.offsets, Ahead: entry.readers.ahead,
-		Version: entry.version, StoreReachable: entry.readers.healthy, Logger: logger,
+		Version: entry.version, Refresh: entry.refresh, Logger: logger,
 	})
 	callers, err := entry.callerServer()
 	if err != nil {
@@ -179,8 +184,8 @@
 	actor := func(work func(ctx context.Context) error) {
 		group.Add(func() error { return work(ctx) }, func(error) { cancel() })
 	}
-	actor(entry.readers.operator.Run)
-	actor(entry.readers.upstreams.Run)
+	actor(entry.readers.operator.follower.Run)
+	actor(entry.readers.upstreams.follower.Run)
 	actor(entry.announce)
 	actor(chatter.Send)
 	group.Add(func() error { return chatter.Receive(ctx) }, func(error) { cancel(); conn.Close() })
@@ -233,7 +238,7 @@
 	started := time.Now()
 	grace := entry.settings.Load().Grace
 	entry.closing.Store(true)
-	entry.roster.Update(false, true)
+	entry.refresh()
 	entry.config.Logger.Info("stopping", "Grace", grace, "InFlight", entry.inFlight.Load())
 	refuseAt := time.Duration(drainTail * float64(grace))
 	endAt := time.Duration(lastShare * float64(grace))
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -6,156 +6,188 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/store/feed"
 	"github.com/clementinewind/clementinewind/internal/store/view"
-	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 	"github.com/clementinewind/clementinewind/platform"
 )
 
 const (
-	// operatorWait is how long a read waits for the operator. It also bounds how long a connection that went silent hides a
+	// followWait is how long a read waits for new records. It also bounds how long a connection that went silent hides a
 	// change, which has to be in force within 2 s.
-	operatorWait = time.Second
-	// upstreamInterval is the pause between reads of the entries of upstreams, which change with each of their heartbeats.
-	// An upstream that leaves gets no requests 2 s later.
+	followWait = time.Second
+	// upstreamInterval is the pause between reads of the entries of upstreams at the store, where a read that waits ends at
+	// each of their heartbeats. An upstream that leaves must get no requests 2 s later.
 	upstreamInterval = 500 * time.Millisecond
-	// aheadTime is how long another router may be ahead before the store is read directly.
+	// aheadTime is how long other routers may be ahead of one that reads from another router, before it reads the store.
 	aheadTime = 300 * time.Millisecond
-	// directTime is how long a router reads the store itself after the router that it read from failed.
-	directTime = 5 * time.Second
-	// announceRetry is the pause after a failed announcement.
-	announceRetry = 500 * time.Millisecond
-	// lonelyInterval is how often a router that hears no other one looks them up again.
-	lonelyInterval = 3 * time.Second
+	// directTime is how long a router reads the store itself after a read from another router failed.
+	directTime = 3 * time.Second
+	// storeRetry is the pause between tries of a store that does not answer this router while it reads from another one.
+	storeRetry = time.Second
 )
 
 // readers follow the topics of the store.
 type readers struct {
-	entry           *Entry
-	operatorMirror  *feed.Mirror
-	upstreamsMirror *feed.Mirror
-	operator        *feed.Follower
-	upstreams       *feed.Follower
-	client          *http.Client
-	state           *readerState
-}
-
-// readerState decides where the next read goes.
-type readerState struct {
-	mutex       sync.Mutex
+	entry     *Entry
+	store     *storeSource
+	operator  *topic
+	upstreams *topic
+	client    *http.Client
+}
+
+// topic is one topic of the store.
+type topic struct {
+	mirror   *feed.Mirror
+	follower *feed.Follower
+
+	mutex sync.Mutex
+	// aheadSince is when another router was first seen ahead.
 	aheadSince  time.Time
 	directUntil time.Time
-	storeFailed bool
 }
 
 func newReaders(entry *Entry) readers {
-	logger := entry.config.Logger
 	built := readers{
-		entry:           entry,
-		operatorMirror:  feed.NewMirror(feed.MirrorConfig{}),
-		upstreamsMirror: feed.NewMirror(feed.MirrorConfig{Same: view.SameUpstream}),
-		client:          &http.Client{Transport: &http.Transport{DialContext: dialer().DialContext}},
-		state:           &readerState{},
+		entry:     entry,
+		store:     &storeSource{store: entry.store},
+		operator:  &topic{mirror: feed.NewMirror(feed.MirrorConfig{})},
+		upstreams: &topic{mirror: feed.NewMirror(feed.MirrorConfig{Same: view.SameUpstream})},
+		client:    &http.Client{Transport: &http.Transport{DialContext: dialer().DialContext}},
 	}
-	built.operator = feed.NewFollower(feed.FollowerConfig{
-		Topic: platform.TopicOperator, Mirror: built.operatorMirror, Source: built.source, Wait: operatorWait,
-		Apply: entry.view.ApplyOperator, Reached: built.reached, ReachedElsewhere: entry.roster.StoreReached, Logger: logger,
-	})
-	built.upstreams = feed.NewFollower(feed.FollowerConfig{
-		Topic: platform.TopicUpstreams, Mirror: built.upstreamsMirror, Source: built.source, Interval: upstreamInterval,
-		Apply: entry.view.ApplyUpstreams, Reached: built.reached, ReachedElsewhere: entry.roster.StoreReached, Logger: logger,
-	})
+	follow := func(topic *topic, name string, atStore feed.Plan, apply func([]feed.Record, time.Time)) {
+		topic.follower = feed.NewFollower(feed.FollowerConfig{
+			Topic: name, Mirror: topic.mirror, Apply: apply, Logger: entry.config.Logger,
+			Plan:             func() feed.Plan { return built.plan(topic, atStore, time.Now()) },
+			ReachedElsewhere: entry.roster.StoreReached,
+		})
+	}
+	follow(built.operator, platform.TopicOperator, feed.Plan{Source: built.store, Wait: followWait}, entry.view.ApplyOperator)
+	follow(built.upstreams, platform.TopicUpstreams, feed.Plan{Source: built.store, Interval: upstreamInterval}, entry.view.ApplyUpstreams)
 	return built
 }
 
 func (readers readers) mirrors() map[string]*feed.Mirror {
 	return map[string]*feed.Mirror{
-		platform.TopicOperator: readers.operatorMirror, platform.TopicUpstreams: readers.upstreamsMirror,
+		platform.TopicOperator: readers.operator.mirror, platform.TopicUpstreams: readers.upstreams.mirror,
 	}
 }
 
 func (readers readers) offsets() gossip.Offsets {
-	return gossip.Offsets{Operator: readers.operatorMirror.Last(), Upstreams: readers.upstreamsMirror.Last()}
+	return gossip.Offsets{Operator: readers.operator.mirror.Last(), Upstreams: readers.upstreams.mirror.Last()}
 }
 
-// source returns where to read next: at another router of the zone that reads the store, or at the store.
-func (readers readers) source() feed.Source {
-	return readers.entry.store
+// plan returns how to read a topic next. One router of each zone reads the store and the others read from it, so that the
+// calls to the store do not grow with the fleet. The load it answers: many routers, and many upstreams whose heartbeats
+// each of them would read.
+func (readers readers) plan(topic *topic, atStore feed.Plan, now time.Time) feed.Plan {
+	reader, ok := readers.entry.roster.Reader(now)
+	switch _, loaded := topic.mirror.Next(); {
+	case !ok, !loaded, topic.direct(now), readers.store.retry(now):
+		return atStore
+	}
+	return feed.Plan{Source: peerSource{gossip.Source{Address: reader.PeerAddress, Client: readers.client}, topic}, Wait: followWait}
 }
 
-// reached is told how the last read ended.
-func (readers readers) reached(err error) {
-	readers.state.mutex.Lock()
-	defer readers.state.mutex.Unlock()
-	readers.state.storeFailed = err != nil
+// direct reports whether the store is to be read although another router reads it.
+func (topic *topic) direct(now time.Time) bool {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	return now.Before(topic.directUntil)
 }
 
-// healthy reports whether the last read succeeded.
-func (readers readers) healthy() bool {
-	readers.state.mutex.Lock()
-	defer readers.state.mutex.Unlock()
-	return !readers.state.storeFailed
+func (topic *topic) setDirect(until time.Time) {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	topic.directUntil = until
 }
 
-// ahead is told that another router has read further than this one.
-func (readers readers) ahead(offsets gossip.Offsets) {
-	if next, _ := readers.operatorMirror.Next(); offsets.Operator >= next {
-		readers.operator.Nudge()
+// ahead is told how far another router has read.
+func (topic *topic) ahead(offset int64, now time.Time, reader bool) {
+	next, _ := topic.mirror.Next()
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	if offset < next {
+		topic.aheadSince = time.Time{}
+		return
 	}
-	if next, _ := readers.upstreamsMirror.Next(); offsets.Upstreams >= next {
-		readers.upstreams.Nudge()
+	if topic.aheadSince.IsZero() {
+		topic.aheadSince = now
+	}
+	switch {
+	case reader:
+		topic.follower.Nudge()
+	case now.Sub(topic.aheadSince) > aheadTime:
+		topic.directUntil = now.Add(directTime)
+		topic.follower.Nudge()
 	}
 }
 
-// announce lists this router in the store and learns of the others. Each router writes before it reads, so that of two that
-// start at the same time at least one learns of the other, and its beats tell the other one.
-func (entry *Entry) announce(ctx context.Context) error {
-	value, err := proto.Marshal(gossip.Describe(entry.roster.Self()))
-	if err != nil {
-		return err
-	}
-	written := false
-	for {
-		pause := lonelyInterval
-		if !written {
-			if err := entry.store.Append(ctx, platform.TopicInstances, string(entry.roster.Self().Instance), value); err != nil {
-				entry.config.Logger.Warn("router not listed yet", "Error", err)
-				pause = announceRetry
-			} else {
-				written = true
-			}
-		}
-		if len(entry.roster.Alive(time.Now())) == 1 {
-			if err := entry.list(ctx); err != nil {
-				entry.config.Logger.Warn("routers not looked up", "Error", err)
-				pause = announceRetry
-			}
-		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
-		}
-	}
+// ahead is told how far another router has read.
+func (readers readers) ahead(offsets gossip.Offsets) {
+	now := time.Now()
+	_, follows := readers.entry.roster.Reader(now)
+	readers.operator.ahead(offsets.Operator, now, !follows)
+	readers.upstreams.ahead(offsets.Upstreams, now, !follows)
+}
+
+// peerSource reads from another router and turns to the store when that fails.
+type peerSource struct {
+	gossip.Source
+	topic *topic
 }
 
-func (entry *Entry) list(ctx context.Context) error {
-	batch, err := entry.store.Newest(ctx, platform.TopicInstances)
-	if err != nil {
-		return err
+// Read implements feed.Source.
+func (source peerSource) Read(ctx context.Context, topic string, from int64, wait time.Duration) (feed.Batch, error) {
+	batch, err := source.Source.Read(ctx, topic, from, wait)
+	if err != nil && ctx.Err() == nil {
+		source.topic.setDirect(time.Now().Add(directTime))
 	}
-	for _, record := range batch.Records {
-		var beat fleetv1.Beat
-		if err := proto.Unmarshal(record.Value, &beat); err != nil || beat.Instance == "" {
-			entry.config.Logger.Warn("entry of a router dropped", "Key", record.Key, "Error", err)
-			continue
-		}
-		entry.roster.List(gossip.MemberOf(&beat), time.Now())
+	return batch, err
+}
+
+// storeSource reads the store and keeps whether it answers this router.
+type storeSource struct {
+	store *platform.Store
+
+	mutex  sync.Mutex
+	failed bool
+	tried  time.Time
+}
+
+// Newest implements feed.Source.
+func (source *storeSource) Newest(ctx context.Context, topic string) (feed.Batch, error) {
+	batch, err := source.store.Newest(ctx, topic)
+	source.observe(ctx, err)
+	return batch, err
+}
+
+// Read implements feed.Source.
+func (source *storeSource) Read(ctx context.Context, topic string, from int64, wait time.Duration) (feed.Batch, error) {
+	batch, err := source.store.Read(ctx, topic, from, wait)
+	source.observe(ctx, err)
+	return batch, err
+}
+
+func (source *storeSource) observe(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
 	}
-	return nil
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	source.failed, source.tried = err != nil, time.Now()
+}
+
+// reachable reports whether the last call succeeded.
+func (source *storeSource) reachable() bool {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	return !source.failed && !source.tried.IsZero()
+}
+
+// retry reports whether a store that did not answer should be tried again.
+func (source *storeSource) retry(now time.Time) bool {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	return source.failed && now.Sub(source.tried) > storeRetry
 }
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -47,8 +47,8 @@
 	// Offsets returns how far this router has read, Version its configuration.
 	Offsets func() Offsets
 	Version func() int64
-	// StoreReachable reports whether the last read of the store succeeded.
-	StoreReachable func() bool
+	// Refresh is called before each beat and brings the router's own state in the roster up to date.
+	Refresh func()
 	// Ahead is called when another router has read further than this one.
 	Ahead  func(offsets Offsets)
 	Logger hclog.Logger
@@ -78,6 +78,7 @@
 func (gossip *Gossip) Send(ctx context.Context) error {
 	last := time.Now()
 	for {
+		gossip.config.Refresh()
 		peers := gossip.config.Roster.Peers()
 		gossip.beat(peers)
 		now := time.Now()
@@ -124,7 +125,6 @@
 	offsets := gossip.config.Offsets()
 	beat.Sequence = gossip.sequence
 	beat.ConfigurationVersion = gossip.config.Version()
-	beat.StoreReachable = gossip.config.StoreReachable()
 	beat.OperatorOffset, beat.UpstreamOffset = offsets.Operator, offsets.Upstreams
 	for upstream, load := range work {
 		beat.Loads = append(beat.Loads, &fleetv1.UpstreamLoad{
@@ -154,6 +154,7 @@
 	return &fleetv1.Beat{
 		Instance: string(member.Instance), Incarnation: member.Incarnation, Zone: string(member.Zone),
 		Address: member.CallerAddress, PeerAddress: member.PeerAddress, Ready: member.Ready, Leaving: member.Leaving,
+		StoreReachable: member.StoreReachable,
 	}
 }
 
@@ -162,6 +163,7 @@
 	return roster.Member{
 		Instance: clementinewind.Instance(beat.Instance), Zone: clementinewind.Zone(beat.Zone), Incarnation: beat.Incarnation,
 		CallerAddress: beat.Address, PeerAddress: beat.PeerAddress, Ready: beat.Ready, Leaving: beat.Leaving,
+		StoreReachable: beat.StoreReachable,
 	}
 }
 
@@ -212,9 +214,6 @@
 		}
 	}
 	gossip.config.Board.AddPlacements(placements)
-	if beat.StoreReachable {
-		gossip.config.Roster.ReachStore(now)
-	}
 	if len(beat.Usages) > 0 {
 		report := make(usage.Report, len(beat.Usages))
 		for _, sum := range beat.Usages {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -19,8 +19,6 @@
 	silence = 1800 * time.Millisecond
 	// forget is the time after which a router gets no more beats.
 	forget = time.Minute
-	// readersPerZone read the platform's store; the other routers of the zone read from them.
-	readersPerZone = 2
 	// fewestPerZone is the number of routers that a zone must have for its callers to use only those.
 	fewestPerZone = 2
 	// isolation is the share of the other routers whose silence means that this router is cut off.
@@ -38,6 +36,8 @@
 	PeerAddress   string
 	Ready         bool
 	Leaving       bool
+	// StoreReachable is set while the router's own calls to the platform's store succeed.
+	StoreReachable bool
 }
 
 // Config configures a Roster.
@@ -78,7 +78,7 @@
 	if old, ok := roster.members[member.Instance]; ok && old.Incarnation >= member.Incarnation {
 		return
 	}
-	member.Ready = true
+	member.Ready, member.StoreReachable = true, false
 	roster.members[member.Instance] = &known{Member: member, heard: now}
 }
 
@@ -95,16 +95,12 @@
 	}
 	fresh := !ok || old.Incarnation < member.Incarnation || now.Sub(old.heard) > silence
 	roster.members[member.Instance] = &known{Member: member, heard: now, beaten: true}
+	if member.StoreReachable {
+		roster.storeReached = now
+	}
 	return fresh
 }
 
-// ReachStore records that another router reaches the platform's store.
-func (roster *Roster) ReachStore(now time.Time) {
-	roster.mutex.Lock()
-	defer roster.mutex.Unlock()
-	roster.storeReached = now
-}
-
 // StoreReached returns when another router last said that it reaches the platform's store.
 func (roster *Roster) StoreReached() time.Time {
 	roster.mutex.Lock()
@@ -129,10 +125,10 @@
 }
 
 // Update changes the router's own state.
-func (roster *Roster) Update(ready, leaving bool) {
+func (roster *Roster) Update(ready, leaving, storeReachable bool) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
-	roster.self.Ready, roster.self.Leaving = ready, leaving
+	roster.self.Ready, roster.self.Leaving, roster.self.StoreReachable = ready, leaving, storeReachable
 }
 
 // Self returns the router itself.
@@ -216,16 +212,23 @@
 	return ok && owner.Instance == roster.Self().Instance
 }
 
-// Readers returns the routers of the own zone that read the platform's store.
-func (roster *Roster) Readers(now time.Time) []Member {
-	zone := roster.Self().Zone
-	var readers []Member
+// Reader returns the router from which this one reads the topics of the platform's store: the first of its zone that
+// reaches the store, or the first of all zones. It is false if this router is to read the store itself.
+func (roster *Roster) Reader(now time.Time) (Member, bool) {
+	self := roster.Self()
+	var reader *Member
 	for _, member := range roster.Alive(now) {
-		if member.Zone == zone && !member.Leaving && len(readers) < readersPerZone {
-			readers = append(readers, member)
+		if !member.StoreReachable || member.Leaving {
+			continue
 		}
+		if reader == nil || (member.Zone == self.Zone && reader.Zone != self.Zone) {
+			reader = &member
+		}
+	}
+	if reader == nil || reader.Instance == self.Instance {
+		return Member{}, false
 	}
-	return readers
+	return *reader, true
 }
 
 func memberID(member Member) uint64 { return xxhash.Sum64String(string(member.Instance)) }
--- a/internal/store/feed/follower.go
+++ b/internal/store/feed/follower.go
@@ -22,15 +22,20 @@
 // errNudged ends a read for which a better source is known.
 var errNudged = errors.New("a newer record is known elsewhere")
 
+// Plan is how a topic is read.
+type Plan struct {
+	Source Source
+	// Wait is how long the read waits for new records, Interval the pause after it.
+	Wait     time.Duration
+	Interval time.Duration
+}
+
 // FollowerConfig configures a Follower.
 type FollowerConfig struct {
 	Topic  string
 	Mirror *Mirror
-	// Source returns where to read next. It is asked before each read, so that a source that is gone is replaced.
-	Source func() Source
-	// Interval is the pause between reads; Wait is how long one read waits for new records.
-	Interval time.Duration
-	Wait     time.Duration
+	// Plan returns how to read next. It is asked before each read, so that a source that is gone is replaced.
+	Plan func() Plan
 	// Apply gets the changes of each read, and when the last outage of the source ended; it is zero before the first one.
 	Apply func(records []Record, outageEnd time.Time)
 	// ReachedElsewhere returns when another router last reached the source; nil knows of none. Failed reads during which
@@ -71,8 +76,9 @@
 func (follower *Follower) Run(ctx context.Context) error {
 	delay := retryDelay
 	for ctx.Err() == nil {
-		pause := follower.config.Interval
-		if err := follower.read(ctx); err != nil && ctx.Err() == nil {
+		plan := follower.config.Plan()
+		pause := plan.Interval
+		if err := follower.read(ctx, plan); err != nil && ctx.Err() == nil {
 			follower.fail(err)
 			pause = delay
 			delay = min(delay*2, maxRetryDelay)
@@ -98,11 +104,10 @@
 	}
 }
 
-func (follower *Follower) read(ctx context.Context) error {
-	wait := follower.config.Wait
+func (follower *Follower) read(ctx context.Context, plan Plan) error {
 	if follower.nudged {
 		follower.nudged = false
-		return follower.readFrom(ctx, 0)
+		return follower.readFrom(ctx, plan.Source, 0)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -115,7 +120,7 @@
 			cancel(errNudged)
 		}
 	}()
-	err := follower.readFrom(ctx, wait)
+	err := follower.readFrom(ctx, plan.Source, plan.Wait)
 	if errors.Is(context.Cause(ctx), errNudged) {
 		follower.nudged = true
 		return nil
@@ -123,8 +128,7 @@
 	return err
 }
 
-func (follower *Follower) readFrom(ctx context.Context, wait time.Duration) error {
-	source := follower.config.Source()
+func (follower *Follower) readFrom(ctx context.Context, source Source, wait time.Duration) error {
 	from, loaded := follower.config.Mirror.Next()
 	if loaded {
 		batch, err := source.Read(ctx, follower.config.Topic, from, wait)
--- a/internal/store/feed/follower_test.go
+++ b/internal/store/feed/follower_test.go
@@ -50,7 +50,8 @@
 
 func follow(mirror *feed.Mirror, source *source, interval, wait time.Duration) *feed.Follower {
 	return feed.NewFollower(feed.FollowerConfig{
-		Topic: "topic", Mirror: mirror, Source: func() feed.Source { return source }, Interval: interval, Wait: wait,
+		Topic: "topic", Mirror: mirror,
+		Plan:  func() feed.Plan { return feed.Plan{Source: source, Interval: interval, Wait: wait} },
 		Apply: func([]feed.Record, time.Time) {}, Logger: hclog.NewNullLogger(),
 	})
 }
@@ -126,9 +127,9 @@
 				source := &failingSource{until: began.Add(test.failing)}
 				var outageEnd time.Time
 				follower := feed.NewFollower(feed.FollowerConfig{
-					Topic: "topic", Mirror: feed.NewMirror(feed.MirrorConfig{}), Source: func() feed.Source { return source },
-					Interval: 100 * time.Millisecond,
-					Apply:    func(_ []feed.Record, end time.Time) { outageEnd = end },
+					Topic: "topic", Mirror: feed.NewMirror(feed.MirrorConfig{}),
+					Plan:  func() feed.Plan { return feed.Plan{Source: source, Interval: 100 * time.Millisecond} },
+					Apply: func(_ []feed.Record, end time.Time) { outageEnd = end },
 					ReachedElsewhere: func() time.Time {
 						if test.elsewhere {
 							return time.Now()
