Test routers on loopback against a stand-in of the store

Three routers find each other, follow the configuration, start without the store, read from each other when the store turns one of them away, and stop without cutting a request.

--- /dev/null
+++ b/internal/edge/entry/entry_test.go
@@ -0,0 +1,293 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/admin/telem"
+	"github.com/clementinewind/clementinewind/internal/edge/entry"
+	"github.com/clementinewind/clementinewind/platform"
+	"github.com/clementinewind/clementinewind/platform/stand"
+)
+
+// waitTime bounds the wait for something that a fleet does within a second.
+const waitTime = 20 * time.Second
+
+// fleet is a store, one upstream and routers as they run on the platform, each at a loopback address of its own.
+type fleet struct {
+	t        *testing.T
+	store    *stand.Store
+	upstream *httptest.Server
+	version  int
+
+	mutex  sync.Mutex
+	handle http.HandlerFunc
+	// away are the routers that the store turns away.
+	away    map[int]bool
+	routers map[int]*router
+}
+
+type router struct {
+	entry    *entry.Entry
+	settings conf.Entry
+	cancel   context.CancelFunc
+	ended    chan error
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	built := &fleet{t: t, store: stand.NewStore(), routers: map[int]*router{}, away: map[int]bool{}}
+	built.handle = func(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, "answer") }
+	built.upstream = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		stand.Echo(writer, request)
+		stand.Seal(writer)
+		built.mutex.Lock()
+		handle := built.handle
+		built.mutex.Unlock()
+		handle(writer, request)
+	}))
+	t.Cleanup(built.upstream.Close)
+	built.configure("key")
+	built.store.Put(platform.TopicUpstreams, "u", fmt.Appendf(nil,
+		`{"service":"s","address":%q,"zone":"a","slots":8,"state":"ready","seq":1,"born":1}`, built.upstream.Listener.Addr()))
+	t.Cleanup(func() {
+		for _, router := range built.routers {
+			router.cancel()
+			<-router.ended
+		}
+	})
+	return built
+}
+
+func (fleet *fleet) configure(keys ...string) {
+	fleet.version++
+	text, err := json.Marshal(keys)
+	quicktest.Assert(fleet.t, err, quicktest.IsNil)
+	fleet.store.Put(platform.TopicOperator, "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"h","pathPrefix":"/",
+		"kind":"idempotent","timeoutMs":5000,"service":"s","maxAttempts":1}],"services":[{"name":"s","maxConns":50}],
+		"tenants":[{"name":"o","apiKeys":%s}]}`, fleet.version, text))
+}
+
+func (fleet *fleet) respond(handle http.HandlerFunc) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.handle = handle
+}
+
+// storeFor returns the address at which one router reaches the store.
+func (fleet *fleet) storeFor(number int) string {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		fleet.mutex.Lock()
+		away := fleet.away[number]
+		fleet.mutex.Unlock()
+		if away {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fleet.store.ServeHTTP(writer, request)
+	}))
+	fleet.t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func (fleet *fleet) turnAway(number int) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.away[number] = true
+}
+
+func (fleet *fleet) start(number int) *router {
+	fleet.t.Helper()
+	// Each test process has addresses of its own, so that packages can be tested side by side.
+	address := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()/250%250), byte(1 + os.Getpid()%250), byte(number)})
+	settings := conf.DefaultEntry()
+	settings.Name = clementinewind.Instance(fmt.Sprintf("router-%d", number))
+	settings.Zone = clementinewind.Zone([]string{"a", "b", "c"}[number%3])
+	settings.CallerListen = netip.AddrPortFrom(address, 20001)
+	settings.ReadyListen = netip.AddrPortFrom(address, 20002)
+	settings.LocateListen = netip.AddrPortFrom(address, 20003)
+	settings.FirstPort, settings.LastPort = 20004, 20010
+	settings.StoreAddress = netip.MustParseAddrPort(fleet.storeFor(number))
+	settings.Grace = 2 * time.Second
+	meter, err := telem.NewEntry(telem.EntryConfig{})
+	quicktest.Assert(fleet.t, err, quicktest.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &router{
+		entry:    entry.New(entry.Config{Settings: settings, Meter: meter, Logger: hclog.NewNullLogger()}),
+		settings: settings, cancel: cancel, ended: make(chan error, 1),
+	}
+	go func() { started.ended <- started.entry.Run(ctx) }()
+	fleet.routers[number] = started
+	return started
+}
+
+func (fleet *fleet) stop(number int) error {
+	router := fleet.routers[number]
+	delete(fleet.routers, number)
+	router.entry.Stop()
+	err := <-router.ended
+	router.cancel()
+	return err
+}
+
+func get(address netip.AddrPort, path string) (int, string) {
+	client := http.Client{Timeout: waitTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + address.String() + path)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+func (router *router) ask(key string) (int, string) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+router.settings.CallerListen.String()+"/x", nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	request.Host = "h"
+	stand.Caller(request.Header, "id", key, 5*time.Second)
+	client := http.Client{Timeout: waitTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+func (fleet *fleet) until(what string, holds func() bool) {
+	fleet.t.Helper()
+	for end := time.Now().Add(waitTime); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			fleet.t.Fatalf("after %v: not %s", waitTime, what)
+		}
+	}
+}
+
+func (fleet *fleet) ready(routers ...*router) {
+	fleet.t.Helper()
+	for _, router := range routers {
+		fleet.until("ready", func() bool {
+			status, _ := get(router.settings.ReadyListen, "/api/ready")
+			return status == http.StatusOK
+		})
+	}
+}
+
+func (router *router) addresses() []string {
+	_, body := get(router.settings.LocateListen, "/api/resolve?zone=a")
+	var answer struct{ Addrs []string }
+	if err := json.Unmarshal([]byte(body), &answer); err != nil {
+		return nil
+	}
+	return answer.Addrs
+}
+
+// Guards against routers that do not find each other, do not serve, or do not follow the configuration.
+func TestFleet(t *testing.T) {
+	fleet := newFleet(t)
+	first, second, third := fleet.start(1), fleet.start(2), fleet.start(3)
+	fleet.ready(first, second, third)
+	for _, router := range []*router{first, second, third} {
+		fleet.until("three addresses", func() bool { return len(router.addresses()) == 3 })
+		status, body := router.ask("key")
+		quicktest.Check(t, status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s", body))
+		quicktest.Check(t, body, quicktest.Equals, "answer")
+		status, _ = router.ask("other")
+		quicktest.Check(t, status, quicktest.Equals, http.StatusUnauthorized)
+	}
+	fleet.configure("other")
+	for _, router := range []*router{first, second, third} {
+		fleet.until("the new key in force", func() bool { status, _ := router.ask("other"); return status == http.StatusOK })
+		status, _ := router.ask("key")
+		quicktest.Check(t, status, quicktest.Equals, http.StatusUnauthorized)
+	}
+	quicktest.Check(t, fleet.stop(2), quicktest.IsNil)
+	fleet.until("two addresses", func() bool { return len(first.addresses()) == 2 })
+}
+
+// Guards against 401 and 404 from a router that knows no configuration yet, and against one that stays away after the store
+// was down at its start.
+func TestStartWithoutStore(t *testing.T) {
+	fleet := newFleet(t)
+	fleet.store.SetFault(func(writer http.ResponseWriter, _ *http.Request) bool {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	router := fleet.start(1)
+	fleet.until("answering", func() bool { status, _ := router.ask("key"); return status == http.StatusServiceUnavailable })
+	status, _ := get(router.settings.ReadyListen, "/api/ready")
+	quicktest.Check(t, status, quicktest.Equals, http.StatusServiceUnavailable)
+	fleet.store.SetFault(nil)
+	fleet.ready(router)
+	status, _ = router.ask("key")
+	quicktest.Check(t, status, quicktest.Equals, http.StatusOK)
+}
+
+// Guards against a router that the store turns away and that keeps a revoked key in force: it reads from the others.
+func TestStoreTurnsOneRouterAway(t *testing.T) {
+	fleet := newFleet(t)
+	first, second := fleet.start(1), fleet.start(2)
+	fleet.ready(first, second)
+	fleet.until("two addresses", func() bool { return len(first.addresses()) == 2 && len(second.addresses()) == 2 })
+	fleet.turnAway(2)
+	fleet.configure("other")
+	fleet.until("the new key in force", func() bool { status, _ := second.ask("other"); return status == http.StatusOK })
+}
+
+// Guards against a planned stop that cuts requests: one that runs is answered whole, and one that comes during the stop is
+// answered or refused as not run.
+func TestStopCutsNothing(t *testing.T) {
+	fleet := newFleet(t)
+	router := fleet.start(1)
+	fleet.ready(router)
+	running := make(chan struct{})
+	var once sync.Once
+	fleet.respond(func(writer http.ResponseWriter, _ *http.Request) {
+		once.Do(func() { close(running) })
+		time.Sleep(500 * time.Millisecond)
+		fmt.Fprint(writer, "answer")
+	})
+	answers := make(chan string, 1)
+	go func() { _, body := router.ask("key"); answers <- body }()
+	<-running
+	stopped := make(chan error, 1)
+	go func() { stopped <- fleet.stop(1) }()
+	quicktest.Check(t, <-answers, quicktest.Equals, "answer")
+	for {
+		select {
+		case err := <-stopped:
+			quicktest.Check(t, err, quicktest.IsNil)
+			return
+		default:
+		}
+		status, body := router.ask("key")
+		refused := status == 0 && strings.Contains(body, "refused")
+		quicktest.Check(t, status == http.StatusOK || status == http.StatusServiceUnavailable || refused || strings.Contains(body, "EOF") ||
+			strings.Contains(body, "reset"), quicktest.IsTrue, quicktest.Commentf("%d %s", status, body))
+	}
+}
