Exchange the work of large fleets in digests between zones

Cause: in a fleet of 64 each router told 63 others its work every 0.6 s; the figures were old when a request was placed, and the datagrams were a large part of the bytes between zones. Change: routers of a zone tell each other every 0.2 s; the first router of each zone exchanges sums with the other zones and passes theirs on; to other zones a router only says every 0.8 s that it is alive.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -13,23 +13,26 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
-	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 )
 
 const (
-	// fastestBeat is the pause between two beats in a small fleet. The work of the others is known with this age.
-	fastestBeat = 200 * time.Millisecond
-	// slowestBeat keeps three beats within the time after which a router counts as silent.
-	slowestBeat = 600 * time.Millisecond
-	// beatsPerSecond bounds the datagrams that a router sends, by which larger fleets beat more slowly.
-	beatsPerSecond = 100
+	// beatInterval is the pause between two beats. The work of the other routers is known with this age.
+	beatInterval = 200 * time.Millisecond
+	// fullMesh is the number of other routers up to which each router tells all others everything. In a larger fleet that
+	// goes to the routers of the own zone, and to the other zones in a digest, because bytes between zones are paid for.
+	fullMesh = 16
+	// presenceInterval is the pause between two beats to routers of other zones in a large fleet. They only say that the
+	// router is alive.
+	presenceInterval = 800 * time.Millisecond
 	// usageInterval is the pause between two reports of what the organisations used; they change over seconds.
 	usageInterval = 800 * time.Millisecond
-	// maxDatagram is far above a beat of the largest fleet.
+	// maxDatagram is far above a digest of the largest fleet.
 	maxDatagram = 60000
-	// maxPlacements bounds a beat under a burst; what is left out costs one reading of a prefix.
-	maxPlacements = 500
+	// maxPlacements bounds a datagram under a burst; what is left out costs one reading of a prefix.
+	maxPlacements = 1500
+	// digestAge is the age at which a digest no longer stands for the routers of its zone.
+	digestAge = 2 * time.Second
 )
 
 // Offsets tell how far a router has read the topics of the store.
@@ -44,77 +47,123 @@
 	Roster *roster.Roster
 	Board  *board.Board
 	Shares *usage.Shares
+	// Refresh is called before each beat and brings the router's own state in the roster up to date.
+	Refresh func()
 	// Offsets returns how far this router has read, Version its configuration.
 	Offsets func() Offsets
 	Version func() int64
-	// Refresh is called before each beat and brings the router's own state in the roster up to date.
-	Refresh func()
 	// Ahead is called when another router has read further than this one.
 	Ahead  func(offsets Offsets)
 	Logger hclog.Logger
 }
 
-// Gossip sends and receives beats.
+// Gossip sends and receives beats and digests.
 type Gossip struct {
 	config   Config
 	sequence uint64
-	// usageAt is when the usage of the organisations was last sent.
-	usageAt time.Time
-	// sequences holds the newest beat of each router, so that a datagram that arrives late is ignored.
-	sequences map[string]position
-}
-
-type position struct {
-	incarnation int64
-	sequence    uint64
+	// presenceAt and usageAt are when those were last sent.
+	presenceAt time.Time
+	usageAt    time.Time
+	zone       *zone
+	received   *received
 }
 
 // New returns a gossip that has not sent anything.
 func New(config Config) *Gossip {
-	return &Gossip{config: config, sequences: map[string]position{}}
+	return &Gossip{config: config, zone: newZone(), received: newReceived()}
 }
 
 // Send sends beats until the context ends.
 func (gossip *Gossip) Send(ctx context.Context) error {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
 	last := time.Now()
 	for {
 		gossip.config.Refresh()
-		peers := gossip.config.Roster.Peers()
-		gossip.beat(peers)
 		now := time.Now()
+		gossip.beat(now)
 		for _, member := range gossip.config.Roster.Silent(now, last) {
 			gossip.config.Logger.Warn("peer lost", "Peer", member.Instance, "Address", member.PeerAddress)
 		}
 		last = now
-		timer := time.NewTimer(interval(len(peers)))
 		select {
 		case <-ctx.Done():
-			timer.Stop()
 			return ctx.Err()
-		case <-timer.C:
+		case <-ticker.C:
 		}
 	}
 }
 
-// interval returns the pause between beats to this many routers.
-func interval(peers int) time.Duration {
-	return min(max(time.Duration(peers)*time.Second/beatsPerSecond, fastestBeat), slowestBeat)
+// beat tells the others what this router knows: everything to those nearby, and the rest only that it is alive.
+func (gossip *Gossip) beat(now time.Time) {
+	gossip.sequence++
+	peers := gossip.config.Roster.Peers()
+	self := gossip.config.Roster.Self()
+	large := len(peers) > fullMesh
+	beat := gossip.message(now)
+	near, far := peers, []roster.Member(nil)
+	if large {
+		near, far = split(peers, self.Zone)
+		gossip.zone.collect(self.Instance, beat)
+	}
+	gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Beat{Beat: beat}}, near)
+	if !large {
+		return
+	}
+	if now.Sub(gossip.presenceAt) >= presenceInterval {
+		gossip.presenceAt = now
+		gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Beat{Beat: presence(beat)}}, far)
+	}
+	gossip.digest(self, now)
 }
 
-func (gossip *Gossip) beat(peers []string) {
-	gossip.sequence++
-	datagram, err := proto.Marshal(gossip.message(time.Now()))
+// split separates the routers of a zone from the others.
+func split(peers []roster.Member, zone clementinewind.Zone) (near, far []roster.Member) {
+	for _, peer := range peers {
+		if peer.Zone == zone {
+			near = append(near, peer)
+		} else {
+			far = append(far, peer)
+		}
+	}
+	return near, far
+}
+
+// digest sends the digest of the own zone to the other zones, if this router does that for its zone.
+func (gossip *Gossip) digest(self roster.Member, now time.Time) {
+	heads := gossip.config.Roster.Heads(now)
+	digest := gossip.zone.digest(now)
+	if heads[self.Zone].Instance != self.Instance {
+		return
+	}
+	digest.Instance, digest.Zone = string(self.Instance), string(self.Zone)
+	digest.Incarnation, digest.Sequence = self.Incarnation, gossip.sequence
+	var others []roster.Member
+	for zone, head := range heads {
+		if zone != self.Zone {
+			others = append(others, head)
+		}
+	}
+	gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Digest{Digest: digest}}, others)
+}
+
+func (gossip *Gossip) send(datagram *fleetv1.Datagram, peers []roster.Member) {
+	if len(peers) == 0 {
+		return
+	}
+	content, err := proto.Marshal(datagram)
 	if err != nil {
-		gossip.config.Logger.Error("beat not encoded", "Error", err)
+		gossip.config.Logger.Error("datagram not encoded", "Error", err)
 		return
 	}
 	for _, peer := range peers {
-		address, err := net.ResolveUDPAddr("udp4", peer)
+		address, err := net.ResolveUDPAddr("udp4", peer.PeerAddress)
 		if err != nil {
+			gossip.config.Logger.Debug("address of a peer not readable", "Peer", peer.Instance, "Error", err)
 			continue
 		}
-		if _, err := gossip.config.Conn.WriteTo(datagram, address); err != nil {
-			gossip.config.Logger.Debug("beat not sent", "Peer", peer, "Error", err)
+		if _, err := gossip.config.Conn.WriteTo(content, address); err != nil {
+			gossip.config.Logger.Debug("datagram not sent", "Peer", peer.Instance, "Error", err)
 		}
 	}
 }
@@ -126,48 +175,25 @@
 	beat.Sequence = gossip.sequence
 	beat.ConfigurationVersion = gossip.config.Version()
 	beat.OperatorOffset, beat.UpstreamOffset = offsets.Operator, offsets.Upstreams
-	for upstream, load := range work {
-		beat.Loads = append(beat.Loads, &fleetv1.UpstreamLoad{
-			Upstream: upstream, Running: count(load.Running), PromptTokens: count(load.QueuedTokens), ResidentTokens: count(load.ResidentTokens),
-		})
-	}
-	for _, placement := range placements[:min(len(placements), maxPlacements)] {
-		beat.Placements = append(beat.Placements, &fleetv1.Placement{
-			Upstream: placement.Upstream, Prefix: placement.Prefix.Hash, Tokens: count(placement.Prefix.Tokens),
-		})
-	}
+	beat.Loads = encodeWork(work)
+	beat.Placements = encodePlacements(placements)
 	if now.Sub(gossip.usageAt) >= usageInterval {
 		gossip.usageAt = now
-		for organisation, sum := range gossip.config.Shares.Own(now) {
-			beat.Usages = append(beat.Usages, &fleetv1.Usage{
-				Organisation: organisation, Asked: count(int(sum.Asked)), Served: count(int(sum.Served)),
-			})
-		}
+		beat.Usages = encodeReport(gossip.config.Shares.Own(now))
 	}
 	return beat
 }
 
-func count(value int) uint32 { return uint32(max(value, 0)) }
-
-// Describe returns a beat that says only who a router is. The platform's store lists routers by it.
-func Describe(member roster.Member) *fleetv1.Beat {
+// presence returns a beat without the work of the router.
+func presence(beat *fleetv1.Beat) *fleetv1.Beat {
 	return &fleetv1.Beat{
-		Instance: string(member.Instance), Incarnation: member.Incarnation, Zone: string(member.Zone),
-		Address: member.CallerAddress, PeerAddress: member.PeerAddress, Ready: member.Ready, Leaving: member.Leaving,
-		StoreReachable: member.StoreReachable,
-	}
-}
-
-// MemberOf returns the router that a beat describes.
-func MemberOf(beat *fleetv1.Beat) roster.Member {
-	return roster.Member{
-		Instance: clementinewind.Instance(beat.Instance), Zone: clementinewind.Zone(beat.Zone), Incarnation: beat.Incarnation,
-		CallerAddress: beat.Address, PeerAddress: beat.PeerAddress, Ready: beat.Ready, Leaving: beat.Leaving,
-		StoreReachable: beat.StoreReachable,
+		Instance: beat.Instance, Incarnation: beat.Incarnation, Sequence: beat.Sequence, Zone: beat.Zone, Address: beat.Address,
+		PeerAddress: beat.PeerAddress, Ready: beat.Ready, Leaving: beat.Leaving, StoreReachable: beat.StoreReachable,
+		ConfigurationVersion: beat.ConfigurationVersion, OperatorOffset: beat.OperatorOffset, UpstreamOffset: beat.UpstreamOffset,
 	}
 }
 
-// Receive handles the beats of the others until the connection is closed.
+// Receive handles the datagrams of the others until the connection is closed.
 func (gossip *Gossip) Receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -181,48 +207,68 @@
 			// A peer that is gone shows as an error of a socket that goes on to work.
 			continue
 		}
-		var beat fleetv1.Beat
-		if err := proto.Unmarshal(buffer[:size], &beat); err != nil || beat.Instance == "" {
-			gossip.config.Logger.Debug("datagram is no beat", "Error", err)
+		var datagram fleetv1.Datagram
+		if err := proto.Unmarshal(buffer[:size], &datagram); err != nil {
+			gossip.config.Logger.Debug("datagram not readable", "Error", err)
 			continue
 		}
-		gossip.hear(&beat, time.Now())
+		now := time.Now()
+		if beat := datagram.GetBeat(); beat.GetInstance() != "" {
+			gossip.hear(beat, now)
+		}
+		if digest := datagram.GetDigest(); digest.GetZone() != "" {
+			gossip.learn(digest, now)
+		}
 	}
 }
 
+// hear handles the beat of another router.
 func (gossip *Gossip) hear(beat *fleetv1.Beat, now time.Time) {
-	last := gossip.sequences[beat.Instance]
-	if beat.Incarnation < last.incarnation || (beat.Incarnation == last.incarnation && beat.Sequence <= last.sequence) {
+	if !gossip.received.newer(beat.Instance, beat.Incarnation, beat.Sequence) {
 		return
 	}
-	gossip.sequences[beat.Instance] = position{incarnation: beat.Incarnation, sequence: beat.Sequence}
 	member := MemberOf(beat)
 	if gossip.config.Roster.Hear(member, now) {
 		gossip.config.Logger.Info("peer heard", "Peer", member.Instance, "Address", member.PeerAddress)
 	}
-	work := make(map[uint32]board.Work, len(beat.Loads))
-	for _, load := range beat.Loads {
-		work[load.Upstream] = board.Work{
-			Running: int(load.Running), QueuedTokens: int(load.PromptTokens), ResidentTokens: int(load.ResidentTokens),
-		}
-	}
-	gossip.config.Board.SetPeer(member.Instance, work, now)
-	placements := make([]board.Placement, len(beat.Placements))
-	for i, placement := range beat.Placements {
-		placements[i] = board.Placement{
-			Upstream: placement.Upstream, Prefix: prompt.Prefix{Hash: placement.Prefix, Tokens: int(placement.Tokens)},
-		}
+	self := gossip.config.Roster.Self()
+	if member.Zone == self.Zone {
+		gossip.zone.collect(member.Instance, beat)
 	}
-	gossip.config.Board.AddPlacements(placements)
-	if len(beat.Usages) > 0 {
-		report := make(usage.Report, len(beat.Usages))
-		for _, sum := range beat.Usages {
-			report[sum.Organisation] = usage.Sum{Asked: float64(sum.Asked), Served: float64(sum.Served)}
-		}
-		gossip.config.Shares.SetPeer(member.Instance, report, now)
+	// A digest already counts the routers of its zone.
+	if member.Zone == self.Zone || !gossip.received.hasDigest(member.Zone, now) {
+		gossip.apply(board.Source{Instance: member.Instance}, beat.Loads, beat.Placements, beat.Usages, now)
 	}
 	own := gossip.config.Offsets()
 	if beat.OperatorOffset > own.Operator || beat.UpstreamOffset > own.Upstreams {
 		gossip.config.Ahead(Offsets{Operator: beat.OperatorOffset, Upstreams: beat.UpstreamOffset})
 	}
 }
+
+// learn handles the digest of another zone, and passes it on in the own zone if it came from there.
+func (gossip *Gossip) learn(digest *fleetv1.Digest, now time.Time) {
+	self := gossip.config.Roster.Self()
+	zone := clementinewind.Zone(digest.Zone)
+	if zone == self.Zone || !gossip.received.newer("digest of "+digest.Instance, digest.Incarnation, digest.Sequence) {
+		return
+	}
+	gossip.received.setDigest(zone, now)
+	gossip.apply(board.Source{Zone: zone}, digest.Loads, digest.Placements, digest.Usages, now)
+	if gossip.config.Roster.Heads(now)[self.Zone].Instance != self.Instance {
+		return
+	}
+	near, _ := split(gossip.config.Roster.Peers(), self.Zone)
+	gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Digest{Digest: digest}}, near)
+}
+
+func (gossip *Gossip) apply(
+	source board.Source, loads []*fleetv1.UpstreamLoad, placements []*fleetv1.Placement, usages []*fleetv1.Usage, now time.Time,
+) {
+	gossip.config.Board.SetPeer(source, decodeWork(loads), now)
+	if len(placements) > 0 {
+		gossip.config.Board.AddPlacements(decodePlacements(placements))
+	}
+	if len(usages) > 0 {
+		gossip.config.Shares.SetPeer(usage.Source(source), decodeReport(usages), now)
+	}
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// silence is the time without a beat after which a router is left out of answers to callers. Beats come at least three
-	// times in it.
-	silence = 1800 * time.Millisecond
+	// silence is the time without a beat after which a router is left out of answers to callers. It lets one of the beats
+	// between zones be lost, which come every 0.8 s in a large fleet.
+	silence = 2 * time.Second
 	// forget is the time after which a router gets no more beats.
 	forget = time.Minute
 	// fewestPerZone is the number of routers that a zone must have for its callers to use only those.
@@ -138,16 +138,27 @@
 	return roster.self
 }
 
-// Peers returns the addresses of all other routers that are not forgotten.
-func (roster *Roster) Peers() []string {
+// Peers returns all other routers that are not forgotten.
+func (roster *Roster) Peers() []Member {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
-	var addresses []string
+	var peers []Member
 	for _, member := range roster.members {
-		addresses = append(addresses, member.PeerAddress)
+		peers = append(peers, member.Member)
 	}
-	slices.Sort(addresses)
-	return addresses
+	slices.SortFunc(peers, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	return peers
+}
+
+// Heads returns the first live router of each zone, which exchange the digests of their zones.
+func (roster *Roster) Heads(now time.Time) map[clementinewind.Zone]Member {
+	heads := map[clementinewind.Zone]Member{}
+	for _, member := range roster.Alive(now) {
+		if _, ok := heads[member.Zone]; !ok && !member.Leaving {
+			heads[member.Zone] = member
+		}
+	}
+	return heads
 }
 
 // Known returns how many routers there are, including those that fell silent a short time ago.
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -27,7 +27,8 @@
 	ResidentTokens int
 }
 
-func (work Work) plus(other Work) Work {
+// Plus returns the sum of two.
+func (work Work) Plus(other Work) Work {
 	return Work{
 		Running:        work.Running + other.Running,
 		QueuedTokens:   work.QueuedTokens + other.QueuedTokens,
@@ -62,10 +63,16 @@
 	settings   map[table.Service]table.ServiceSettings
 	paces      map[table.Service]*paces
 	zonesOut   map[clementinewind.Zone]bool
-	peers      map[clementinewind.Instance]peer
+	peers      map[Source]peer
 	placements []Placement
 }
 
+// Source is who told of work: another router, or another zone as a whole.
+type Source struct {
+	Instance clementinewind.Instance
+	Zone     clementinewind.Zone
+}
+
 type peer struct {
 	work map[uint32]Work
 	at   time.Time
@@ -81,7 +88,7 @@
 		settings:  map[table.Service]table.ServiceSettings{},
 		paces:     map[table.Service]*paces{},
 		zonesOut:  map[clementinewind.Zone]bool{},
-		peers:     map[clementinewind.Instance]peer{},
+		peers:     map[Source]peer{},
 	}
 }
 
@@ -170,11 +177,11 @@
 	return len(board.upstreams)
 }
 
-// SetPeer replaces the work of another router.
-func (board *Board) SetPeer(instance clementinewind.Instance, work map[uint32]Work, now time.Time) {
+// SetPeer replaces the work of another router or zone.
+func (board *Board) SetPeer(source Source, work map[uint32]Work, now time.Time) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	board.peers[instance] = peer{work: work, at: now}
+	board.peers[source] = peer{work: work, at: now}
 	board.sumLocked(now)
 }
 
@@ -182,14 +189,14 @@
 	for _, upstream := range board.upstreams {
 		upstream.remote = Work{}
 	}
-	for instance, peer := range board.peers {
+	for source, peer := range board.peers {
 		if now.Sub(peer.at) > peerAge {
-			delete(board.peers, instance)
+			delete(board.peers, source)
 			continue
 		}
 		for hash, work := range peer.work {
 			if upstream, ok := board.byHash[hash]; ok {
-				upstream.remote = upstream.remote.plus(work)
+				upstream.remote = upstream.remote.Plus(work)
 			}
 		}
 	}
--- a/internal/load/usage/share.go
+++ b/internal/load/usage/share.go
@@ -34,12 +34,18 @@
 // Report is the usage of one router, by the hashes of the organisations.
 type Report map[uint32]Sum
 
+// Source is who told of usage: another router, or another zone as a whole.
+type Source struct {
+	Instance clementinewind.Instance
+	Zone     clementinewind.Zone
+}
+
 // Shares compares what the organisations get from all routers. Its methods may be called by many goroutines.
 type Shares struct {
 	mutex  sync.Mutex
 	asked  *Meter[uint32]
 	served *Meter[uint32]
-	peers  map[clementinewind.Instance]peerReport
+	peers  map[Source]peerReport
 
 	refreshed time.Time
 	level     float64
@@ -53,7 +59,7 @@
 
 // NewShares returns shares over a window.
 func NewShares(window time.Duration) *Shares {
-	return &Shares{asked: New[uint32](window), served: New[uint32](window), peers: map[clementinewind.Instance]peerReport{}}
+	return &Shares{asked: New[uint32](window), served: New[uint32](window), peers: map[Source]peerReport{}}
 }
 
 // Ask counts a request that arrived.
@@ -70,11 +76,11 @@
 	shares.served.Add(Hash(organisation), tokens, now)
 }
 
-// SetPeer replaces the usage of another router.
-func (shares *Shares) SetPeer(instance clementinewind.Instance, report Report, now time.Time) {
+// SetPeer replaces the usage of another router or zone.
+func (shares *Shares) SetPeer(source Source, report Report, now time.Time) {
 	shares.mutex.Lock()
 	defer shares.mutex.Unlock()
-	shares.peers[instance] = peerReport{report: report, at: now}
+	shares.peers[source] = peerReport{report: report, at: now}
 }
 
 // Own returns the usage of this router, at most MaxReported organisations.
@@ -124,9 +130,9 @@
 func (shares *Shares) refreshLocked(now time.Time) {
 	shares.refreshed = now
 	shares.totals = shares.ownLocked(now)
-	for instance, peer := range shares.peers {
+	for source, peer := range shares.peers {
 		if now.Sub(peer.at) > peerAge {
-			delete(shares.peers, instance)
+			delete(shares.peers, source)
 			continue
 		}
 		for hash, sum := range peer.report {
