Move callers away from crowded routers

Change: beats tell the requests a second for each core; routers far above the mean are left out of the answers to callers and close a fifth of their connections; a crowded zone names the routers of all zones. A request that waits looks every 50 ms, and the work of the peers is added up at most every 20 ms.

--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -35,6 +35,8 @@
 	MemoryBytes int64
 	// Descriptors is the limit of open files and sockets.
 	Descriptors int
+	// CoreShare is the part of a core that the process may use, on average.
+	CoreShare float64
 
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
@@ -71,6 +73,7 @@
 		LogLevel:          hclog.Info,
 		MemoryBytes:       256 * mebibyte,
 		Descriptors:       4096,
+		CoreShare:         1,
 		Grace:             8 * time.Second,
 		Contact:           3 * time.Second,
 		AddressTimeToLive: 2 * time.Second,
@@ -113,6 +116,7 @@
 			return setSize(text, 16*mebibyte, 1024*gibibyte, &entry.MemoryBytes)
 		}},
 		{"Sizes", "Descriptors", false, count(descriptorReserve, maxDescriptors, func(entry *Entry) *int { return &entry.Descriptors })},
+		{"Sizes", "CoreShare", false, ratio(func(entry *Entry) *float64 { return &entry.CoreShare })},
 		{"Times", "Grace", false, duration(func(entry *Entry) *time.Duration { return &entry.Grace })},
 		{"Times", "Contact", false, duration(func(entry *Entry) *time.Duration { return &entry.Contact })},
 		{"Times", "AddressTimeToLive", false, duration(func(entry *Entry) *time.Duration { return &entry.AddressTimeToLive })},
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -36,6 +37,9 @@
 	lastShare = 0.96
 	// drainPoll is how often a stopping router looks whether its requests have ended.
 	drainPoll = 50 * time.Millisecond
+	// rotateShare is the part of the answers after which a crowded router closes the connection: enough that its callers
+	// move within a second, and not all at once.
+	rotateShare = 0.2
 	// flushTime is for the last log lines.
 	flushTime = 100 * time.Millisecond
 )
@@ -70,6 +74,7 @@
 	readers readers
 
 	inFlight atomic.Int64
+	load     *load
 	closing  atomic.Bool
 	refusing atomic.Bool
 	stop     chan struct{}
@@ -78,7 +83,7 @@
 
 // New returns an entry that has not started.
 func New(config Config) *Entry {
-	entry := &Entry{config: config, stop: make(chan struct{})}
+	entry := &Entry{config: config, stop: make(chan struct{}), load: newLoad(config.Settings.CoreShare)}
 	entry.settings.Store(&config.Settings)
 	settings := config.Settings
 	self := roster.Member{
@@ -101,7 +106,7 @@
 	})
 	entry.relay = relay.New(relay.Config{
 		Zone: settings.Zone, Board: entry.board, Shares: entry.shares, Table: entry.view.Table, Routers: entry.roster.Known,
-		Closing: entry.closing.Load, Refusing: entry.refusing.Load, Dial: dialer.DialContext, Budget: entry.budget,
+		Closing: entry.sendsAway, Refusing: entry.refusing.Load, Dial: dialer.DialContext, Budget: entry.budget,
 		Meter: config.Meter, Logger: config.Logger,
 	})
 	entry.readers = newReaders(entry)
@@ -126,7 +131,7 @@
 
 // refresh brings the router's own state in the roster up to date.
 func (entry *Entry) refresh() {
-	entry.roster.Update(entry.ready(), entry.closing.Load(), entry.readers.store.reachable())
+	entry.roster.Update(entry.ready(), entry.closing.Load(), entry.readers.store.reachable(), entry.load.measure(time.Now()))
 }
 
 func (entry *Entry) locate(zone clementinewind.Zone) ([]string, time.Duration) {
@@ -208,10 +213,16 @@
 	return 0
 }
 
-// serving counts the requests in flight.
+// sendsAway reports whether a caller should open its next connection elsewhere.
+func (entry *Entry) sendsAway() bool {
+	return entry.closing.Load() || (rand.Float64() < rotateShare && entry.roster.Crowded(time.Now()))
+}
+
+// serving counts the requests.
 func (entry *Entry) serving(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		entry.inFlight.Add(1)
+		entry.load.count.Add(1)
 		defer entry.inFlight.Add(-1)
 		handler.ServeHTTP(writer, request)
 	})
--- a/internal/fleet/gossip/encode.go
+++ b/internal/fleet/gossip/encode.go
@@ -14,7 +14,7 @@
 	return &fleetv1.Beat{
 		Instance: string(member.Instance), Incarnation: member.Incarnation, Zone: string(member.Zone),
 		Address: member.CallerAddress, PeerAddress: member.PeerAddress, Ready: member.Ready, Leaving: member.Leaving,
-		StoreReachable: member.StoreReachable,
+		StoreReachable: member.StoreReachable, Load: count(int(member.Load)),
 	}
 }
 
@@ -23,7 +23,7 @@
 	return roster.Member{
 		Instance: clementinewind.Instance(beat.Instance), Zone: clementinewind.Zone(beat.Zone), Incarnation: beat.Incarnation,
 		CallerAddress: beat.Address, PeerAddress: beat.PeerAddress, Ready: beat.Ready, Leaving: beat.Leaving,
-		StoreReachable: beat.StoreReachable,
+		StoreReachable: beat.StoreReachable, Load: float64(beat.Load),
 	}
 }
 
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -21,6 +21,10 @@
 	forget = time.Minute
 	// fewestPerZone is the number of routers that a zone must have for its callers to use only those.
 	fewestPerZone = 2
+	// crowdedFactor is the load against the mean of the fleet from which a router, or a zone, is crowded. Below crowdedLoad
+	// requests a second for each core the processor does not bind, and callers stay where they are.
+	crowdedFactor = 1.6
+	crowdedLoad   = 120.0
 	// isolation is the share of the other routers whose silence means that this router is cut off.
 	isolation = 0.5
 )
@@ -38,6 +42,8 @@
 	Leaving       bool
 	// StoreReachable is set while the router's own calls to the platform's store succeed.
 	StoreReachable bool
+	// Load is the requests a second that the router gets for each core of its instance.
+	Load float64
 }
 
 // Config configures a Roster.
@@ -125,10 +131,11 @@
 }
 
 // Update changes the router's own state.
-func (roster *Roster) Update(ready, leaving, storeReachable bool) {
+func (roster *Roster) Update(ready, leaving, storeReachable bool, load float64) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
-	roster.self.Ready, roster.self.Leaving, roster.self.StoreReachable = ready, leaving, storeReachable
+	self := &roster.self
+	self.Ready, self.Leaving, self.StoreReachable, self.Load = ready, leaving, storeReachable, load
 }
 
 // Self returns the router itself.
@@ -186,8 +193,26 @@
 	return alive
 }
 
+// Crowded reports whether this router has far more load than the others, so that callers should connect elsewhere.
+func (roster *Roster) Crowded(now time.Time) bool {
+	members := roster.Alive(now)
+	return crowded(roster.Self().Load, meanLoad(members), len(members))
+}
+
+func crowded(load, mean float64, members int) bool {
+	return members > 1 && load > crowdedLoad && load > crowdedFactor*mean
+}
+
+func meanLoad(members []Member) float64 {
+	total := 0.0
+	for _, member := range members {
+		total += member.Load
+	}
+	return total / float64(max(len(members), 1))
+}
+
 // Addresses returns where the callers of a zone connect: at the routers of their zone, or at all routers if the zone has
-// too few. A router that hears hardly any other one is cut off itself, and goes on to name those it knows.
+// too few or much more load than the fleet. Crowded routers are left out. A router that hears hardly any other one is cut off itself, and goes on to name those it knows.
 func (roster *Roster) Addresses(zone clementinewind.Zone, now time.Time) []string {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
@@ -200,20 +225,33 @@
 			}
 		}
 	}
-	var near, all []string
+	members = slices.DeleteFunc(members, func(member Member) bool { return member.Leaving || !member.Ready })
+	mean := meanLoad(members)
+	var near []Member
 	for _, member := range members {
-		if member.Leaving || !member.Ready {
-			continue
+		if member.Zone == zone {
+			near = append(near, member)
 		}
+	}
+	if len(near) >= fewestPerZone && !crowded(meanLoad(near), mean, len(members)) {
+		members = near
+	}
+	return addressesOf(members, mean)
+}
+
+// addressesOf returns the addresses of those that are not crowded, or of all if too few are left.
+func addressesOf(members []Member, mean float64) []string {
+	var quiet, all []string
+	for _, member := range members {
 		all = append(all, member.CallerAddress)
-		if member.Zone == zone {
-			near = append(near, member.CallerAddress)
+		if !crowded(member.Load, mean, len(members)) {
+			quiet = append(quiet, member.CallerAddress)
 		}
 	}
-	if len(near) >= fewestPerZone {
-		return near
+	if len(quiet) < fewestPerZone {
+		return all
 	}
-	return all
+	return quiet
 }
 
 // Owns reports whether this router is the owner of a key. While routers disagree on the members, several may be.
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -18,6 +18,10 @@
 // peerAge is the age at which the work that a peer told of no longer counts.
 const peerAge = 2 * time.Second
 
+// sumInterval is how long the sum of the work of all peers is kept. In a large fleet adding it up costs more than a
+// placement.
+const sumInterval = 20 * time.Millisecond
+
 // Work is the work of one router at one upstream.
 type Work struct {
 	Running int
@@ -65,6 +69,8 @@
 	zonesOut   map[clementinewind.Zone]bool
 	peers      map[Source]peer
 	placements []Placement
+	// summed is when the work of the peers was last added up.
+	summed time.Time
 }
 
 // Source is who told of work: another router, or another zone as a whole.
@@ -182,10 +188,10 @@
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	board.peers[source] = peer{work: work, at: now}
-	board.sumLocked(now)
 }
 
 func (board *Board) sumLocked(now time.Time) {
+	board.summed = now
 	for _, upstream := range board.upstreams {
 		upstream.remote = Work{}
 	}
@@ -248,6 +254,9 @@
 func (board *Board) Place(request Request, now time.Time) (*Ticket, time.Duration) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
+	if now.Sub(board.summed) >= sumInterval {
+		board.sumLocked(now)
+	}
 	shared := request.Prompt.Shared()
 	eligible := board.eligibleLocked(request, now)
 	candidates := candidatesOf(eligible, shared, board.settings[request.Service], board.pacesLocked(request.Service), now)
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -21,8 +21,9 @@
 const (
 	// maxPlacements bounds how many upstreams a request is offered to, when they reject it or cannot be reached.
 	maxPlacements = 6
-	// placeWait is the pause before the next look when no upstream takes a request.
-	placeWait = 20 * time.Millisecond
+	// placeWait is the pause before the next look when no upstream takes a request; what the other routers do is known
+	// every 0.2 s.
+	placeWait = 50 * time.Millisecond
 	// waitShare is the part of the latency goal that a request waits for an upstream that takes it.
 	waitShare = 0.125
 	// busyRetry is when to return if no upstream takes requests: cold upstreams get their next allowance, and entries of
