Refuse requests at once while the processor is short

Change: the process measures by how much timers are late; above 0.12 s new requests are refused before they are placed, and connections are closed. A crowded router closes as many connections as its excess.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -37,9 +37,6 @@
 	lastShare = 0.96
 	// drainPoll is how often a stopping router looks whether its requests have ended.
 	drainPoll = 50 * time.Millisecond
-	// rotateShare is the part of the answers after which a crowded router closes the connection: enough that its callers
-	// move within a second, and not all at once.
-	rotateShare = 0.2
 	// flushTime is for the last log lines.
 	flushTime = 100 * time.Millisecond
 )
@@ -75,6 +72,7 @@
 
 	inFlight atomic.Int64
 	load     *load
+	lag      lag
 	closing  atomic.Bool
 	refusing atomic.Bool
 	stop     chan struct{}
@@ -106,7 +104,7 @@
 	})
 	entry.relay = relay.New(relay.Config{
 		Zone: settings.Zone, Board: entry.board, Shares: entry.shares, Table: entry.view.Table, Routers: entry.roster.Known,
-		Closing: entry.sendsAway, Refusing: entry.refusing.Load, Dial: dialer.DialContext, Budget: entry.budget,
+		Closing: entry.sendsAway, Refusing: entry.refusing.Load, Overloaded: entry.lag.overloaded, Dial: dialer.DialContext, Budget: entry.budget,
 		Meter: config.Meter, Logger: config.Logger,
 	})
 	entry.readers = newReaders(entry)
@@ -131,7 +129,11 @@
 
 // refresh brings the router's own state in the roster up to date.
 func (entry *Entry) refresh() {
-	entry.roster.Update(entry.ready(), entry.closing.Load(), entry.readers.store.reachable(), entry.load.measure(time.Now()))
+	load := entry.load.measure(time.Now())
+	if entry.lag.overloaded() {
+		load = max(load, roster.OverloadedLoad)
+	}
+	entry.roster.Update(entry.ready(), entry.closing.Load(), entry.readers.store.reachable(), load)
 }
 
 func (entry *Entry) locate(zone clementinewind.Zone) ([]string, time.Duration) {
@@ -192,6 +194,7 @@
 	actor(entry.readers.operator.follower.Run)
 	actor(entry.readers.upstreams.follower.Run)
 	actor(entry.announce)
+	actor(entry.lag.run)
 	actor(chatter.Send)
 	group.Add(func() error { return chatter.Receive(ctx) }, func(error) { cancel(); conn.Close() })
 	for _, server := range servers {
@@ -215,7 +218,7 @@
 
 // sendsAway reports whether a caller should open its next connection elsewhere.
 func (entry *Entry) sendsAway() bool {
-	return entry.closing.Load() || (rand.Float64() < rotateShare && entry.roster.Crowded(time.Now()))
+	return entry.closing.Load() || entry.lag.overloaded() || rand.Float64() < entry.roster.Excess(time.Now())
 }
 
 // serving counts the requests.
--- /dev/null
+++ b/internal/edge/entry/lag.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// lagProbe is the pause after which the process should run again; what it takes longer is the lag.
+	lagProbe = 20 * time.Millisecond
+	// lagHold is how long the largest lag counts, so that a burst is not taken for over between two probes.
+	lagHold = 300 * time.Millisecond
+	// lagLimit is the lag from which new requests are refused. A request passes the scheduler a few times, so that it would
+	// be late by several times this.
+	lagLimit = 120 * time.Millisecond
+)
+
+// lag measures how long the process waits for the processor.
+type lag struct {
+	nanoseconds atomic.Int64
+}
+
+// run measures until the context ends.
+func (lag *lag) run(ctx context.Context) error {
+	var largestAt time.Time
+	ticker := time.NewTimer(lagProbe)
+	defer ticker.Stop()
+	for {
+		began := time.Now()
+		ticker.Reset(lagProbe)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		now := time.Now()
+		late := now.Sub(began) - lagProbe
+		if int64(late) >= lag.nanoseconds.Load() || now.Sub(largestAt) > lagHold {
+			lag.nanoseconds.Store(int64(late))
+			largestAt = now
+		}
+	}
+}
+
+// overloaded reports whether requests would wait too long for the processor.
+func (lag *lag) overloaded() bool { return lag.nanoseconds.Load() > int64(lagLimit) }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -25,6 +25,8 @@
 	// requests a second for each core the processor does not bind, and callers stay where they are.
 	crowdedFactor = 1.6
 	crowdedLoad   = 120.0
+	// OverloadedLoad is the least load of a router whose processor is not enough for what it gets.
+	OverloadedLoad = 1000.0
 	// isolation is the share of the other routers whose silence means that this router is cut off.
 	isolation = 0.5
 )
@@ -193,10 +195,14 @@
 	return alive
 }
 
-// Crowded reports whether this router has far more load than the others, so that callers should connect elsewhere.
-func (roster *Roster) Crowded(now time.Time) bool {
+// Excess returns the part of the load of this router that should go elsewhere; it is 0 unless the router is crowded.
+func (roster *Roster) Excess(now time.Time) float64 {
 	members := roster.Alive(now)
-	return crowded(roster.Self().Load, meanLoad(members), len(members))
+	load, mean := roster.Self().Load, meanLoad(members)
+	if !crowded(load, mean, len(members)) {
+		return 0
+	}
+	return 1 - crowdedFactor*mean/load
 }
 
 func crowded(load, mean float64, members int) bool {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -126,9 +126,9 @@
 	addresses := built.Addresses("b", began)
 	quicktest.Check(t, addresses, quicktest.HasLen, 5)
 	quicktest.Check(t, addresses, quicktest.Not(quicktest.Contains), "10.0.0.2:80")
-	quicktest.Check(t, built.Crowded(began), quicktest.IsFalse)
+	quicktest.Check(t, built.Excess(began), quicktest.Equals, 0.0)
 	built.Update(true, false, true, 3000)
-	quicktest.Check(t, built.Crowded(began), quicktest.IsTrue)
+	quicktest.Check(t, built.Excess(began) > 0.5, quicktest.IsTrue)
 	// A low load moves nobody.
 	quiet := fleet()
 	busy.Load = 50
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -29,6 +29,8 @@
 	defaultBodyBytes = 4 << 20
 	// startRetry is when to return to a router that knows no configuration yet.
 	startRetry = 200 * time.Millisecond
+	// overloadRetry is when to return after a refusal by an overloaded router, on a new connection and probably elsewhere.
+	overloadRetry = 50 * time.Millisecond
 	// connectionShare is the part of an upstream's connections that all routers together use. The rest is for health checks
 	// and for connections that the upstream still counts after they were closed.
 	connectionShare = 0.8
@@ -48,7 +50,9 @@
 	// Closing reports whether callers should open their next connection elsewhere, Refusing whether requests are refused.
 	Closing  func() bool
 	Refusing func() bool
-	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	// Overloaded reports whether the processor is not enough for the requests.
+	Overloaded func() bool
+	Dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	// Budget returns the bound of repeated requests for all routers together.
 	Budget func() budget.Config
 	Meter  Meter
@@ -129,6 +133,12 @@
 	if relay.config.Closing() {
 		writer.Header().Set("Connection", "close")
 	}
+	if relay.config.Overloaded() {
+		// Another router serves the request sooner; the caller opens a new connection.
+		exchange.call.RequestID = platform.RequestID(request.Header)
+		exchange.refuse(clementinewind.ReasonBusy, overloadRetry, "router is overloaded")
+		return
+	}
 	if !exchange.admit() || !exchange.read() {
 		return
 	}
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +37,8 @@
 	server *httptest.Server
 	board  *board.Board
 
+	overloaded atomic.Bool
+
 	mutex sync.Mutex
 	// ran are the upstreams that got a request, in order.
 	ran []string
@@ -76,9 +79,10 @@
 	started.server = httptest.NewServer(relay.New(relay.Config{
 		Board: started.board, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
 		Closing: func() bool { return false }, Refusing: func() bool { return false },
-		Dial:   new(net.Dialer).DialContext,
-		Budget: func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
-		Meter:  noMeter{}, Logger: hclog.NewNullLogger(),
+		Overloaded: started.overloaded.Load,
+		Dial:       new(net.Dialer).DialContext,
+		Budget:     func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
+		Meter:      noMeter{}, Logger: hclog.NewNullLogger(),
 	}))
 	t.Cleanup(started.server.Close)
 	return started
@@ -212,6 +216,20 @@
 	quicktest.Check(t, time.Since(began) < time.Second, quicktest.IsTrue)
 }
 
+// Replays callers that stay with a router whose processor is not enough: it refuses them at once and closes their
+// connections, instead of reading their requests seconds later.
+func TestOverloaded(t *testing.T) {
+	fleet := start(t, table.Route{Kind: table.RouteOnce, MaxAttempts: 1}, func(writer http.ResponseWriter, _ *http.Request, _ int) {
+		sealed(writer, http.StatusOK, "answer")
+	})
+	fleet.overloaded.Store(true)
+	response, _, err := fleet.ask(t, http.MethodPost, "body")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	quicktest.Check(t, response.Header.Get("Retry-After"), quicktest.Equals, "0.050")
+	quicktest.Check(t, fleet.ran, quicktest.HasLen, 0)
+}
+
 func TestStream(t *testing.T) {
 	whole := "id: 1\ndata: token\n\nid: 2\ndata: token\n\nid: 3\ndata: token\n\n"
 	resumes := func(writer http.ResponseWriter, request *http.Request, number int) {
