Refuse at once what the upstreams are too far behind for

Cause: a request waited an eighth of its goal although the upstreams were known to be further behind than that; on small instances the waiting cost processor time and callers left meanwhile. Change: such a request is refused at once with the time to return; nothing is sent for a caller that has left while a connection was opened.

--- a/internal/route/link/link_test.go
+++ b/internal/route/link/link_test.go
@@ -215,3 +215,23 @@
 	quicktest.Check(t, errors.Is(err, context.DeadlineExceeded), quicktest.IsTrue, quicktest.Commentf("%v", err))
 	<-closed
 }
+
+// Guards against a request that is sent on after its caller left.
+func TestCanceledBeforeSending(t *testing.T) {
+	reached := make(chan struct{}, 1)
+	pool, _ := serve(t, func(conn net.Conn, _ int) {
+		echo("")(conn, 0)
+		reached <- struct{}{}
+	})
+	_, err := ask(t, pool)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = pool.Do(ctx, request())
+	quicktest.Check(t, link.Sent(err), quicktest.IsFalse, quicktest.Commentf("%v", err))
+	// The connection was not used and serves the next request.
+	body, err := ask(t, pool)
+	quicktest.Check(t, err, quicktest.IsNil)
+	quicktest.Check(t, body, quicktest.Equals, "ok")
+	quicktest.Check(t, reached, quicktest.HasLen, 0)
+}
--- a/internal/route/link/pool.go
+++ b/internal/route/link/pool.go
@@ -95,6 +95,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := ctx.Err(); err != nil {
+		// A caller that has left while the connection was opened gets no work started.
+		pool.put(conn)
+		return nil, &UnreachableError{Cause: err}
+	}
 	answer, err := conn.roundTrip(ctx, request)
 	if err != nil {
 		pool.drop(conn)
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -155,7 +155,8 @@
 				"Uncached", ticket.Uncached, "Candidates", ticket.Candidates, "Cold", ticket.Cold, "Attempt", exchange.sends+1)
 			return ticket
 		}
-		if now.After(giveUp) {
+		// Upstreams that are further behind than the request may wait are not waited for.
+		if now.Add(late).After(giveUp) {
 			return nil
 		}
 		timer := time.NewTimer(placeWait)
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -44,16 +45,31 @@
 	ran []string
 }
 
+// runs returns the upstreams that got a request, in order.
+func (fleet *fleet) runs() []string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return slices.Clone(fleet.ran)
+}
+
 // upstream handles a request at an upstream; number counts the requests of all upstreams from 0.
 type upstream func(writer http.ResponseWriter, request *http.Request, number int)
 
 func start(t *testing.T, route table.Route, upstreams ...upstream) *fleet {
+	t.Helper()
+	return startEngine(t, nil, route, upstreams...)
+}
+
+// startEngine starts a router whose upstreams are model engines, unless engine is nil.
+func startEngine(t *testing.T, engine *table.Engine, route table.Route, upstreams ...upstream) *fleet {
 	t.Helper()
 	started := &fleet{}
 	route.Host, route.PathPrefix = "host.example", "/p/"
 	route.Shares = []table.Share{{Service: "service", Weight: 1}}
 	current := table.New(table.Configuration{
-		Version: 1, Routes: []table.Route{route}, Services: []table.ServiceSettings{{Name: "service", MaxConnections: 100}},
+		Version: 1, Routes: []table.Route{route}, Services: []table.ServiceSettings{
+			{Name: "service", MaxConnections: 100, Engine: engine},
+		},
 		Organisations: []table.OrganisationKeys{{Organisation: "Patel", Keys: []string{"key"}}},
 	})
 	started.board = board.New(board.Config{Owns: func(clementinewind.Upstream) bool { return true }})
@@ -95,6 +111,7 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	request.Host = "host.example"
 	stand.Caller(request.Header, "id-1", "key", 2*time.Second)
+	stand.Prompt(request.Header, 5000, 4000)
 	response, err := http.DefaultClient.Do(request)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	defer response.Body.Close()
@@ -200,7 +217,7 @@
 			response, _, err := fleet.ask(t, http.MethodPost, "body")
 			quicktest.Assert(t, err, quicktest.IsNil)
 			quicktest.Check(t, response.StatusCode, quicktest.Equals, test.status)
-			quicktest.Check(t, fleet.ran, quicktest.HasLen, test.runs)
+			quicktest.Check(t, fleet.runs(), quicktest.HasLen, test.runs)
 		})
 	}
 }
@@ -227,7 +244,24 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
 	quicktest.Check(t, response.Header.Get("Retry-After"), quicktest.Equals, "0.050")
-	quicktest.Check(t, fleet.ran, quicktest.HasLen, 0)
+	quicktest.Check(t, fleet.runs(), quicktest.HasLen, 0)
+}
+
+// Replays a backlog that is far beyond the goal: the request is refused at once with the time to return, and does not wait
+// until it would be refused anyway.
+func TestBacklogIsRefusedAtOnce(t *testing.T) {
+	route := table.Route{Kind: table.RouteStream, MaxAttempts: 1, LatencyGoal: 4 * time.Second}
+	fleet := startEngine(t, &table.Engine{Slots: 8, MemoryTokens: 500_000}, route,
+		func(writer http.ResponseWriter, _ *http.Request, _ int) { sealed(writer, http.StatusOK, "") })
+	fleet.board.SetPeer(board.Source{Instance: "peer"}, map[uint32]board.Work{
+		board.Hash("upstream-0"): {Running: 4, QueuedTokens: 1_000_000},
+	}, time.Now())
+	began := time.Now()
+	response, _, err := fleet.ask(t, http.MethodPost, "body")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	quicktest.Check(t, time.Since(began) < route.LatencyGoal/8, quicktest.IsTrue)
+	quicktest.Check(t, fleet.runs(), quicktest.HasLen, 0)
 }
 
 func TestStream(t *testing.T) {
--- a/internal/tools/soak/fault.go
+++ b/internal/tools/soak/fault.go
@@ -30,10 +30,21 @@
 
 func faults() []fault {
 	return []fault{
-		{"pause", pause}, {"kill", kill}, {"terminate", terminate}, {"reload", reload}, {"kill all", killAll},
-		{"store", storeFault}, {"store cut", storeCut}, {"store forgets", storeForgets},
-		{"crash", crash}, {"leave", leave}, {"failing", failing}, {"network", network}, {"reset", resetLinks},
-		{"key", replaceKey}, {"configuration", configure},
+		{"pause", pause},
+		{"kill", kill},
+		{"terminate", terminate},
+		{"reload", reload},
+		{"kill all", killAll},
+		{"store", storeFault},
+		{"store cut", storeCut},
+		{"store forgets", storeForgets},
+		{"crash", crash},
+		{"leave", leave},
+		{"failing", failing},
+		{"network", network},
+		{"reset", resetLinks},
+		{"key", replaceKey},
+		{"configuration", configure},
 	}
 }
 
