Log what a rejection was decided from

The line of a rejected request names by how much the upstreams were behind and the share of its organisation, and 'clementinewind explain' puts both into its sentence.

--- a/internal/admin/cause/cause.go
+++ b/internal/admin/cause/cause.go
@@ -98,8 +98,11 @@
 	reason, detail := last.Fields["Reason"], last.Fields["Detail"]
 	switch {
 	case reason == "NoCapacity" && last.Fields["Tried"] == "0":
-		return fmt.Sprintf("The request was refused and has not run: the upstreams were too far behind or took no requests; return after %s.",
-			last.Fields["RetryAfter"])
+		if late := last.Fields["Late"]; late != "" && late != "0s" {
+			return fmt.Sprintf("The request was refused and has not run: the upstreams were %s too far behind for it, and its organisation "+
+				"had %s of its fair share; return after %s.", late, last.Fields["Share"], last.Fields["RetryAfter"])
+		}
+		return fmt.Sprintf("The request was refused and has not run: no upstream took requests; return after %s.", last.Fields["RetryAfter"])
 	case reason == "Unauthorized":
 		return "The request was denied because no organisation of the configuration in force holds its key."
 	case reason == "Invalid":
--- a/internal/route/relay/answer.go
+++ b/internal/route/relay/answer.go
@@ -123,7 +123,7 @@
 	http.Error(exchange.writer, reason.String()+": "+detail, status)
 	exchange.logger.Warn("rejected", "Request", exchange.call.RequestID, "Status", status, "Reason", reason,
 		"Detail", detail, "Route", exchange.route.Name, "Organisation", exchange.organisation, "RetryAfter", retryAfter,
-		"Tried", len(exchange.tried), "Took", time.Since(exchange.arrived))
+		"Late", exchange.late, "Share", exchange.share, "Tried", len(exchange.tried), "Took", time.Since(exchange.arrived))
 	exchange.relay.config.Meter.Ended(exchange.service.Name, reason.String(), time.Since(exchange.arrived))
 }
 
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -62,8 +62,10 @@
 	sends    int
 	fallback *fallback
 	stream   stream
-	// late is by how much the upstreams are behind for this request.
-	late time.Duration
+	// late is by how much the upstreams are behind for this request, share what its organisation got as a part of its fair
+	// share.
+	late  time.Duration
+	share float64
 }
 
 // fallback is a failure of an upstream that the caller gets if no other upstream serves the request.
@@ -143,10 +145,11 @@
 	giveUp := time.Now().Add(time.Duration(waitShare * float64(goal)))
 	for {
 		now := time.Now()
+		exchange.share = exchange.relay.config.Shares.Ratio(exchange.organisation, now)
 		ticket, late := exchange.relay.config.Board.Place(board.Request{
 			Service: exchange.service.Name, Zone: exchange.relay.config.Zone, Prompt: exchange.call.Prompt,
 			Goal: goal - now.Sub(exchange.arrived), Left: exchange.deadline.Sub(now), Tried: exchange.tried,
-			Patience: pick.Patience(goal, exchange.relay.config.Shares.Ratio(exchange.organisation, now)),
+			Patience: pick.Patience(goal, exchange.share),
 		}, now)
 		exchange.late = late
 		if ticket != nil {
