--- /dev/null
+++ b/cmd/clementinewind/entry_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind/internal/tools/soak"
+)
+
+// Guards against broken promises under faults from outside of real processes. A longer search with other seeds is the
+// command 'clementinewind soak'.
+func TestSoak(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		folder := t.TempDir()
+		report, err := soak.Run(t.Context(), soak.Config{
+			Seed: seed, Duration: 8 * time.Second, Routers: 3, Binary: filepath.Join(binaries, "clementinewind"), Folder: folder,
+			Out: t.Output(),
+		})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Check(t, report.Broken, quicktest.HasLen, 0, quicktest.Commentf("%v", report))
+		quicktest.Check(t, report.Outcomes["200"] > 0, quicktest.IsTrue, quicktest.Commentf("%v", report))
+	}
+}
+
+// Guards against a process that starts with wrong settings, and against a report that names only the first fault.
+func TestEntrySettings(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry.ini")
+	quicktest.Assert(t, os.WriteFile(file, []byte("[Instance]\nName = a b\n[Store]\nAddress = nowhere\n"), 0o600), quicktest.IsNil)
+	command := exec.Command(filepath.Join(binaries, "clementinewind"), "entry", "--config", file)
+	text, err := command.CombinedOutput()
+	quicktest.Check(t, err, quicktest.IsNotNil)
+	quicktest.Check(t, command.ProcessState.ExitCode(), quicktest.Equals, 2)
+	for _, fault := range []string{"[Instance] Name", "[Instance] Zone", "[Store] Address", "[Listen] Caller"} {
+		quicktest.Check(t, strings.Contains(string(text), fault), quicktest.IsTrue, quicktest.Commentf("%s in %s", fault, text))
+	}
+}
+
+func TestExplainCommand(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "router.log")
+	line := `18:11:41.090 [WARN]  rejected: Instance=r Request=8c Status=503 Reason=NoCapacity Late=0s RetryAfter=400ms Tried=0` + "\n"
+	quicktest.Assert(t, os.WriteFile(file, []byte(line), 0o600), quicktest.IsNil)
+	program := filepath.Join(binaries, "clementinewind")
+	text, err := exec.Command(program, "explain", "8c", file).CombinedOutput()
+	quicktest.Check(t, err, quicktest.IsNil)
+	quicktest.Check(t, strings.Contains(string(text), "refused and has not run"), quicktest.IsTrue, quicktest.Commentf("%s", text))
+	quicktest.Check(t, exec.Command(program, "explain", "unknown", file).Run(), quicktest.IsNotNil)
+}
--- a/internal/admin/telem/telem_test.go
+++ b/internal/admin/telem/telem_test.go
@@ -85,6 +85,7 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	metrics, err := os.ReadFile("testdata/metrics.txt")
 	quicktest.Assert(t, err, quicktest.IsNil)
+	metrics = append(metrics, entryMetrics(t)...)
 	names := regexp.MustCompile(`clementinewind_[a-z_]+`).FindAllString(string(page), -1)
 	quicktest.Assert(t, len(names) > 0, quicktest.IsTrue)
 	for _, name := range names {
@@ -94,6 +95,21 @@
 	}
 }
 
+// entryMetrics returns the exposition of an entry after one event of each kind.
+func entryMetrics(t *testing.T) []byte {
+	t.Helper()
+	meter, err := telem.NewEntry(telem.EntryConfig{LeftOut: func() int64 { return 3 }})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	meter.Ended("service", "Answered", time.Second)
+	meter.FirstEvent("service", time.Second, time.Millisecond)
+	meter.Connected("service")
+	meter.StoreCall("/read", http.StatusOK, time.Millisecond)
+	recorder := httptest.NewRecorder()
+	meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	quicktest.Assert(t, recorder.Body.String(), quicktest.Contains, `clementinewind_entry_requests_total{outcome="Answered",service="service"} 1`)
+	return recorder.Body.Bytes()
+}
+
 // Guards against a router that takes no work and reports ready, against one that is restarted because it is not ready,
 // and against profiles that are served without being configured.
 func TestAdmin(t *testing.T) {
--- a/internal/route/router/matrix_test.go
+++ b/internal/route/router/matrix_test.go
@@ -93,11 +93,17 @@
 // sourcesOf returns the test files of a package, by default of this one.
 func sourcesOf(t *testing.T, name string) string {
 	t.Helper()
-	files, err := filepath.Glob(filepath.Join("..", "..", "*", name, "*_test.go"))
-	if name == "" {
-		files, err = filepath.Glob("*_test.go")
+	patterns := []string{"*_test.go"}
+	if name != "" {
+		// Packages lie under internal/<area>/, commands under cmd/, and platform at the root.
+		patterns = []string{"../../*/" + name + "/*_test.go", "../../../cmd/" + name + "/*_test.go", "../../../" + name + "/*_test.go"}
+	}
+	var files []string
+	for _, pattern := range patterns {
+		found, err := filepath.Glob(pattern)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		files = append(files, found...)
 	}
-	quicktest.Assert(t, err, quicktest.IsNil)
 	var sources strings.Builder
 	for _, file := range files {
 		source, err := os.ReadFile(file)
