Remove what nothing uses

Fields and functions of the new packages without a use, and two comments about fields that no longer exist.

--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -60,7 +60,7 @@
 	*http.Server
 	listener net.Listener
 	once     sync.Once
-	// accepting is false after stopAccepting.
+	// ended is closed by close.
 	ended chan struct{}
 }
 
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -64,7 +64,7 @@
 // Guards against routers that do not learn of each other, of their work, of what the organisations use, or of newer records.
 func TestBeats(t *testing.T) {
 	behind, ahead := start(t, 1, 0), start(t, 2, 7)
-	request := board.Request{Service: "s", Goal: time.Second, Left: time.Second, Patience: time.Minute, Prompt: prompt.Prompt{
+	request := board.Request{Service: "s", Goal: time.Second, Patience: time.Minute, Prompt: prompt.Prompt{
 		InputTokens: 5000, Parts: []prompt.Part{{ID: "shared", Tokens: 4000}, {ID: "own", Tokens: 1000}},
 	}}
 	ticket, _ := ahead.board.Place(request, time.Now())
@@ -129,7 +129,7 @@
 	for number := range routers {
 		fleet = append(fleet, start(t, 100+number, 0))
 	}
-	request := board.Request{Service: "s", Goal: time.Second, Left: time.Second, Patience: time.Minute, Prompt: prompt.Prompt{InputTokens: 100}}
+	request := board.Request{Service: "s", Goal: time.Second, Patience: time.Minute, Prompt: prompt.Prompt{InputTokens: 100}}
 	for _, placed := range fleet {
 		ticket, _ := placed.board.Place(request, time.Now())
 		quicktest.Assert(t, ticket, quicktest.IsNotNil)
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -240,9 +240,8 @@
 	Service table.Service
 	Zone    clementinewind.Zone
 	Prompt  prompt.Prompt
-	// Goal is the time to the first event that is left, Left the time to the deadline.
+	// Goal is the time to the first event that is left.
 	Goal time.Duration
-	Left time.Duration
 	// Patience is the longest expected time to the first event with which the request is placed.
 	Patience time.Duration
 	// Tried are upstreams that already had the request.
@@ -266,7 +265,7 @@
 		board.rankLocked(request.Service, eligible, candidates, shared[len(shared)-1].Hash)
 	}
 	decision := pick.Best(candidates, pick.Request{
-		Zone: request.Zone, Goal: request.Goal, Left: request.Left,
+		Zone: request.Zone, Goal: request.Goal,
 		InputTokens: request.Prompt.InputTokens, SharedTokens: sharedTokens, OutputTokens: request.Prompt.OutputTokens,
 	})
 	if decision.Index < 0 {
--- a/internal/load/board/board_test.go
+++ b/internal/load/board/board_test.go
@@ -36,7 +36,7 @@
 
 func quote(subject string) board.Request {
 	return board.Request{
-		Service: "engines", Zone: "zone", Goal: time.Second, Left: 10 * time.Second, Patience: time.Second,
+		Service: "engines", Zone: "zone", Goal: time.Second, Patience: time.Second,
 		Prompt: prompt.Prompt{
 			Model: "m", InputTokens: 17_000, OutputTokens: 100,
 			Parts: []prompt.Part{{ID: subject, Tokens: 13_000}, {ID: "own", Tokens: 4000}},
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -59,9 +59,8 @@
 // Request is what the decision needs to know of a request.
 type Request struct {
 	Zone clementinewind.Zone
-	// Goal is the time to the first event that is still left; Left is the time to the deadline.
+	// Goal is the time to the first event that is still left.
 	Goal time.Duration
-	Left time.Duration
 	// InputTokens is 0 for plain services.
 	InputTokens  int
 	SharedTokens int
--- a/internal/load/pick/pick_test.go
+++ b/internal/load/pick/pick_test.go
@@ -19,7 +19,7 @@
 }
 
 // A prompt of 17,000 tokens, 13,000 of which other prompts share.
-var quote = pick.Request{Goal: time.Second, Left: 10 * time.Second, InputTokens: 17_000, SharedTokens: 13_000, OutputTokens: 100}
+var quote = pick.Request{Goal: time.Second, InputTokens: 17_000, SharedTokens: 13_000, OutputTokens: 100}
 
 func ExampleBest() {
 	candidates := []pick.Candidate{engine(0, 20, 8_000, 13_000), engine(1, 2, 0, 0)}
--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -140,9 +140,6 @@
 	closed  bool
 }
 
-// Reused reports whether the connection had served earlier requests.
-func (answer *Answer) Reused() bool { return answer.conn.reused }
-
 // Read reads from the body. It returns io.EOF only after the complete body.
 func (answer *Answer) Read(buffer []byte) (int, error) {
 	count, err := answer.Response.Body.Read(buffer)
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -148,7 +148,7 @@
 		exchange.share = exchange.relay.config.Shares.Ratio(exchange.organisation, now)
 		ticket, late := exchange.relay.config.Board.Place(board.Request{
 			Service: exchange.service.Name, Zone: exchange.relay.config.Zone, Prompt: exchange.call.Prompt,
-			Goal: goal - now.Sub(exchange.arrived), Left: exchange.deadline.Sub(now), Tried: exchange.tried,
+			Goal: goal - now.Sub(exchange.arrived), Tried: exchange.tried,
 			Patience: pick.Patience(goal, exchange.share),
 		}, now)
 		exchange.late = late
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -49,9 +49,6 @@
 // Limits returns what callers may send.
 func (table *Table) Limits() Limits { return table.configuration.Limits }
 
-// Organisations returns the number of organisations.
-func (table *Table) Organisations() int { return len(table.configuration.Organisations) }
-
 // Match returns the route of a host with the longest prefix of a path.
 func (table *Table) Match(host, path string) (Route, bool) {
 	name, _, _ := strings.Cut(strings.ToLower(host), ":")
--- a/internal/store/view/view_test.go
+++ b/internal/store/view/view_test.go
@@ -32,7 +32,7 @@
 
 // takes reports whether an upstream takes requests.
 func takes(upstreams *board.Board) bool {
-	ticket, _ := upstreams.Place(board.Request{Service: "s", Left: time.Second}, time.Now())
+	ticket, _ := upstreams.Place(board.Request{Service: "s"}, time.Now())
 	if ticket == nil {
 		return false
 	}
