--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -111,7 +111,7 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	request.Host = "host.example"
 	stand.Caller(request.Header, "id-1", "key", 2*time.Second)
-	stand.Prompt(request.Header, 5000, 4000)
+	stand.Prompt(request.Header, "subject", 5000, 4000, 10)
 	response, err := http.DefaultClient.Do(request)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	defer response.Body.Close()
