--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -131,7 +131,7 @@
 
 // LoadEntry reads and checks the file of an entry. The error is a *FaultsError if the file could be read but is not valid.
 func LoadEntry(path string) (Entry, error) {
-	text, err := readFile(path)
+	text, err := readFile(path, "read entry settings")
 	if err != nil {
 		return Entry{}, err
 	}
--- a/internal/admin/conf/parse.go
+++ b/internal/admin/conf/parse.go
@@ -79,23 +79,24 @@
 
 // Load reads and checks a file. The error is a *FaultsError if the file could be read but is not valid.
 func Load(path string) (Router, error) {
-	text, err := readFile(path)
+	text, err := readFile(path, "read router settings")
 	if err != nil {
 		return Router{}, err
 	}
 	return Parse(path, text)
 }
 
-func readFile(path string) ([]byte, error) {
+// readFile reads a file of settings; what names the step in its errors.
+func readFile(path, what string) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read settings")
+		return nil, errors.Wrap(err, what)
 	}
 	if info.Size() > maxFileBytes {
-		return nil, errors.Errorf("read settings: %s has %d bytes, more than %d", path, info.Size(), maxFileBytes)
+		return nil, errors.Errorf("%s: %s has %d bytes, more than %d", what, path, info.Size(), maxFileBytes)
 	}
 	text, err := os.ReadFile(path)
-	return text, errors.Wrap(err, "read settings")
+	return text, errors.Wrap(err, what)
 }
 
 // Parse checks the text of a file as a whole. The error is a *FaultsError that names file in each fault.
