Remove a setting and a callback that nothing uses

Cause: the contact time of the settings was read and checked but decided nothing, and no caller of view.New set Changed. Change: both are gone, with the line of the template. No behaviour changes.

--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -40,8 +40,6 @@
 
 	// Grace is the time between the request to stop and the kill.
 	Grace time.Duration
-	// Contact is the time after which an unreachable router counts as gone.
-	Contact time.Duration
 	// AddressTimeToLive is how long callers may cache an answer of Locate.
 	AddressTimeToLive time.Duration
 	// RetryRatio, RetryWindow and RetryExtra bound the repeated requests of all routers to one service: in each window
@@ -75,7 +73,6 @@
 		Descriptors:       4096,
 		CoreShare:         1,
 		Grace:             8 * time.Second,
-		Contact:           3 * time.Second,
 		AddressTimeToLive: 2 * time.Second,
 		RetryRatio:        0.2,
 		RetryWindow:       10 * time.Second,
@@ -118,7 +115,6 @@
 		{"Sizes", "Descriptors", false, count(descriptorReserve, maxDescriptors, func(entry *Entry) *int { return &entry.Descriptors })},
 		{"Sizes", "CoreShare", false, ratio(func(entry *Entry) *float64 { return &entry.CoreShare })},
 		{"Times", "Grace", false, duration(func(entry *Entry) *time.Duration { return &entry.Grace })},
-		{"Times", "Contact", false, duration(func(entry *Entry) *time.Duration { return &entry.Contact })},
 		{"Times", "AddressTimeToLive", false, duration(func(entry *Entry) *time.Duration { return &entry.AddressTimeToLive })},
 		{"Retry", "Ratio", false, ratio(func(entry *Entry) *float64 { return &entry.RetryRatio })},
 		{"Retry", "Window", false, duration(func(entry *Entry) *time.Duration { return &entry.RetryWindow })},
--- a/internal/store/view/view.go
+++ b/internal/store/view/view.go
@@ -29,8 +29,6 @@
 type Config struct {
 	Board  *board.Board
 	Logger hclog.Logger
-	// Changed is called after a new configuration is in force; nil is not called.
-	Changed func(current *table.Table)
 	// Gone is called for each upstream that was removed; nil is not called.
 	Gone func(upstream clementinewind.Upstream)
 }
@@ -104,9 +102,6 @@
 	view.table.Store(current)
 	view.config.Logger.Info("configuration in force", "Version", configuration.Version, "Offset", record.Offset,
 		"Routes", len(configuration.Routes), "Organisations", len(configuration.Organisations))
-	if view.config.Changed != nil {
-		view.config.Changed(current)
-	}
 }
 
 // ApplyUpstreams applies records that upstreams wrote.
