Read the store only for records that stay missing

A router took itself for behind while any beat named an offset it lacked. When upstreams turn cold their entries change 50 times a second, so that somebody always has a newer record. Ruled out: a reader of a zone that fails (calls came from all routers alike), lonely routers (few log-newest calls). Change: feed.Lag keeps the first offset that is missing; only if that one is still missing after 0.3 s the router reads the store. Readers of a zone are nudged by the same rule, where they nudged each other at each beat before.

--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -19,7 +19,7 @@
 	// upstreamInterval is the pause between reads of the entries of upstreams at the store, where a read that waits ends at
 	// each of their heartbeats. An upstream that leaves must get no requests 2 s later.
 	upstreamInterval = 500 * time.Millisecond
-	// aheadTime is how long other routers may be ahead of one that reads from another router, before it reads the store.
+	// aheadTime is how long a record that other routers have read may be missing before a router reads the store at once.
 	aheadTime = 300 * time.Millisecond
 	// directTime is how long a router reads the store itself after a read from another router failed.
 	directTime = 3 * time.Second
@@ -42,8 +42,7 @@
 	follower *feed.Follower
 
 	mutex sync.Mutex
-	// aheadSince is when another router was first seen ahead.
-	aheadSince  time.Time
+	lag         feed.Lag
 	directUntil time.Time
 }
 
@@ -103,21 +102,11 @@
 }
 
 // ahead is told how far another router has read.
-func (topic *topic) ahead(offset int64, now time.Time, reader bool) {
+func (topic *topic) ahead(offset int64, now time.Time) {
 	next, _ := topic.mirror.Next()
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
-	if offset < next {
-		topic.aheadSince = time.Time{}
-		return
-	}
-	if topic.aheadSince.IsZero() {
-		topic.aheadSince = now
-	}
-	switch {
-	case reader:
-		topic.follower.Nudge()
-	case now.Sub(topic.aheadSince) > aheadTime:
+	if topic.lag.Behind(offset, next, aheadTime, now) {
 		topic.directUntil = now.Add(directTime)
 		topic.follower.Nudge()
 	}
@@ -126,9 +115,8 @@
 // ahead is told how far another router has read.
 func (readers readers) ahead(offsets gossip.Offsets) {
 	now := time.Now()
-	_, follows := readers.entry.roster.Reader(now)
-	readers.operator.ahead(offsets.Operator, now, !follows)
-	readers.upstreams.ahead(offsets.Upstreams, now, !follows)
+	readers.operator.ahead(offsets.Operator, now)
+	readers.upstreams.ahead(offsets.Upstreams, now)
 }
 
 // peerSource reads from another router and turns to the store when that fails.
