Tell each caller of a few routers, chosen by caller and cores

Cause: callers of one organisation prefer the same router of those they are told of. Change: an answer names 4 routers, by rendezvous of the caller's network address weighted by processor time, so that a caller keeps its routers and an organisation is spread. Beats carry the processor time.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -86,7 +86,7 @@
 	settings := config.Settings
 	self := roster.Member{
 		Instance: settings.Name, Zone: settings.Zone, Incarnation: time.Now().UnixNano(),
-		CallerAddress: settings.CallerListen.String(), PeerAddress: entry.peerAddress().String(),
+		CallerAddress: settings.CallerListen.String(), PeerAddress: entry.peerAddress().String(), Cores: settings.CoreShare,
 	}
 	entry.roster = roster.New(roster.Config{Self: self})
 	entry.board = board.New(board.Config{
@@ -136,9 +136,9 @@
 	entry.roster.Update(entry.ready(), entry.closing.Load(), entry.readers.store.reachable(), load)
 }
 
-func (entry *Entry) locate(zone clementinewind.Zone) ([]string, time.Duration) {
+func (entry *Entry) locate(zone clementinewind.Zone, caller string) ([]string, time.Duration) {
 	entry.refresh()
-	return entry.roster.Addresses(zone, time.Now()), min(timeToLive, entry.settings.Load().AddressTimeToLive)
+	return entry.roster.Addresses(zone, caller, time.Now()), min(timeToLive, entry.settings.Load().AddressTimeToLive)
 }
 
 // Reload applies new settings. Addresses stay as they were at the start.
--- a/internal/fleet/gossip/encode.go
+++ b/internal/fleet/gossip/encode.go
@@ -9,12 +9,14 @@
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 )
 
+const milli = 1000
+
 // Describe returns a beat that says only who a router is. The platform's store lists routers by it.
 func Describe(member roster.Member) *fleetv1.Beat {
 	return &fleetv1.Beat{
 		Instance: string(member.Instance), Incarnation: member.Incarnation, Zone: string(member.Zone),
 		Address: member.CallerAddress, PeerAddress: member.PeerAddress, Ready: member.Ready, Leaving: member.Leaving,
-		StoreReachable: member.StoreReachable, Load: count(int(member.Load)),
+		StoreReachable: member.StoreReachable, Load: count(int(member.Load)), MilliCores: count(int(milli * member.Cores)),
 	}
 }
 
@@ -23,7 +25,7 @@
 	return roster.Member{
 		Instance: clementinewind.Instance(beat.Instance), Zone: clementinewind.Zone(beat.Zone), Incarnation: beat.Incarnation,
 		CallerAddress: beat.Address, PeerAddress: beat.PeerAddress, Ready: beat.Ready, Leaving: beat.Leaving,
-		StoreReachable: beat.StoreReachable, Load: float64(beat.Load),
+		StoreReachable: beat.StoreReachable, Load: float64(beat.Load), Cores: float64(beat.MilliCores) / milli,
 	}
 }
 
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -189,7 +189,7 @@
 	return &fleetv1.Beat{
 		Instance: beat.Instance, Incarnation: beat.Incarnation, Sequence: beat.Sequence, Zone: beat.Zone, Address: beat.Address,
 		PeerAddress: beat.PeerAddress, Ready: beat.Ready, Leaving: beat.Leaving, StoreReachable: beat.StoreReachable,
-		Load: beat.Load, ConfigurationVersion: beat.ConfigurationVersion, OperatorOffset: beat.OperatorOffset, UpstreamOffset: beat.UpstreamOffset,
+		Load: beat.Load, MilliCores: beat.MilliCores, ConfigurationVersion: beat.ConfigurationVersion, OperatorOffset: beat.OperatorOffset, UpstreamOffset: beat.UpstreamOffset,
 	}
 }
 
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -27,6 +28,13 @@
 	crowdedLoad   = 120.0
 	// OverloadedLoad is the least load of a router whose processor is not enough for what it gets.
 	OverloadedLoad = 1000.0
+	// answerSize is the number of routers that one caller is told. Callers of one organisation may all prefer the same
+	// router of those they know, so that each caller gets other ones; with 4 it rarely happens that all of them are gone.
+	answerSize = 4
+	// leastCores stands for routers that do not tell how much processor time they have.
+	leastCores = 0.01
+	// weightExponent names routers in proportion to their processor time when callers are told of a quarter of them.
+	weightExponent = 1.5
 	// isolation is the share of the other routers whose silence means that this router is cut off.
 	isolation = 0.5
 )
@@ -46,6 +54,8 @@
 	StoreReachable bool
 	// Load is the requests a second that the router gets for each core of its instance.
 	Load float64
+	// Cores is the processor time that the instance has in a second, in seconds.
+	Cores float64
 }
 
 // Config configures a Roster.
@@ -217,9 +227,10 @@
 	return total / float64(max(len(members), 1))
 }
 
-// Addresses returns where the callers of a zone connect: at the routers of their zone, or at all routers if the zone has
-// too few or much more load than the fleet. Crowded routers are left out. A router that hears hardly any other one is cut off itself, and goes on to name those it knows.
-func (roster *Roster) Addresses(zone clementinewind.Zone, now time.Time) []string {
+// Addresses returns where a caller connects: at a few routers of its zone, or of all zones if its own has too few or much
+// more load than the fleet. Crowded routers are left out, and those with more processor time are named to more callers. A
+// router that hears hardly any other one is cut off itself, and goes on to name those it knows.
+func (roster *Roster) Addresses(zone clementinewind.Zone, caller string, now time.Time) []string {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
 	members := roster.aliveLocked(now)
@@ -242,20 +253,25 @@
 	if len(near) >= fewestPerZone && !crowded(meanLoad(near), mean, len(members)) {
 		members = near
 	}
-	return addressesOf(members, mean)
+	chosen := place.New(place.Config[Member]{Members: uncrowded(members, mean), ID: memberID, Weight: memberWeight}).Top(caller, answerSize)
+	addresses := make([]string, len(chosen))
+	for i, member := range chosen {
+		addresses[i] = member.CallerAddress
+	}
+	slices.Sort(addresses)
+	return addresses
 }
 
-// addressesOf returns the addresses of those that are not crowded, or of all if too few are left.
-func addressesOf(members []Member, mean float64) []string {
-	var quiet, all []string
+// uncrowded returns the routers that are not crowded, or all if too few are left.
+func uncrowded(members []Member, mean float64) []Member {
+	var quiet []Member
 	for _, member := range members {
-		all = append(all, member.CallerAddress)
 		if !crowded(member.Load, mean, len(members)) {
-			quiet = append(quiet, member.CallerAddress)
+			quiet = append(quiet, member)
 		}
 	}
 	if len(quiet) < fewestPerZone {
-		return all
+		return members
 	}
 	return quiet
 }
@@ -287,3 +303,7 @@
 }
 
 func memberID(member Member) uint64 { return xxhash.Sum64String(string(member.Instance)) }
+
+// memberWeight is how often a router is named to callers against the others. No caller is told of a router twice, which
+// favours small ones; the exponent makes up for it.
+func memberWeight(member Member) float64 { return math.Pow(max(member.Cores, leastCores), weightExponent) }
--- a/internal/share/place/place.go
+++ b/internal/share/place/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,11 +18,12 @@
 	member M
 	id     uint64
 	zone   string
+	weight float64
 }
 
 type scored struct {
 	index int
-	score uint64
+	score float64
 }
 
 // Config configures a Ring.
@@ -31,13 +33,19 @@
 	ID func(M) uint64
 	// Zone returns the availability zone of a member. Only Spread needs it.
 	Zone func(M) string
+	// Weight returns the part of the keys that a member gets in Top and Spread, against the weights of the others; nil gives
+	// all the same.
+	Weight func(M) float64
 }
 
 // New returns a ring of members.
 func New[M any](config Config[M]) *Ring[M] {
 	ring := &Ring[M]{members: make([]hashed[M], 0, len(config.Members))}
 	for _, member := range config.Members {
-		entry := hashed[M]{member: member, id: config.ID(member)}
+		entry := hashed[M]{member: member, id: config.ID(member), weight: 1}
+		if config.Weight != nil {
+			entry.weight = config.Weight(member)
+		}
 		if config.Zone != nil {
 			entry.zone = config.Zone(member)
 		}
@@ -98,12 +106,18 @@
 	hash := xxhash.Sum64String(key)
 	ranked := make([]scored, len(ring.members))
 	for i := range ring.members {
-		ranked[i] = scored{index: i, score: mix(hash, ring.members[i].id)}
+		ranked[i] = scored{index: i, score: weighted(mix(hash, ring.members[i].id), ring.members[i].weight)}
 	}
 	slices.SortStableFunc(ranked, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	return ranked
 }
 
+// weighted returns a score that is the highest of several with a probability in proportion to the weight.
+func weighted(score uint64, weight float64) float64 {
+	part := (float64(score) + 1) / math.MaxUint64
+	return math.Log(min(part, 1)) / weight
+}
+
 // mix returns the score of a member for the hash of a key.
 func mix(hash, id uint64) uint64 {
 	var buffer [16]byte
