--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -41,7 +41,7 @@
 	mirror   *feed.Mirror
 	follower *feed.Follower
 
-	mutex sync.Mutex
+	mutex       sync.Mutex
 	lag         feed.Lag
 	directUntil time.Time
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -306,4 +306,6 @@
 
 // memberWeight is how often a router is named to callers against the others. No caller is told of a router twice, which
 // favours small ones; the exponent makes up for it.
-func memberWeight(member Member) float64 { return math.Pow(max(member.Cores, leastCores), weightExponent) }
+func memberWeight(member Member) float64 {
+	return math.Pow(max(member.Cores, leastCores), weightExponent)
+}
