--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,11 +66,16 @@
 
 // Roster holds the routers that are known. Its methods may be called by many goroutines.
 type Roster struct {
+	// name is that of the router itself.
+	name clementinewind.Instance
+
 	mutex   sync.Mutex
 	self    Member
 	members map[clementinewind.Instance]*known
 	// storeReached is when another router last said that it reaches the platform's store.
 	storeReached time.Time
+	// current is the last snapshot, or nil if something has changed since.
+	current atomic.Pointer[snapshot]
 }
 
 type known struct {
@@ -82,7 +88,7 @@
 
 // New returns a roster with only the router itself.
 func New(config Config) *Roster {
-	return &Roster{self: config.Self, members: map[clementinewind.Instance]*known{}}
+	return &Roster{name: config.Self.Instance, self: config.Self, members: map[clementinewind.Instance]*known{}}
 }
 
 // List adds a router that is listed in the platform's store. It counts as alive for a short time only, because entries
@@ -98,6 +104,7 @@
 	}
 	member.Ready, member.StoreReachable = true, false
 	roster.members[member.Instance] = &known{Member: member, heard: now}
+	roster.current.Store(nil)
 }
 
 // Hear records a beat. It reports whether the router was silent, or unknown, before.
@@ -112,6 +119,9 @@
 		return false
 	}
 	fresh := !ok || old.Incarnation < member.Incarnation || now.Sub(old.heard) > silence
+	if fresh || old.Member != member {
+		roster.current.Store(nil)
+	}
 	roster.members[member.Instance] = &known{Member: member, heard: now, beaten: true}
 	if member.StoreReachable {
 		roster.storeReached = now
@@ -135,6 +145,7 @@
 		switch end := member.heard.Add(silence); {
 		case now.Sub(member.heard) > forget:
 			delete(roster.members, instance)
+			roster.current.Store(nil)
 		case end.After(since) && !end.After(now):
 			silent = append(silent, member.Member)
 		}
@@ -146,8 +157,12 @@
 func (roster *Roster) Update(ready, leaving, storeReachable bool, load float64) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
-	self := &roster.self
-	self.Ready, self.Leaving, self.StoreReachable, self.Load = ready, leaving, storeReachable, load
+	updated := roster.self
+	updated.Ready, updated.Leaving, updated.StoreReachable, updated.Load = ready, leaving, storeReachable, load
+	if updated != roster.self {
+		roster.self = updated
+		roster.current.Store(nil)
+	}
 }
 
 // Self returns the router itself.
@@ -172,7 +187,7 @@
 // Heads returns the first live router of each zone, which exchange the digests of their zones.
 func (roster *Roster) Heads(now time.Time) map[clementinewind.Zone]Member {
 	heads := map[clementinewind.Zone]Member{}
-	for _, member := range roster.Alive(now) {
+	for _, member := range roster.view(now).alive {
 		if _, ok := heads[member.Zone]; !ok && !member.Leaving {
 			heads[member.Zone] = member
 		}
@@ -188,32 +203,10 @@
 }
 
 // Alive returns the routers that are heard, and the router itself.
-func (roster *Roster) Alive(now time.Time) []Member {
-	roster.mutex.Lock()
-	defer roster.mutex.Unlock()
-	return roster.aliveLocked(now)
-}
-
-func (roster *Roster) aliveLocked(now time.Time) []Member {
-	alive := []Member{roster.self}
-	for _, member := range roster.members {
-		if now.Sub(member.heard) <= silence {
-			alive = append(alive, member.Member)
-		}
-	}
-	slices.SortFunc(alive, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
-	return alive
-}
+func (roster *Roster) Alive(now time.Time) []Member { return slices.Clone(roster.view(now).alive) }
 
 // Excess returns the part of the load of this router that should go elsewhere; it is 0 unless the router is crowded.
-func (roster *Roster) Excess(now time.Time) float64 {
-	members := roster.Alive(now)
-	load, mean := roster.Self().Load, meanLoad(members)
-	if !crowded(load, mean, len(members)) {
-		return 0
-	}
-	return 1 - crowdedFactor*mean/load
-}
+func (roster *Roster) Excess(now time.Time) float64 { return roster.view(now).excess }
 
 func crowded(load, mean float64, members int) bool {
 	return members > 1 && load > crowdedLoad && load > crowdedFactor*mean
@@ -231,16 +224,9 @@
 // more load than the fleet. Crowded routers are left out, and those with more processor time are named to more callers. A
 // router that hears hardly any other one is cut off itself, and goes on to name those it knows.
 func (roster *Roster) Addresses(zone clementinewind.Zone, caller string, now time.Time) []string {
-	roster.mutex.Lock()
-	defer roster.mutex.Unlock()
-	members := roster.aliveLocked(now)
-	if heard, all := len(members)-1, len(roster.members); all > 0 && float64(heard) < isolation*float64(all) {
-		members = []Member{roster.self}
-		for _, member := range roster.members {
-			if member.beaten {
-				members = append(members, member.Member)
-			}
-		}
+	members := roster.Alive(now)
+	if beaten, cutOff := roster.isolated(len(members) - 1); cutOff {
+		members = beaten
 	}
 	members = slices.DeleteFunc(members, func(member Member) bool { return member.Leaving || !member.Ready })
 	mean := meanLoad(members)
@@ -262,6 +248,22 @@
 	return addresses
 }
 
+// isolated reports whether the router hears so few others that it is cut off itself, and returns all that it ever heard.
+func (roster *Roster) isolated(heard int) ([]Member, bool) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	if all := len(roster.members); all == 0 || float64(heard) >= isolation*float64(all) {
+		return nil, false
+	}
+	beaten := []Member{roster.self}
+	for _, member := range roster.members {
+		if member.beaten {
+			beaten = append(beaten, member.Member)
+		}
+	}
+	return beaten, true
+}
+
 // uncrowded returns the routers that are not crowded, or all if too few are left.
 func uncrowded(members []Member, mean float64) []Member {
 	var quiet []Member
@@ -278,9 +280,8 @@
 
 // Owns reports whether this router is the owner of a key. While routers disagree on the members, several may be.
 func (roster *Roster) Owns(key string, now time.Time) bool {
-	members := slices.DeleteFunc(roster.Alive(now), func(member Member) bool { return member.Leaving || !member.Ready })
-	owner, ok := place.New(place.Config[Member]{Members: members, ID: memberID}).Owner(key)
-	return ok && owner.Instance == roster.Self().Instance
+	owner, ok := roster.view(now).owners.Owner(key)
+	return ok && owner.Instance == roster.name
 }
 
 // Reader returns the router from which this one reads the topics of the platform's store: the first of its zone that
@@ -288,7 +289,7 @@
 func (roster *Roster) Reader(now time.Time) (Member, bool) {
 	self := roster.Self()
 	var reader *Member
-	for _, member := range roster.Alive(now) {
+	for _, member := range roster.view(now).alive {
 		if !member.StoreReachable || member.Leaving {
 			continue
 		}
