Forget ended sessions without a further change of the view

Cause: TestSessionAfterCut (8 of 12 runs failed): the last heartbeat of an expired session can arrive after the record of its end. It made a new entry for that session, and entries were only dropped when the view changed, so that it was listed as Gone for good. Change: the control loop drops such entries once an interval.

--- a/internal/fleet/member/detector.go
+++ b/internal/fleet/member/detector.go
@@ -140,14 +140,26 @@
 	}
 	detector.view = view
 	detector.chooseRing(now)
-	maps.DeleteFunc(detector.peers, func(session clementinewind.Session, peer *peer) bool {
-		return !detector.live(session) && now.Sub(peer.goodAt) > suspectAfter
-	})
+	detector.forget(now)
 	gone := func(session clementinewind.Session, _ time.Time) bool { return !detector.live(session) }
 	maps.DeleteFunc(detector.lost, gone)
 	maps.DeleteFunc(detector.regained, gone)
 }
 
+// Forget drops sessions that have ended and no longer answer. Call it once an Interval: the last heartbeat of a session that
+// was expired may arrive after the record of its end, and nothing else may follow for hours.
+func (detector *Detector) Forget() {
+	detector.mu.Lock()
+	defer detector.mu.Unlock()
+	detector.forget(detector.wake())
+}
+
+func (detector *Detector) forget(now time.Time) {
+	maps.DeleteFunc(detector.peers, func(session clementinewind.Session, peer *peer) bool {
+		return !detector.live(session) && now.Sub(peer.goodAt) > suspectAfter
+	})
+}
+
 // chooseRing finds the neighbours. A session is heard, or suspected, only from the time at which it becomes a neighbour.
 func (detector *Detector) chooseRing(now time.Time) {
 	ring := Neighbours(detector.sessions(), detector.self)
--- a/internal/fleet/member/detector_test.go
+++ b/internal/fleet/member/detector_test.go
@@ -53,6 +53,30 @@
 	}
 }
 
+// Guards against a session that stays listed for good because its last heartbeat arrived after the record of its end.
+func TestLateHeartbeatOfEndedSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		detector := member.New(member.Config{Keeper: lease.New(lease.Config{})})
+		detector.SetSession(0)
+		detector.Observe(viewOf(3))
+		pass := func() {
+			for range 10 {
+				time.Sleep(member.Interval)
+				detector.Forget()
+			}
+		}
+		pass()
+		ended := viewOf(2)
+		ended.Version, ended.MembershipOffset = 4, 3
+		detector.Observe(ended)
+		quicktest.Assert(t, detector.Peers(), quicktest.HasLen, 1)
+		detector.Receive(&peerv1.Heartbeat{Session: 2, Sequence: 10, FreshAgeMillis: -1})
+		quicktest.Assert(t, detector.Peers(), quicktest.HasLen, 2)
+		pass()
+		quicktest.Check(t, detector.Peers(), quicktest.HasLen, 1)
+	})
+}
+
 // Guards against states that are not told apart, and against a router that suspects its peers after a pause of its own.
 func TestStates(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/route/router/control.go
+++ b/internal/route/router/control.go
@@ -358,6 +358,7 @@
 			}
 			router.record(clementinewind.Event{Kind: kind})
 		}
+		router.members.Forget()
 		for _, session := range router.members.Expirable() {
 			router.expire(ctx, session)
 		}
