--- /dev/null
+++ b/cmd/clementinewind/experiment.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/pkg/errors"
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/clementinewind/clementinewind/internal/tools/trial"
+)
+
+// experimentCommand returns the command that plays a load against stand-ins of engines.
+func experimentCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:  "experiment",
+		Usage: "play a load against a router before stand-ins of model engines",
+		Description: "Prints for each load of the scenario how many requests were answered on time, late, refused or failed. " +
+			"Everything runs in this process, in real time.",
+		Flags: []urfave.Flag{
+			&urfave.StringFlag{Name: "scenario", Usage: "`FILE` with the engines and the loads, such as those in deploy/trials", Required: true},
+			&urfave.Uint64Flag{Name: "seed", Usage: "`SEED` of the pauses between requests and of their subjects", Value: 1},
+			&urfave.StringFlag{Name: "plot", Usage: "`FILE` for an SVG of the answers in each second"},
+		},
+		Action: runExperiment,
+	}
+}
+
+func runExperiment(ctx context.Context, command *urfave.Command) error {
+	scenario, err := trial.ReadScenario(command.String("scenario"))
+	if err != nil {
+		return err
+	}
+	site := trial.NewSite(scenario)
+	defer site.Close()
+	report := site.Play(ctx, command.Uint64("seed"))
+	if err := report.Write(command.Root().Writer); err != nil {
+		return err
+	}
+	path := command.String("plot")
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "create plot")
+	}
+	if err := report.Plot(file); err != nil {
+		file.Close()
+		return err
+	}
+	return errors.Wrap(file.Close(), "write plot")
+}
