Follow the shares of organisations more closely, and the demand for a prefix

Ruled out: slow engines, the lag of small routers (refusals came from all routers). Change: patience falls from half of the share on and rises to three goals at a quarter of it. The homes of a prefix grow with the work that is placed for it by all routers over 2 s. A stream reads 4 KB at once instead of 32.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -266,7 +266,7 @@
 ) {
 	gossip.config.Board.SetPeer(source, decodeWork(loads), now)
 	if len(placements) > 0 {
-		gossip.config.Board.AddPlacements(decodePlacements(placements))
+		gossip.config.Board.AddPlacements(decodePlacements(placements), time.Now())
 	}
 	if len(usages) > 0 {
 		gossip.config.Shares.SetPeer(usage.Source(source), decodeReport(usages), now)
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -10,6 +10,7 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/pick"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 )
@@ -21,6 +22,10 @@
 // placement.
 const sumInterval = 20 * time.Millisecond
 
+// demandWindow is the time over which the placements of a prefix are counted. It is above the time to read a prefix and well
+// below the time that a subject stays popular.
+const demandWindow = 2 * time.Second
+
 // Work is the work of one router at one upstream.
 type Work struct {
 	Running int
@@ -68,9 +73,12 @@
 	zonesOut   map[clementinewind.Zone]bool
 	peers      map[Source]peer
 	placements []Placement
-	// eligible and candidates are reused by each placement.
+	// demand counts the placements of each prefix by all routers.
+	demand *usage.Meter[uint32]
+	// eligible, candidates and highest are reused by each placement.
 	eligible   []*upstream
 	candidates []pick.Candidate
+	highest    []uint64
 	// summed is when the work of the peers was last added up.
 	summed time.Time
 }
@@ -97,6 +105,7 @@
 		paces:     map[table.Service]*paces{},
 		zonesOut:  map[clementinewind.Zone]bool{},
 		peers:     map[Source]peer{},
+		demand:    usage.New[uint32](demandWindow),
 	}
 }
 
@@ -211,10 +220,11 @@
 }
 
 // AddPlacements records what other routers placed.
-func (board *Board) AddPlacements(placements []Placement) {
+func (board *Board) AddPlacements(placements []Placement, now time.Time) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	for _, placement := range placements {
+		board.demand.Add(placement.Prefix.Hash, 1, now)
 		if upstream, ok := board.byHash[placement.Upstream]; ok {
 			upstream.prefixes.Use(placement.Prefix.Hash, placement.Prefix.Tokens)
 		}
@@ -226,6 +236,7 @@
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	board.sumLocked(now)
+	board.demand.Forget(now)
 	work := map[uint32]Work{}
 	for _, upstream := range board.upstreams {
 		if upstream.running > 0 {
@@ -261,14 +272,16 @@
 	shared := request.Prompt.Shared()
 	eligible := board.eligibleLocked(request, now)
 	candidates := board.candidatesLocked(eligible, shared, request.Service, now)
-	sharedTokens := 0
+	sharedTokens, homes := 0, pick.Homes
 	if len(shared) > 0 {
-		sharedTokens = shared[len(shared)-1].Tokens
-		board.rankLocked(request.Service, eligible, candidates, shared[len(shared)-1].Hash)
+		last := shared[len(shared)-1]
+		sharedTokens, homes = last.Tokens, board.homesLocked(request, last, now)
+		board.rankLocked(request.Service, eligible, candidates, last.Hash, homes)
 	}
 	decision := pick.Best(candidates, pick.Request{
 		Zone: request.Zone, Goal: request.Goal,
 		InputTokens: request.Prompt.InputTokens, SharedTokens: sharedTokens, OutputTokens: request.Prompt.OutputTokens,
+		Homes: homes,
 	})
 	if decision.Index < 0 {
 		return nil, 0
@@ -285,6 +298,9 @@
 		resident: decision.UncachedTokens + request.Prompt.OutputTokens,
 	}
 	board.startLocked(ticket, shared, now)
+	if sharedTokens >= pick.LargePrefix {
+		board.pacesLocked(request.Service).countOwn(request.Prompt.InputTokens - sharedTokens)
+	}
 	return ticket, 0
 }
 
@@ -302,6 +318,7 @@
 	for _, prefix := range shared {
 		own := prompt.Prefix{Hash: prefix.Hash, Tokens: prefix.Tokens - before}
 		chosen.prefixes.Use(own.Hash, own.Tokens)
+		board.demand.Add(own.Hash, 1, now)
 		board.placements = append(board.placements, Placement{Upstream: chosen.hash, Prefix: own})
 		before = prefix.Tokens
 	}
@@ -368,10 +385,19 @@
 	return candidates
 }
 
-// rankLocked sets the position of each candidate in the rendezvous order of a prefix. Upstreams that get no request just
-// now keep their position, so that a short pause of one does not move the prefixes of all.
-func (board *Board) rankLocked(service table.Service, eligible []*upstream, candidates []pick.Candidate, prefix uint32) {
-	var highest [pick.Homes]uint64
+// homesLocked returns the number of upstreams that a prefix is kept at.
+func (board *Board) homesLocked(request Request, prefix prompt.Prefix, now time.Time) int {
+	paces := board.pacesLocked(request.Service)
+	rate := board.demand.Tokens(prefix.Hash, now) / demandWindow.Seconds()
+	return pick.HomesFor(rate * paces.ownTokens * paces.token(now).Seconds())
+}
+
+// rankLocked sets the position of each candidate in the rendezvous order of a prefix, up to the number of its homes.
+// Upstreams that get no request just now keep their position, so that a short pause of one does not move the prefixes of all.
+func (board *Board) rankLocked(service table.Service, eligible []*upstream, candidates []pick.Candidate, prefix uint32, homes int) {
+	highest := slices.Grow(board.highest[:0], homes)[:homes]
+	clear(highest)
+	board.highest = highest
 	for _, upstream := range board.byService[service] {
 		upstream.score = scoreOf(prefix, upstream.hash)
 		if upstream.entry.Leaving || upstream.zoneOut || upstream.unreachable > 0 {
@@ -385,8 +411,8 @@
 		}
 	}
 	for i, upstream := range eligible {
-		candidates[i].Rank = pick.Homes
-		for rank := pick.Homes - 1; rank >= 0 && upstream.score >= highest[rank]; rank-- {
+		candidates[i].Rank = homes
+		for rank := homes - 1; rank >= 0 && upstream.score >= highest[rank]; rank-- {
 			candidates[i].Rank = rank
 		}
 	}
--- a/internal/load/board/estimate.go
+++ b/internal/load/board/estimate.go
@@ -52,9 +52,19 @@
 type paces struct {
 	pace
 	engine bool
+	// ownTokens is the mean size of the prompts that have a large shared part, without that part.
+	ownTokens float64
 }
 
-func (paces paces) base(now time.Time) time.Duration {
+// countOwn adds a prompt of which the given tokens are its own.
+func (paces *paces) countOwn(tokens int) {
+	if paces.ownTokens == 0 {
+		paces.ownTokens = float64(tokens)
+	}
+	paces.ownTokens += serviceWeight * (float64(tokens) - paces.ownTokens)
+}
+
+func (paces *paces) base(now time.Time) time.Duration {
 	standard := defaultAnswer
 	if paces.engine {
 		standard = defaultBase
@@ -62,14 +72,14 @@
 	return paces.pace.base.read(standard, serviceHalfLife, now)
 }
 
-func (paces paces) token(now time.Time) time.Duration {
+func (paces *paces) token(now time.Time) time.Duration {
 	if !paces.engine {
 		return 0
 	}
 	return paces.pace.token.read(defaultPerToken, serviceHalfLife, now)
 }
 
-func (paces paces) service(now time.Time) time.Duration {
+func (paces *paces) service(now time.Time) time.Duration {
 	standard := defaultAnswer
 	if paces.engine {
 		standard = defaultService
--- a/internal/load/pick/patience.go
+++ b/internal/load/pick/patience.go
@@ -3,19 +3,32 @@
 import "time"
 
 const (
+	// mostPatience is the part of the goal that organisations far below their share may wait for. Their answers come late
+	// then, but those of others cannot take all of the engines' time.
+	mostPatience = 3.0
 	// leastPatience is the part of the goal that organisations far above their share may wait for.
 	leastPatience = 0.4
-	// patienceSlope is how fast the patience falls above the fair share.
-	patienceSlope = 0.6
+	// fullPatience is the part of its fair share up to which an organisation may wait for the whole goal, and patienceSlope
+	// how fast the patience falls above it. It reaches leastPatience a little above the fair share, so that those that ask
+	// for more than that come to equal parts of what is left by the others.
+	fullPatience  = 0.5
+	patienceSlope = 0.8
+	// unservedSlope is how fast the patience rises below fullPatience; it reaches mostPatience at a quarter of the share.
+	unservedSlope = 8.0
 	// queuePatience is the part of the patience that is left for the queue, however long the request itself takes.
 	queuePatience = 0.5
 )
 
 // Patience returns the longest expected time to the first event with which a request is placed; ratio is what its
-// organisation got as a part of its fair share. The load it answers: one organisation sends many times its usual. Its
-// requests are rejected at a shorter queue than those of the others, so that there is room left for these.
+// organisation got as a part of its fair share. The load it answers: a few organisations send many times their usual. The
+// more one of them has got, the shorter the queue at which its requests are rejected, so that there is room left for the
+// others, and for those of them that were served less. One that got hardly anything is not rejected for a queue that others
+// made.
 func Patience(goal time.Duration, ratio float64) time.Duration {
-	part := min(1, max(leastPatience, 1-patienceSlope*(ratio-1)))
+	part := max(leastPatience, 1-patienceSlope*(ratio-fullPatience))
+	if ratio < fullPatience {
+		part = min(mostPatience, 1+unservedSlope*(fullPatience-ratio))
+	}
 	return time.Duration(part * float64(goal))
 }
 
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"math"
 	"time"
 
 	"github.com/clementinewind/clementinewind"
@@ -16,24 +17,31 @@
 	runningCost = time.Millisecond
 	// failureCost prices the expected loss when an upstream fails part of its requests, as a share of the goal.
 	failureCost = 4.0
-	// Homes is the number of upstreams that a large prefix is kept at. Two are enough to even out the load between them;
+	// Homes is the least number of upstreams that a large prefix is kept at. Two are enough to even out the load between them;
 	// with more, the prefixes of all requests do not fit into the memory of the upstreams and drive each other out.
 	Homes = 2
-	// largePrefix is the size from which a prefix has homes; smaller ones are read again in a few milliseconds.
-	largePrefix = 1000
+	// LargePrefix is the size from which a prefix has homes; smaller ones are read again in a few milliseconds.
+	LargePrefix = 1000
 	// rankCost leads all routers to send a new prefix to the same home. strayCost is the wait at the homes from which a
 	// prefix is read elsewhere.
 	rankCost  = 15 * time.Millisecond
 	strayCost = 3000 * time.Millisecond
 	// memoryShare is the part of an engine's memory that is filled; beyond it the engine preempts running requests.
 	memoryShare = 0.9
+	// homeShare is the part of an upstream's time that one prefix may take; the homes have other prefixes too.
+	homeShare = 0.5
 )
 
+// HomesFor returns at how many upstreams a large prefix is kept whose requests, without the prefix itself, take the given
+// part of one upstream's time. The load it answers: one subject gets much of the traffic, and its homes reject what others
+// could serve. It follows the requests that are placed, over seconds: following the queues made every prefix move in a burst.
+func HomesFor(work float64) int { return max(Homes, int(math.Ceil(work/homeShare))) }
+
 // Candidate is an upstream as this router knows it.
 type Candidate struct {
 	Upstream clementinewind.Upstream
 	Zone     clementinewind.Zone
-	// Rank is the position of the upstream in the rendezvous order of the prompt's prefix; all from Homes on are the same.
+	// Rank is the position of the upstream in the rendezvous order of the prompt's prefix; all that are no homes are the same.
 	Rank int
 	// Slots is the number of requests that the upstream runs at once; Running counts those of all routers.
 	Slots   int
@@ -65,6 +73,8 @@
 	InputTokens  int
 	SharedTokens int
 	OutputTokens int
+	// Homes is the number of upstreams that the shared part is kept at.
+	Homes int
 }
 
 // pairTokens is the reading time of a million pairs of tokens, in tokens: attention makes long prompts slower than their
@@ -128,9 +138,9 @@
 // extra is the cost that a placement causes to others, or may cause to the request itself.
 func extra(candidate Candidate, request Request) time.Duration {
 	cost := runningCost * time.Duration(candidate.Running)
-	if request.SharedTokens >= largePrefix {
-		cost += rankCost * time.Duration(min(candidate.Rank, Homes))
-		if candidate.Rank >= Homes {
+	if request.SharedTokens >= LargePrefix {
+		cost += rankCost * time.Duration(min(candidate.Rank, request.Homes))
+		if candidate.Rank >= request.Homes {
 			cost += strayCost
 		}
 	}
--- a/internal/load/usage/share.go
+++ b/internal/load/usage/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -114,17 +115,17 @@
 }
 
 // Ratio returns what an organisation got from all routers, as a part of its max-min fair share of what all organisations
-// got. It is 0 while there is enough for all.
-func (shares *Shares) Ratio(organisation clementinewind.Organisation, now time.Time) float64 {
+// got. It is false while there is enough for all.
+func (shares *Shares) Ratio(organisation clementinewind.Organisation, now time.Time) (float64, bool) {
 	shares.mutex.Lock()
 	defer shares.mutex.Unlock()
 	if now.Sub(shares.refreshed) >= refreshTime {
 		shares.refreshLocked(now)
 	}
-	if shares.level <= 0 {
-		return 0
+	if shares.level <= 0 || math.IsInf(shares.level, 1) {
+		return 0, false
 	}
-	return shares.totals[Hash(organisation)].Served / shares.level
+	return shares.totals[Hash(organisation)].Served / shares.level, true
 }
 
 func (shares *Shares) refreshLocked(now time.Time) {
--- a/internal/load/usage/usage.go
+++ b/internal/load/usage/usage.go
@@ -2,6 +2,7 @@
 package usage
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -43,17 +44,19 @@
 
 // Snapshot returns all sums and forgets those that have decayed.
 func (meter *Meter[K]) Snapshot(now time.Time) map[K]float64 {
+	meter.Forget(now)
 	sums := make(map[K]float64, len(meter.sums))
 	for key := range meter.sums {
-		if tokens := meter.Tokens(key, now); tokens >= negligible {
-			sums[key] = tokens
-		} else {
-			delete(meter.sums, key)
-		}
+		sums[key] = meter.Tokens(key, now)
 	}
 	return sums
 }
 
+// Forget drops the sums that have decayed.
+func (meter *Meter[K]) Forget(now time.Time) {
+	maps.DeleteFunc(meter.sums, func(key K, _ decayed) bool { return meter.Tokens(key, now) < negligible })
+}
+
 // FairShare returns the max-min fair share of a capacity among demands: the level at which the demands, each cut at the
 // level, use the whole capacity. It is infinite if the capacity is enough for all.
 func FairShare(demands []float64, capacity float64) float64 {
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -145,11 +145,15 @@
 	giveUp := time.Now().Add(time.Duration(waitShare * float64(goal)))
 	for {
 		now := time.Now()
-		exchange.share = exchange.relay.config.Shares.Ratio(exchange.organisation, now)
+		patience := goal
+		if share, scarce := exchange.relay.config.Shares.Ratio(exchange.organisation, now); scarce {
+			exchange.share = share
+			patience = pick.Patience(goal, share)
+		}
 		ticket, late := exchange.relay.config.Board.Place(board.Request{
 			Service: exchange.service.Name, Zone: exchange.relay.config.Zone, Prompt: exchange.call.Prompt,
 			Goal: goal - now.Sub(exchange.arrived), Tried: exchange.tried,
-			Patience: pick.Patience(goal, exchange.share),
+			Patience: patience,
 		}, now)
 		exchange.late = late
 		if ticket != nil {
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -15,6 +15,8 @@
 const (
 	// maxEventBytes bounds one event; a larger one breaks off the answer.
 	maxEventBytes = 1 << 20
+	// eventBytes is read at once; events are mostly smaller.
+	eventBytes = 4 << 10
 )
 
 // stream is the part of a stream of events that the caller already has.
@@ -33,7 +35,7 @@
 		exchange.logger.Debug("no write deadline", "Request", exchange.call.RequestID, "Error", err)
 	}
 	var pending []byte
-	buffer := make([]byte, copyBytes)
+	buffer := make([]byte, eventBytes)
 	first := true
 	for {
 		count, err := answer.Read(buffer)
