Let engines read prompts for 0.7 of their time at most

An engine that always has prompts to read makes one token of each answer in the 0.11 s of a chunk. Ruled out: engines that stand still (few streams had under 10 events), slow routers (p50 of first events 0.5 s). Change: routers tell each other the prompt tokens that they handed to each engine, decayed over 2 s; what exceeds 0.7 of its time counts as wait. TestTicketsAreEndedOnce now expects that only the recent tokens are left, and those for a minute at most.

--- a/internal/fleet/gossip/encode.go
+++ b/internal/fleet/gossip/encode.go
@@ -36,7 +36,7 @@
 	for upstream, load := range work {
 		loads = append(loads, &fleetv1.UpstreamLoad{
 			Upstream: upstream, Running: count(load.Running), PromptTokens: count(load.QueuedTokens),
-			ResidentTokens: count(load.ResidentTokens),
+			ResidentTokens: count(load.ResidentTokens), RecentTokens: count(load.RecentTokens),
 		})
 	}
 	return loads
@@ -47,6 +47,7 @@
 	for _, load := range loads {
 		work[load.Upstream] = board.Work{
 			Running: int(load.Running), QueuedTokens: int(load.PromptTokens), ResidentTokens: int(load.ResidentTokens),
+			RecentTokens: int(load.RecentTokens),
 		}
 	}
 	return work
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -33,6 +33,8 @@
 	QueuedTokens int
 	// ResidentTokens are held by running requests, without shared prefixes.
 	ResidentTokens int
+	// RecentTokens are prompt tokens that were handed to the upstream, decayed over pick.ReadWindow.
+	RecentTokens int
 }
 
 // Plus returns the sum of two.
@@ -41,6 +43,7 @@
 		Running:        work.Running + other.Running,
 		QueuedTokens:   work.QueuedTokens + other.QueuedTokens,
 		ResidentTokens: work.ResidentTokens + other.ResidentTokens,
+		RecentTokens:   work.RecentTokens + other.RecentTokens,
 	}
 }
 
@@ -239,8 +242,11 @@
 	board.demand.Forget(now)
 	work := map[uint32]Work{}
 	for _, upstream := range board.upstreams {
-		if upstream.running > 0 {
-			work[upstream.hash] = Work{Running: upstream.running, QueuedTokens: upstream.queued, ResidentTokens: upstream.resident}
+		recent := int(upstream.recent.Tokens(now))
+		if upstream.running > 0 || recent > 0 {
+			work[upstream.hash] = Work{
+				Running: upstream.running, QueuedTokens: upstream.queued, ResidentTokens: upstream.resident, RecentTokens: recent,
+			}
 		}
 	}
 	placements := board.placements
@@ -309,6 +315,7 @@
 	chosen.running++
 	chosen.queued += ticket.queued
 	chosen.resident += ticket.resident
+	chosen.recent.Add(float64(ticket.queued), now)
 	chosen.unanswered[ticket] = struct{}{}
 	if chosen.cold(now) {
 		chosen.coldSends = append(chosen.coldSends, now)
@@ -365,6 +372,7 @@
 			Running:        upstream.running + upstream.remote.Running,
 			QueuedTokens:   upstream.queued + upstream.remote.QueuedTokens,
 			ResidentTokens: upstream.resident + upstream.remote.ResidentTokens,
+			RecentTokens:   int(upstream.recent.Tokens(now)) + upstream.remote.RecentTokens,
 			PerToken:       upstream.pace.token.read(token, upstreamHalfLife, now),
 			Base:           upstream.pace.base.read(base, upstreamHalfLife, now),
 			Service:        upstream.pace.service.read(service, upstreamHalfLife, now),
--- a/internal/load/board/board_test.go
+++ b/internal/load/board/board_test.go
@@ -187,5 +187,10 @@
 		ticket.End(board.ResultServed, began)
 	}
 	work, _ = built.Own(began)
+	for _, left := range work {
+		quicktest.Check(t, left, quicktest.Equals, board.Work{RecentTokens: left.RecentTokens})
+	}
+	// What was handed over is forgotten too.
+	work, _ = built.Own(began.Add(time.Minute))
 	quicktest.Check(t, work, quicktest.HasLen, 0)
 }
--- a/internal/load/board/upstream.go
+++ b/internal/load/board/upstream.go
@@ -6,6 +6,8 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/cache"
+	"github.com/clementinewind/clementinewind/internal/load/pick"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 )
 
@@ -52,6 +54,8 @@
 	running  int
 	queued   int
 	resident int
+	// recent sums the prompt tokens that this router handed over.
+	recent usage.Sliding
 	// remote sums the work of the other routers.
 	remote Work
 
@@ -74,7 +78,7 @@
 }
 
 func newUpstream(entry table.Entry, settings table.ServiceSettings) *upstream {
-	created := &upstream{entry: entry, hash: Hash(entry.Upstream), unanswered: map[*Ticket]struct{}{}}
+	created := &upstream{entry: entry, hash: Hash(entry.Upstream), unanswered: map[*Ticket]struct{}{}, recent: usage.NewSliding(pick.ReadWindow)}
 	created.reset(settings)
 	return created
 }
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -30,6 +30,11 @@
 	memoryShare = 0.9
 	// homeShare is the part of an upstream's time that one prefix may take; the homes have other prefixes too.
 	homeShare = 0.5
+	// ReadWindow is the time over which the reading of an engine is measured. Others tell of it with up to 0.8 s of delay.
+	ReadWindow = 2 * time.Second
+	// readShare is the part of an engine's time that it may read prompts. Each step reads a chunk and makes one token of each
+	// answer, so that answers of an engine that reads all the time take ten times as long and miss their deadlines.
+	readShare = 0.7
 )
 
 // HomesFor returns at how many upstreams a large prefix is kept whose requests, without the prefix itself, take the given
@@ -53,6 +58,8 @@
 	// ResidentTokens are held by running requests; MemoryTokens is the size of the memory, 0 for plain services.
 	ResidentTokens int
 	MemoryTokens   int
+	// RecentTokens are prompt tokens that all routers handed over, decayed over ReadWindow.
+	RecentTokens int
 	// PerToken is the time to read one token, Base the time to an answer without any work ahead, and Service the time
 	// that a request holds a slot.
 	PerToken time.Duration
@@ -126,6 +133,9 @@
 	if ahead := candidate.Running + 1 - candidate.Slots; candidate.Slots > 0 && ahead > 0 {
 		expected += candidate.Service * time.Duration(ahead) / time.Duration(candidate.Slots)
 	}
+	if over := time.Duration(candidate.RecentTokens)*candidate.PerToken - time.Duration(readShare*float64(ReadWindow)); over > 0 {
+		expected += over
+	}
 	if memory := int(memoryShare * float64(candidate.MemoryTokens)); memory > 0 {
 		if over := candidate.ResidentTokens + uncached + request.OutputTokens - memory; over > 0 {
 			// A request that does not fit waits for others to end.
--- a/internal/load/usage/usage.go
+++ b/internal/load/usage/usage.go
@@ -11,25 +11,46 @@
 // Meter is an exponentially decaying sum of tokens for each organisation. It is not safe for use by many goroutines.
 type Meter[K comparable] struct {
 	window time.Duration
-	sums   map[K]decayed
+	sums   map[K]Sliding
 }
 
-type decayed struct {
+// Sliding is one exponentially decaying sum. It is not safe for use by many goroutines.
+type Sliding struct {
+	window time.Duration
 	tokens float64
 	at     time.Time
 }
 
+// NewSliding returns a sum of 0 that falls to a third in one window.
+func NewSliding(window time.Duration) Sliding { return Sliding{window: window} }
+
+// Add counts tokens.
+func (sliding *Sliding) Add(tokens float64, now time.Time) {
+	sliding.tokens, sliding.at = sliding.Tokens(now)+tokens, now
+}
+
+// Tokens returns the decayed sum, which is the rate times the window for a steady load.
+func (sliding *Sliding) Tokens(now time.Time) float64 {
+	age := max(now.Sub(sliding.at), 0)
+	return sliding.tokens * math.Exp(-age.Seconds()/sliding.window.Seconds())
+}
+
 // negligible is the sum below which an organisation is forgotten.
 const negligible = 1.0
 
 // New returns an empty meter. A sum falls to a third in one window.
 func New[K comparable](window time.Duration) *Meter[K] {
-	return &Meter[K]{window: window, sums: map[K]decayed{}}
+	return &Meter[K]{window: window, sums: map[K]Sliding{}}
 }
 
 // Add counts tokens.
 func (meter *Meter[K]) Add(key K, tokens float64, now time.Time) {
-	meter.sums[key] = decayed{tokens: meter.Tokens(key, now) + tokens, at: now}
+	sum, ok := meter.sums[key]
+	if !ok {
+		sum = NewSliding(meter.window)
+	}
+	sum.Add(tokens, now)
+	meter.sums[key] = sum
 }
 
 // Tokens returns the decayed sum, which is the rate times the window for a steady load.
@@ -38,8 +59,7 @@
 	if !ok {
 		return 0
 	}
-	age := max(now.Sub(sum.at), 0)
-	return sum.tokens * math.Exp(-age.Seconds()/meter.window.Seconds())
+	return sum.Tokens(now)
 }
 
 // Snapshot returns all sums and forgets those that have decayed.
@@ -54,7 +74,7 @@
 
 // Forget drops the sums that have decayed.
 func (meter *Meter[K]) Forget(now time.Time) {
-	maps.DeleteFunc(meter.sums, func(key K, _ decayed) bool { return meter.Tokens(key, now) < negligible })
+	maps.DeleteFunc(meter.sums, func(key K, _ Sliding) bool { return meter.Tokens(key, now) < negligible })
 }
 
 // FairShare returns the max-min fair share of a capacity among demands: the level at which the demands, each cut at the
--- a/internal/tools/trial/site.go
+++ b/internal/tools/trial/site.go
@@ -56,7 +56,7 @@
 		config := scenario.Engines
 		engine := stand.NewEngine(stand.EngineConfig{
 			Name: name(number), Slots: config.Slots, Queue: config.Queue, TokensPerMillisecond: config.TokensPerMillisecond,
-			Step: config.Step, MemoryTokens: config.MemoryTokens, ColdPerSecond: config.ColdPerSecond,
+			Step: config.Step, StepPerRequest: config.StepPerRequest, MemoryTokens: config.MemoryTokens, ColdPerSecond: config.ColdPerSecond,
 		})
 		site.engines = append(site.engines, engine)
 		site.servers = append(site.servers, network.Serve(name(number), engine))
@@ -133,6 +133,9 @@
 		// Nothing waits for the connections that are still open.
 		_ = server.Close()
 	}
+	for _, engine := range site.engines {
+		engine.Wait()
+	}
 }
 
 func (site *Site) entry(number int, incarnation int64, coldLeft time.Duration) table.Entry {
