--- a/internal/load/pick/patience.go
+++ b/internal/load/pick/patience.go
@@ -7,10 +7,10 @@
 	// then, but those of others cannot take all of the engines' time.
 	mostPatience = 3.0
 	// leastPatience is the part of the goal that organisations far above their share may wait for.
-	leastPatience = 0.4
+	leastPatience = 0.1
 	// fullPatience is the part of its fair share up to which an organisation may wait for the whole goal, and patienceSlope
-	// how fast the patience falls above it. It reaches leastPatience a little above the fair share, so that those that ask
-	// for more than that come to equal parts of what is left by the others.
+	// how fast the patience falls above it. It reaches leastPatience at about one and a half shares, so that those that
+	// ask for more come to equal parts of what is left by the others.
 	fullPatience  = 0.5
 	patienceSlope = 0.8
 	// unservedSlope is how fast the patience rises below fullPatience; it reaches mostPatience at a quarter of the share.
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -29,7 +29,7 @@
 	// memoryShare is the part of an engine's memory that is filled; beyond it the engine preempts running requests.
 	memoryShare = 0.9
 	// homeShare is the part of an upstream's time that one prefix may take; the homes have other prefixes too.
-	homeShare = 0.5
+	homeShare = readShare / 2
 	// ReadWindow is the time over which the reading of an engine is measured. Others tell of it with up to 0.8 s of delay.
 	ReadWindow = 2 * time.Second
 	// readShare is the part of an engine's time that it may read prompts. Each step reads a chunk and makes one token of each
