Wait for a time or the end of a context in one place

Ruled out: loops that wait for a third event beside these two (a change, a nudge, a stop); they keep their select. Change: pause.For serves all of them. A time that is not positive returns the context's error at once, as the stand-ins' network did. Conclusion: no behaviour changes.

--- a/internal/edge/entry/announce.go
+++ b/internal/edge/entry/announce.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 	"github.com/clementinewind/clementinewind/platform"
 )
@@ -27,11 +28,11 @@
 	}
 	written, listed := false, false
 	for {
-		pause := lonelyInterval
+		wait := lonelyInterval
 		if !written {
 			if err := entry.store.Append(ctx, platform.TopicInstances, string(entry.roster.Self().Instance), value); err != nil {
 				entry.config.Logger.Warn("router not listed yet", "Error", err)
-				pause = announceRetry
+				wait = announceRetry
 			} else {
 				written = true
 			}
@@ -39,17 +40,13 @@
 		if !listed || len(entry.roster.Alive(time.Now())) == 1 {
 			if err := entry.list(ctx); err != nil {
 				entry.config.Logger.Warn("routers not looked up", "Error", err)
-				pause = announceRetry
+				wait = announceRetry
 			} else {
 				listed = true
 			}
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
+		if err := pause.For(ctx, wait); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/route/answer/stream.go
+++ b/internal/route/answer/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 )
 
 const (
@@ -150,12 +151,8 @@
 	if stream.failures == 1 {
 		return nil
 	}
-	timer := time.NewTimer(stream.config.Delay << min(stream.failures-2, 16))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-stream.ctx.Done():
-	}
+	// The next attempt tells that the context has ended.
+	_ = pause.For(stream.ctx, stream.config.Delay<<min(stream.failures-2, 16))
 	return nil
 }
 
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/platform"
 )
 
@@ -166,12 +167,8 @@
 		if now.Add(late).After(giveUp) {
 			return nil
 		}
-		timer := time.NewTimer(placeWait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if pause.For(ctx, placeWait) != nil {
 			return nil
-		case <-timer.C:
 		}
 	}
 }
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/route/link"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/platform"
 )
 
@@ -61,7 +62,8 @@
 			}
 			pending = pending[complete:]
 			if err == nil && exchange.relay.config.Busy() {
-				gather(ctx)
+				// The next read tells that the caller has left.
+				_ = pause.For(ctx, gatherTime)
 			}
 		}
 		switch {
@@ -75,16 +77,6 @@
 	}
 }
 
-// gather lets further events arrive.
-func gather(ctx context.Context) {
-	timer := time.NewTimer(gatherTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // forward writes complete events to the caller.
 func (exchange *exchange) forward(answer *link.Answer, events []byte, controller *http.ResponseController) error {
 	if !exchange.stream.started {
--- a/internal/route/router/control.go
+++ b/internal/route/router/control.go
@@ -11,6 +11,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/fleet/lease"
 	"github.com/clementinewind/clementinewind/internal/fleet/member"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/internal/store/plog"
 	"github.com/clementinewind/clementinewind/internal/store/state"
 	"github.com/clementinewind/clementinewind/internal/store/tree"
@@ -257,7 +258,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peersTimeout)
 	defer cancel()
 	for !router.reachesMajority(ctx) {
-		if err := pause(ctx, time.Second); err != nil {
+		if err := pause.For(ctx, time.Second); err != nil {
 			return
 		}
 	}
--- a/internal/route/router/drain.go
+++ b/internal/route/router/drain.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/internal/store/state"
 	"github.com/clementinewind/clementinewind/internal/wire/peerv1"
 	"github.com/clementinewind/clementinewind/internal/wire/recordv1"
@@ -68,7 +69,7 @@
 	}
 	router.record(clementinewind.Event{Kind: clementinewind.EventDrainStarted})
 	// Callers may use the address until the time to live of the last answer that gave it has passed.
-	if err := pause(ctx, router.config.Settings.AddressTimeToLive); err != nil {
+	if err := pause.For(ctx, router.config.Settings.AddressTimeToLive); err != nil {
 		return router.drainEnded(err)
 	}
 	if err := router.awaitIdle(ctx, router.arrivals); err != nil {
@@ -118,17 +119,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // locate returns the addresses that callers of an organisation should use.
 func (router *Router) locate(organisation clementinewind.Organisation) []string {
 	return router.assignment.Load().locate(organisation, func(session state.Session) bool {
--- a/internal/route/router/instances.go
+++ b/internal/route/router/instances.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 )
 
 const (
@@ -60,7 +61,7 @@
 		} else {
 			router.logger.Debug("instances not listed", "Error", err)
 		}
-		if err := pause(ctx, listInterval); err != nil {
+		if err := pause.For(ctx, listInterval); err != nil {
 			return err
 		}
 	}
--- a/internal/route/router/operator.go
+++ b/internal/route/router/operator.go
@@ -13,6 +13,7 @@
 	"github.com/clementinewind/clementinewind/internal/admin/event"
 	"github.com/clementinewind/clementinewind/internal/edge/auth"
 	"github.com/clementinewind/clementinewind/internal/share/fair"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/internal/store/state"
 	"github.com/clementinewind/clementinewind/internal/store/tree"
 	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
@@ -134,7 +135,7 @@
 		if len(missing) == 0 {
 			return nil
 		}
-		if err := pause(ctx, missingPoll); err != nil {
+		if err := pause.For(ctx, missingPoll); err != nil {
 			return router.instanceNames(missing)
 		}
 	}
--- a/internal/route/router/stop.go
+++ b/internal/route/router/stop.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/internal/store/plog"
 	"github.com/clementinewind/clementinewind/internal/store/tree"
 	"github.com/clementinewind/clementinewind/internal/wire/operatorv1"
@@ -82,7 +83,7 @@
 				return true
 			}
 		}
-		if err := pause(ctx, missingPoll); err != nil {
+		if err := pause.For(ctx, missingPoll); err != nil {
 			return false
 		}
 	}
--- a/internal/store/plog/backoff.go
+++ b/internal/store/plog/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 )
 
 const (
@@ -44,12 +46,5 @@
 
 // Wait waits for Delay(attempt), or until ctx ends and returns its error.
 func (backoff Backoff) Wait(ctx context.Context, attempt int) error {
-	timer := time.NewTimer(backoff.Delay(attempt))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, backoff.Delay(attempt))
 }
--- a/internal/tools/demo/run.go
+++ b/internal/tools/demo/run.go
@@ -19,6 +19,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/admin/conf"
 	"github.com/clementinewind/clementinewind/internal/admin/event"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/internal/store/plog"
 	"github.com/clementinewind/clementinewind/internal/tools/stand"
 	"github.com/clementinewind/clementinewind/internal/wire/callerv1"
@@ -214,7 +215,7 @@
 // upstreams got later than zoneGrace after the removal.
 func (fleet *Fleet) moveZone(ctx context.Context, output io.Writer) (int, error) {
 	zone := ZoneName(0)
-	if err := pause(ctx, loadTime/3); err != nil {
+	if err := pause.For(ctx, loadTime/3); err != nil {
 		return 0, err
 	}
 	removed := time.Now()
@@ -222,7 +223,7 @@
 		return 0, err
 	}
 	fmt.Fprintf(output, "zone %s out of service on every router after %v\n", zone, time.Since(removed).Round(time.Millisecond))
-	if err := pause(ctx, loadTime/3); err != nil {
+	if err := pause.For(ctx, loadTime/3); err != nil {
 		return 0, err
 	}
 	late := len(fleet.ReceivedInZone(0, removed.Add(zoneGrace)))
@@ -231,7 +232,7 @@
 		return 0, err
 	}
 	fmt.Fprintf(output, "zone %s back in service on every router after %v\n", zone, time.Since(returned).Round(time.Millisecond))
-	return late, pause(ctx, loadTime/3)
+	return late, pause.For(ctx, loadTime/3)
 }
 
 // SetZone takes a zone out of service or back, and returns when that is in force on all routers.
@@ -288,12 +289,3 @@
 	}
 	return event.Timeline{Events: event.ListFromWire(response.Msg.Events)}.WriteText(output)
 }
-
-func pause(ctx context.Context, duration time.Duration) error {
-	select {
-	case <-time.After(duration):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/tools/soak/fault.go
+++ b/internal/tools/soak/fault.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 )
 
 const (
@@ -30,7 +32,7 @@
 
 func faults() []fault {
 	return []fault{
-		{"pause", pause},
+		{"pause", standStill},
 		{"kill", kill},
 		{"terminate", terminate},
 		{"reload", reload},
@@ -53,11 +55,9 @@
 	random := rand.New(rand.NewPCG(run.config.Seed, 0))
 	kinds := faults()
 	for {
-		pause := shortestPause + time.Duration(random.Int64N(int64(longestPause-shortestPause)))
-		select {
-		case <-ctx.Done():
+		wait := shortestPause + time.Duration(random.Int64N(int64(longestPause-shortestPause)))
+		if pause.For(ctx, wait) != nil {
 			return
-		case <-time.After(pause):
 		}
 		kind := kinds[random.IntN(len(kinds))]
 		lasts := time.Duration(random.Int64N(int64(longestFault)))
@@ -67,7 +67,7 @@
 
 func (run *run) router(random *rand.Rand) *router { return run.routers[random.IntN(len(run.routers))] }
 
-func pause(run *run, random *rand.Rand, lasts time.Duration) string {
+func standStill(run *run, random *rand.Rand, lasts time.Duration) string {
 	router := run.router(random)
 	process := router.signal(syscall.SIGSTOP, false)
 	run.checker.disturb(time.Now().Add(lasts))
--- a/internal/tools/stand/engine.go
+++ b/internal/tools/stand/engine.go
@@ -1,7 +1,6 @@
 package stand
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/json"
 	"net/http"
@@ -15,6 +14,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/route/infer"
 	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 )
 
 const (
@@ -360,7 +360,7 @@
 		refuse(writer, http.StatusBadRequest, err.Error())
 		return
 	}
-	if order.Model != "" && !wait(request.Context(), engine.config.LoadTime) {
+	if order.Model != "" && pause.For(request.Context(), engine.config.LoadTime) != nil {
 		return
 	}
 	engine.mu.Lock()
@@ -400,18 +400,6 @@
 	json.NewEncoder(writer).Encode(newEvent(run, 0, strings.Join(run.answer, ""), true))
 }
 
-// wait sleeps unless ctx ends first.
-func wait(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func setDefault[T comparable](value *T, otherwise T) {
 	var zero T
 	if *value == zero {
--- a/internal/tools/stand/log.go
+++ b/internal/tools/stand/log.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 )
 
 // defaultReadLimit is the number of records that a read returns when its query sets no limit.
@@ -161,15 +162,7 @@
 	log.mu.Lock()
 	delay := log.faults.Delay
 	log.mu.Unlock()
-	if delay <= 0 {
-		return ctx.Err()
-	}
-	select {
-	case <-time.After(delay):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, delay)
 }
 
 func (log *Log) stream(name string) *stream {
--- a/internal/tools/stand/network.go
+++ b/internal/tools/stand/network.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 )
 
 // windowBytes bounds the bytes in flight in one direction of a connection, as socket buffers do.
@@ -133,7 +135,7 @@
 		return nil, errors.Wrapf(ctx.Err(), "dial %s", remote)
 	}
 	frozen := max(network.frozenFor(local.host(), remote.host()), 0)
-	if err := sleep(ctx, frozen+there.Delay+back.Delay); err != nil {
+	if err := pause.For(ctx, frozen+there.Delay+back.Delay); err != nil {
 		return nil, err
 	}
 	network.mu.Lock()
@@ -169,20 +171,6 @@
 	return faults
 }
 
-func sleep(ctx context.Context, delay time.Duration) error {
-	if delay <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 type addr string
 
 func (addr addr) Network() string { return "tcp" }
--- a/internal/tools/stand/run.go
+++ b/internal/tools/stand/run.go
@@ -11,6 +11,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/route/infer"
 	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 )
 
 // stopCause tells why a run ended before its last token.
@@ -112,9 +113,9 @@
 func (engine *Engine) generate(run *run) {
 	engine.add(run.requestID, 1, 0)
 	engine.addBody(run.prompt)
-	whole := wait(run.ctx, run.prefill)
+	whole := pause.For(run.ctx, run.prefill) == nil
 	for whole && run.produced < len(run.answer) {
-		if whole = wait(run.ctx, engine.tokenTime()) && engine.waitForReader(run); whole {
+		if whole = pause.For(run.ctx, engine.tokenTime()) == nil && engine.waitForReader(run); whole {
 			engine.mu.Lock()
 			run.produced++
 			run.notify()
@@ -302,7 +303,7 @@
 	if !events.fault(ctx, sent) {
 		return false
 	}
-	if slow, ok := events.faults[FaultSlow]; ok && !wait(ctx, slow.Delay) {
+	if slow, ok := events.faults[FaultSlow]; ok && pause.For(ctx, slow.Delay) != nil {
 		return false
 	}
 	next := newEvent(events.run, position, events.run.answer[position], false)
--- a/internal/tools/trial/play.go
+++ b/internal/tools/trial/play.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/platform/stand"
 )
 
@@ -44,7 +45,7 @@
 	began := time.Now()
 	for _, cold := range site.scenario.Colds {
 		group.Go(func() {
-			if sleep(ctx, cold.At) {
+			if pause.For(ctx, cold.At) == nil {
 				for number := range cold.Engines {
 					site.TurnCold(number, cold.For)
 				}
@@ -54,7 +55,7 @@
 	for number, load := range site.scenario.Loads {
 		random := rand.New(rand.NewPCG(seed, uint64(number)))
 		group.Go(func() {
-			if !sleep(ctx, load.From) {
+			if pause.For(ctx, load.From) != nil {
 				return
 			}
 			for request := 0; time.Since(began) < load.From+load.For; request++ {
@@ -65,7 +66,7 @@
 					outcome, first := site.ask(ctx, load, id, subject)
 					results.add(Result{Load: load.Name, At: at, First: first, Outcome: outcome})
 				})
-				if !sleep(ctx, time.Duration(random.ExpFloat64()/load.PerSecond*float64(time.Second))) {
+				if pause.For(ctx, time.Duration(random.ExpFloat64()/load.PerSecond*float64(time.Second))) != nil {
 					return
 				}
 			}
@@ -115,18 +116,6 @@
 	return OutcomeOnTime, first
 }
 
-// sleep reports whether the time passed before the context ended.
-func sleep(ctx context.Context, lasts time.Duration) bool {
-	timer := time.NewTimer(lasts)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 type collector struct {
 	mutex   sync.Mutex
 	results []Result
