Keep one source, one hash and one description of a router

Cause: board and usage each had a Source and a 32-bit hash, which gossip converted, and a beat without work copied the fields of a beat one by one, so that each new field of a router had to be added in two places. Change: board uses usage.Source and usage.Hash, which takes any kind of name; a beat is the presence of the router with its work added. The time of a datagram is read once. Tests of load, fleet and relay pass.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -100,7 +100,8 @@
 	peers := gossip.config.Roster.Peers()
 	self := gossip.config.Roster.Self()
 	large := len(peers) > fullMesh
-	beat := gossip.message(now)
+	presence := gossip.presence(self)
+	beat := gossip.withWork(presence, now)
 	near, far := peers, []roster.Member(nil)
 	if large {
 		near, far = split(peers, self.Zone)
@@ -112,7 +113,7 @@
 	}
 	if now.Sub(gossip.presenceAt) >= presenceInterval {
 		gossip.presenceAt = now
-		gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Beat{Beat: presence(beat)}}, far)
+		gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Beat{Beat: presence}}, far)
 	}
 	gossip.digest(self, now)
 }
@@ -168,13 +169,20 @@
 	}
 }
 
-func (gossip *Gossip) message(now time.Time) *fleetv1.Beat {
-	work, placements := gossip.config.Board.Own(now)
-	beat := Describe(gossip.config.Roster.Self())
+// presence returns a beat that says who this router is and how far it has read, without its work.
+func (gossip *Gossip) presence(self roster.Member) *fleetv1.Beat {
+	presence := Describe(self)
 	offsets := gossip.config.Offsets()
-	beat.Sequence = gossip.sequence
-	beat.ConfigurationVersion = gossip.config.Version()
-	beat.OperatorOffset, beat.UpstreamOffset = offsets.Operator, offsets.Upstreams
+	presence.Sequence = gossip.sequence
+	presence.ConfigurationVersion = gossip.config.Version()
+	presence.OperatorOffset, presence.UpstreamOffset = offsets.Operator, offsets.Upstreams
+	return presence
+}
+
+// withWork returns a copy of a beat with the work of this router, what it placed since the last call, and at times the usage.
+func (gossip *Gossip) withWork(presence *fleetv1.Beat, now time.Time) *fleetv1.Beat {
+	beat := proto.CloneOf(presence)
+	work, placements := gossip.config.Board.Own(now)
 	beat.Loads = encodeWork(work)
 	beat.Placements = encodePlacements(placements)
 	if now.Sub(gossip.usageAt) >= usageInterval {
@@ -184,15 +192,6 @@
 	return beat
 }
 
-// presence returns a beat without the work of the router.
-func presence(beat *fleetv1.Beat) *fleetv1.Beat {
-	return &fleetv1.Beat{
-		Instance: beat.Instance, Incarnation: beat.Incarnation, Sequence: beat.Sequence, Zone: beat.Zone, Address: beat.Address,
-		PeerAddress: beat.PeerAddress, Ready: beat.Ready, Leaving: beat.Leaving, StoreReachable: beat.StoreReachable,
-		Load: beat.Load, MilliCores: beat.MilliCores, ConfigurationVersion: beat.ConfigurationVersion, OperatorOffset: beat.OperatorOffset, UpstreamOffset: beat.UpstreamOffset,
-	}
-}
-
 // Receive handles the datagrams of the others until the connection is closed.
 func (gossip *Gossip) Receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagram)
@@ -237,7 +236,7 @@
 	}
 	// A digest already counts the routers of its zone.
 	if member.Zone == self.Zone || !gossip.received.hasDigest(member.Zone, now) {
-		gossip.apply(board.Source{Instance: member.Instance}, beat.Loads, beat.Placements, beat.Usages, now)
+		gossip.apply(usage.Source{Instance: member.Instance}, beat.Loads, beat.Placements, beat.Usages, now)
 	}
 	own := gossip.config.Offsets()
 	if beat.OperatorOffset > own.Operator || beat.UpstreamOffset > own.Upstreams {
@@ -253,7 +252,7 @@
 		return
 	}
 	gossip.received.setDigest(zone, now)
-	gossip.apply(board.Source{Zone: zone}, digest.Loads, digest.Placements, digest.Usages, now)
+	gossip.apply(usage.Source{Zone: zone}, digest.Loads, digest.Placements, digest.Usages, now)
 	if gossip.config.Roster.Heads(now)[self.Zone].Instance != self.Instance {
 		return
 	}
@@ -262,13 +261,13 @@
 }
 
 func (gossip *Gossip) apply(
-	source board.Source, loads []*fleetv1.UpstreamLoad, placements []*fleetv1.Placement, usages []*fleetv1.Usage, now time.Time,
+	source usage.Source, loads []*fleetv1.UpstreamLoad, placements []*fleetv1.Placement, usages []*fleetv1.Usage, now time.Time,
 ) {
 	gossip.config.Board.SetPeer(source, decodeWork(loads), now)
 	if len(placements) > 0 {
-		gossip.config.Board.AddPlacements(decodePlacements(placements), time.Now())
+		gossip.config.Board.AddPlacements(decodePlacements(placements), now)
 	}
 	if len(usages) > 0 {
-		gossip.config.Shares.SetPeer(usage.Source(source), decodeReport(usages), now)
+		gossip.config.Shares.SetPeer(source, decodeReport(usages), now)
 	}
 }
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -74,7 +74,7 @@
 	settings   map[table.Service]table.ServiceSettings
 	paces      map[table.Service]*paces
 	zonesOut   map[clementinewind.Zone]bool
-	peers      map[Source]peer
+	peers      map[usage.Source]peer
 	placements []Placement
 	// demand counts the placements of each prefix by all routers.
 	demand *usage.Meter[uint32]
@@ -86,12 +86,6 @@
 	summed time.Time
 }
 
-// Source is who told of work: another router, or another zone as a whole.
-type Source struct {
-	Instance clementinewind.Instance
-	Zone     clementinewind.Zone
-}
-
 type peer struct {
 	work map[uint32]Work
 	at   time.Time
@@ -107,7 +101,7 @@
 		settings:  map[table.Service]table.ServiceSettings{},
 		paces:     map[table.Service]*paces{},
 		zonesOut:  map[clementinewind.Zone]bool{},
-		peers:     map[Source]peer{},
+		peers:     map[usage.Source]peer{},
 		demand:    usage.New[uint32](demandWindow),
 	}
 }
@@ -198,7 +192,7 @@
 }
 
 // SetPeer replaces the work of another router or zone.
-func (board *Board) SetPeer(source Source, work map[uint32]Work, now time.Time) {
+func (board *Board) SetPeer(source usage.Source, work map[uint32]Work, now time.Time) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	board.peers[source] = peer{work: work, at: now}
@@ -433,5 +427,3 @@
 	binary.LittleEndian.PutUint32(key[4:], upstream)
 	return xxhash.Sum64(key[:])
 }
-
-func hash32(text string) uint32 { return uint32(xxhash.Sum64String(text)) }
--- a/internal/load/board/board_test.go
+++ b/internal/load/board/board_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 )
@@ -134,7 +135,7 @@
 // Replays a backlog of other routers: a request that could not start in time is not placed, and is told for how long.
 func TestBacklogOfOthers(t *testing.T) {
 	built := newBoard(true, "a")
-	built.SetPeer(board.Source{Instance: "peer"}, map[uint32]board.Work{board.Hash("a"): {Running: 10, QueuedTokens: 200_000}}, began)
+	built.SetPeer(usage.Source{Instance: "peer"}, map[uint32]board.Work{usage.Hash("a"): {Running: 10, QueuedTokens: 200_000}}, began)
 	ticket, late := built.Place(quote("s"), began)
 	quicktest.Check(t, ticket, quicktest.IsNil)
 	quicktest.Check(t, late > time.Second, quicktest.IsTrue)
--- a/internal/load/board/upstream.go
+++ b/internal/load/board/upstream.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/cache"
 	"github.com/clementinewind/clementinewind/internal/load/pick"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
@@ -78,7 +77,7 @@
 }
 
 func newUpstream(entry table.Entry, settings table.ServiceSettings) *upstream {
-	created := &upstream{entry: entry, hash: Hash(entry.Upstream), unanswered: map[*Ticket]struct{}{}, recent: usage.NewSliding(pick.ReadWindow)}
+	created := &upstream{entry: entry, hash: usage.Hash(entry.Upstream), unanswered: map[*Ticket]struct{}{}, recent: usage.NewSliding(pick.ReadWindow)}
 	created.reset(settings)
 	return created
 }
@@ -174,6 +173,3 @@
 		service.pace.token = service.pace.token.with(sample, token, serviceHalfLife, serviceWeight, now)
 	}
 }
-
-// Hash returns the number that stands for an upstream in datagrams.
-func Hash(name clementinewind.Upstream) uint32 { return hash32(string(name)) }
--- a/internal/load/usage/share.go
+++ b/internal/load/usage/share.go
@@ -35,7 +35,7 @@
 // Report is the usage of one router, by the hashes of the organisations.
 type Report map[uint32]Sum
 
-// Source is who told of usage: another router, or another zone as a whole.
+// Source is who told of work or usage: another router, or another zone as a whole.
 type Source struct {
 	Instance clementinewind.Instance
 	Zone     clementinewind.Zone
@@ -150,7 +150,5 @@
 	shares.level = FairShare(demands, served)
 }
 
-// Hash returns the number that stands for an organisation in datagrams.
-func Hash(organisation clementinewind.Organisation) uint32 {
-	return uint32(xxhash.Sum64String(string(organisation)))
-}
+// Hash returns the number that stands for a name in datagrams. It is the same in every process.
+func Hash[N ~string](name N) uint32 { return uint32(xxhash.Sum64String(string(name))) }
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -285,8 +285,8 @@
 	route := table.Route{Kind: table.RouteStream, MaxAttempts: 1, LatencyGoal: 4 * time.Second}
 	fleet := startEngine(t, &table.Engine{Slots: 8, MemoryTokens: 500_000}, route,
 		func(writer http.ResponseWriter, _ *http.Request, _ int) { sealed(writer, http.StatusOK, "") })
-	fleet.board.SetPeer(board.Source{Instance: "peer"}, map[uint32]board.Work{
-		board.Hash("upstream-0"): {Running: 4, QueuedTokens: 1_000_000},
+	fleet.board.SetPeer(usage.Source{Instance: "peer"}, map[uint32]board.Work{
+		usage.Hash("upstream-0"): {Running: 4, QueuedTokens: 1_000_000},
 	}, time.Now())
 	began := time.Now()
 	response, _, err := fleet.ask(t, http.MethodPost, "body")
