--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -224,11 +224,11 @@
 // more load than the fleet. Crowded routers are left out, and those with more processor time are named to more callers. A
 // router that hears hardly any other one is cut off itself, and goes on to name those it knows.
 func (roster *Roster) Addresses(zone clementinewind.Zone, caller string, now time.Time) []string {
-	members := roster.Alive(now)
+	members := roster.view(now).alive
 	if beaten, cutOff := roster.isolated(len(members) - 1); cutOff {
 		members = beaten
 	}
-	members = slices.DeleteFunc(members, func(member Member) bool { return member.Leaving || !member.Ready })
+	members = serving(members)
 	mean := meanLoad(members)
 	var near []Member
 	for _, member := range members {
@@ -280,7 +280,7 @@
 
 // Owns reports whether this router is the owner of a key. While routers disagree on the members, several may be.
 func (roster *Roster) Owns(key string, now time.Time) bool {
-	owner, ok := roster.view(now).owners.Owner(key)
+	owner, ok := roster.view(now).owners().Owner(key)
 	return ok && owner.Instance == roster.name
 }
 
--- a/internal/fleet/roster/snapshot.go
+++ b/internal/fleet/roster/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/clementinewind/clementinewind/internal/share/place"
@@ -20,8 +21,9 @@
 	// mean is their mean load, and excess the part of the router's own load that should go elsewhere.
 	mean   float64
 	excess float64
-	// owners decides which of those that serve requests owns a key.
-	owners *place.Ring[Member]
+	// owners returns the ring that decides which of those that serve requests owns a key. It is built when a cold upstream
+	// is first looked up.
+	owners func() *place.Ring[Member]
 }
 
 // view returns the fleet as it was at most snapshotTime before now.
@@ -51,13 +53,16 @@
 		}
 	}
 	slices.SortFunc(alive, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
-	serving := slices.DeleteFunc(slices.Clone(alive), func(member Member) bool { return member.Leaving || !member.Ready })
-	taken := &snapshot{
-		at: now, alive: alive, mean: meanLoad(alive),
-		owners: place.New(place.Config[Member]{Members: serving, ID: memberID}),
-	}
+	taken := &snapshot{at: now, alive: alive, mean: meanLoad(alive), owners: sync.OnceValue(func() *place.Ring[Member] {
+		return place.New(place.Config[Member]{Members: serving(alive), ID: memberID})
+	})}
 	if load := roster.self.Load; crowded(load, taken.mean, len(alive)) {
 		taken.excess = 1 - crowdedFactor*taken.mean/load
 	}
 	return taken
 }
+
+// serving returns those that take requests.
+func serving(members []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(member Member) bool { return member.Leaving || !member.Ready })
+}
