Write configurations and entries for stand-ins in platform/ only

Cause: the soak and four tests wrote the platform's JSON by hand, outside platform/, with its names. One of them was wrong: BenchmarkStream put the engine's memory where it is not read, so that it measured a service without engines. The texts of unreadable entries in view_test stay, since no entry has such values.

--- a/internal/edge/entry/bench_test.go
+++ b/internal/edge/entry/bench_test.go
@@ -15,11 +15,12 @@
 	"github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/admin/conf"
 	"github.com/clementinewind/clementinewind/internal/admin/sink"
 	"github.com/clementinewind/clementinewind/internal/admin/telem"
 	"github.com/clementinewind/clementinewind/internal/edge/entry"
-	"github.com/clementinewind/clementinewind/platform"
+	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/platform/stand"
 )
 
@@ -39,12 +40,22 @@
 	}))
 	defer upstream.Close()
 	store := stand.NewStore()
-	store.Put(platform.TopicOperator, "config", []byte(`{"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/",
-		"kind":"streaming","timeoutMs":10000,"latencyGoalMs":1000,"service":"s","maxAttempts":2}],
-		"services":[{"name":"s","maxConns":5000,"kvCapacity":450000,"slots":64}],"tenants":[{"name":"o","apiKeys":["key"]}]}`))
+	configure(b, store, table.Configuration{
+		Version: 1,
+		Routes: []table.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: table.RouteStream, Timeout: 10 * time.Second, LatencyGoal: time.Second,
+			MaxAttempts: 2, Shares: []table.Share{{Service: "s", Weight: 1}},
+		}},
+		Services: []table.ServiceSettings{
+			{Name: "s", MaxConnections: 5000, Engine: &table.Engine{Slots: 64, MemoryTokens: 450_000}},
+		},
+		Organisations: []table.OrganisationKeys{{Organisation: "o", Keys: []string{"key"}}},
+	})
 	for number := range 90 {
-		store.Put(platform.TopicUpstreams, fmt.Sprintf("u%d", number), fmt.Appendf(nil,
-			`{"service":"s","address":%q,"zone":"a","slots":64,"state":"ready","seq":1,"born":1}`, upstream.Listener.Addr()))
+		list(b, store, table.Entry{
+			Upstream: clementinewind.Upstream(fmt.Sprintf("u%d", number)), Service: "s", Address: upstream.Listener.Addr().String(),
+			Zone: "a", Slots: 64, Sequence: 1, Incarnation: 1,
+		})
 	}
 	storeServer := httptest.NewServer(store)
 	defer storeServer.Close()
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -21,6 +21,7 @@
 	"github.com/clementinewind/clementinewind/internal/admin/conf"
 	"github.com/clementinewind/clementinewind/internal/admin/telem"
 	"github.com/clementinewind/clementinewind/internal/edge/entry"
+	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/platform"
 	"github.com/clementinewind/clementinewind/platform/stand"
 )
@@ -63,8 +64,9 @@
 	}))
 	t.Cleanup(built.upstream.Close)
 	built.configure("key")
-	built.store.Put(platform.TopicUpstreams, "u", fmt.Appendf(nil,
-		`{"service":"s","address":%q,"zone":"a","slots":8,"state":"ready","seq":1,"born":1}`, built.upstream.Listener.Addr()))
+	list(t, built.store, table.Entry{
+		Upstream: "u", Service: "s", Address: built.upstream.Listener.Addr().String(), Zone: "a", Slots: 8, Sequence: 1, Incarnation: 1,
+	})
 	t.Cleanup(func() {
 		for _, router := range built.routers {
 			router.cancel()
@@ -76,11 +78,31 @@
 
 func (fleet *fleet) configure(keys ...string) {
 	fleet.version++
-	text, err := json.Marshal(keys)
-	quicktest.Assert(fleet.t, err, quicktest.IsNil)
-	fleet.store.Put(platform.TopicOperator, "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":"h","pathPrefix":"/",
-		"kind":"idempotent","timeoutMs":5000,"service":"s","maxAttempts":1}],"services":[{"name":"s","maxConns":50}],
-		"tenants":[{"name":"o","apiKeys":%s}]}`, fleet.version, text))
+	configure(fleet.t, fleet.store, table.Configuration{
+		Version: table.Version(fleet.version),
+		Routes: []table.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: table.RouteIdempotent, Timeout: 5 * time.Second, MaxAttempts: 1,
+			Shares: []table.Share{{Service: "s", Weight: 1}},
+		}},
+		Services:      []table.ServiceSettings{{Name: "s", MaxConnections: 50}},
+		Organisations: []table.OrganisationKeys{{Organisation: "o", Keys: keys}},
+	})
+}
+
+// configure writes a configuration to the store as an operator does.
+func configure(t testing.TB, store *stand.Store, configuration table.Configuration) {
+	t.Helper()
+	value, err := platform.EncodeConfiguration(configuration)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	store.Put(platform.TopicOperator, platform.ConfigurationKey, value)
+}
+
+// list writes the entry of an upstream to the store as the upstream does.
+func list(t testing.TB, store *stand.Store, entry table.Entry) {
+	t.Helper()
+	value, err := platform.EncodeUpstream(entry)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	store.Put(platform.TopicUpstreams, string(entry.Upstream), value)
 }
 
 func (fleet *fleet) respond(handle http.HandlerFunc) {
--- a/internal/store/view/view_test.go
+++ b/internal/store/view/view_test.go
@@ -14,6 +14,7 @@
 	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/internal/store/feed"
 	"github.com/clementinewind/clementinewind/internal/store/view"
+	"github.com/clementinewind/clementinewind/platform"
 )
 
 func newView() (*view.View, *board.Board) {
@@ -21,13 +22,22 @@
 	return view.New(view.Config{Board: upstreams, Logger: hclog.NewNullLogger()}), upstreams
 }
 
-func entry(state string, sequence int, born int) []byte {
-	return fmt.Appendf(nil, `{"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":%q,"seq":%d,"born":%d}`,
-		state, sequence, born)
+func entry(t *testing.T, leaving bool, sequence, incarnation int64) []byte {
+	t.Helper()
+	value, err := platform.EncodeUpstream(table.Entry{
+		Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 4, Leaving: leaving, Sequence: sequence, Incarnation: incarnation,
+	})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return value
 }
 
-func configuration(version int) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r%d","host":"h","pathPrefix":"/"}]}`, version, version)
+func configuration(t *testing.T, version int) []byte {
+	t.Helper()
+	value, err := platform.EncodeConfiguration(table.Configuration{
+		Version: table.Version(version), Routes: []table.Route{{Name: fmt.Sprintf("r%d", version), Host: "h", PathPrefix: "/"}},
+	})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return value
 }
 
 // takes reports whether an upstream takes requests.
@@ -44,7 +54,7 @@
 func TestVersionNeverGoesBack(t *testing.T) {
 	built, _ := newView()
 	for offset, version := range []int{3, 7, 5} {
-		built.ApplyOperator([]feed.Record{{Key: "config", Value: configuration(version), Offset: int64(offset)}}, time.Time{})
+		built.ApplyOperator([]feed.Record{{Key: "config", Value: configuration(t, version), Offset: int64(offset)}}, time.Time{})
 	}
 	quicktest.Check(t, built.Table().Version(), quicktest.Equals, table.Version(7))
 	built.ApplyOperator([]feed.Record{{Key: "config", Value: []byte(`{"version":9,"routes":[{"name":7}]}`), Offset: 9}}, time.Time{})
@@ -55,7 +65,7 @@
 // allows two seconds from the deletion.
 func TestDeletedEntryGetsNoRequests(t *testing.T) {
 	built, upstreams := newView()
-	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("ready", 1, 1), Offset: 1}}, time.Time{})
+	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry(t, false, 1, 1), Offset: 1}}, time.Time{})
 	quicktest.Check(t, takes(upstreams), quicktest.IsTrue)
 	built.ApplyUpstreams([]feed.Record{{Key: "u", Offset: 2}}, time.Time{})
 	quicktest.Check(t, takes(upstreams), quicktest.IsFalse)
@@ -74,13 +84,13 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				built, upstreams := newView()
-				built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("ready", 1, 1), Offset: 1}}, time.Time{})
+				built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry(t, false, 1, 1), Offset: 1}}, time.Time{})
 				end := time.Now()
 				built.ApplyUpstreams([]feed.Record{{Key: "u", Offset: 2}}, end)
 				quicktest.Check(t, takes(upstreams), quicktest.IsTrue)
 				if test.returns {
 					time.Sleep(time.Second)
-					built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("ready", 2, 1), Offset: 3}}, end)
+					built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry(t, false, 2, 1), Offset: 3}}, end)
 				}
 				time.Sleep(3 * time.Second)
 				quicktest.Check(t, takes(upstreams), quicktest.Equals, test.after)
@@ -108,9 +118,9 @@
 // Guards against entries of an earlier incarnation that arrive after those of the next one.
 func TestOlderIncarnation(t *testing.T) {
 	built, upstreams := newView()
-	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("ready", 1, 20), Offset: 1}}, time.Time{})
-	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("draining", 9, 10), Offset: 2}}, time.Time{})
+	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry(t, false, 1, 20), Offset: 1}}, time.Time{})
+	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry(t, true, 9, 10), Offset: 2}}, time.Time{})
 	quicktest.Check(t, takes(upstreams), quicktest.IsTrue)
-	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry("draining", 2, 20), Offset: 3}}, time.Time{})
+	built.ApplyUpstreams([]feed.Record{{Key: "u", Value: entry(t, true, 2, 20), Offset: 3}}, time.Time{})
 	quicktest.Check(t, takes(upstreams), quicktest.IsFalse)
 }
--- a/internal/tools/soak/world.go
+++ b/internal/tools/soak/world.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/platform"
 	"github.com/clementinewind/clementinewind/platform/stand"
 )
@@ -24,6 +25,14 @@
 	workTime = 60 * time.Millisecond
 	// heartbeat is the pause between two entries of an upstream.
 	heartbeat = 1200 * time.Millisecond
+	// service is that of all routes, timeout the longest time of their requests.
+	service = "s"
+	timeout = 4 * time.Second
+	// upstreamConnections and upstreamSlots are far above what the clients of a run use.
+	upstreamConnections = 200
+	upstreamSlots       = 8
+	// lastSequence is above that of any entry of an upstream before it leaves.
+	lastSequence = 1_000_000
 	// host is the name that callers use.
 	host = "soak.example"
 	// Paths of the routes.
@@ -97,30 +106,27 @@
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
 	world.version += 1 + world.version%3
-	type route struct {
-		Name        string `json:"name"`
-		Host        string `json:"host"`
-		PathPrefix  string `json:"pathPrefix"`
-		Kind        string `json:"kind"`
-		TimeoutMs   int    `json:"timeoutMs"`
-		Service     string `json:"service"`
-		MaxAttempts int    `json:"maxAttempts"`
-		CanResume   bool   `json:"canResume"`
-	}
-	value, err := json.Marshal(map[string]any{
-		"version": world.version,
-		"routes": []route{
-			{"once", host, pathOnce, "non_idempotent", 4000, "s", 1, false},
-			{"idempotent", host, pathIdempotent, "idempotent", 4000, "s", 2, false},
-			{"stream", host, pathStream, "streaming", 4000, "s", 2, true},
+	shares := []table.Share{{Service: service, Weight: 1}}
+	value, err := platform.EncodeConfiguration(table.Configuration{
+		Version: table.Version(world.version),
+		Routes: []table.Route{
+			{Name: "once", Host: host, PathPrefix: pathOnce, Kind: table.RouteOnce, Timeout: timeout, Shares: shares, MaxAttempts: 1},
+			{
+				Name: "idempotent", Host: host, PathPrefix: pathIdempotent, Kind: table.RouteIdempotent, Timeout: timeout, Shares: shares,
+				MaxAttempts: 2,
+			},
+			{
+				Name: "stream", Host: host, PathPrefix: pathStream, Kind: table.RouteStream, Timeout: timeout, Shares: shares,
+				MaxAttempts: 2, Resumable: true,
+			},
 		},
-		"services": []map[string]any{{"name": "s", "maxConns": 200}},
-		"tenants":  []map[string]any{{"name": "o", "apiKeys": world.keys}},
+		Services:      []table.ServiceSettings{{Name: service, MaxConnections: upstreamConnections}},
+		Organisations: []table.OrganisationKeys{{Organisation: "o", Keys: world.keys}},
 	})
 	if err != nil {
 		panic(err)
 	}
-	world.store.Put(platform.TopicOperator, "config", value)
+	world.store.Put(platform.TopicOperator, platform.ConfigurationKey, value)
 }
 
 // replaceKey takes a key away and gives another one.
@@ -206,14 +212,8 @@
 
 // beat writes the entries of the upstream until it stops.
 func (upstream *upstream) beat() {
-	for sequence := 1; ; sequence++ {
-		state := "ready"
-		if !upstream.leftAt().IsZero() {
-			state = "draining"
-		}
-		upstream.world.store.Put(platform.TopicUpstreams, upstream.name, fmt.Appendf(nil,
-			`{"service":"s","address":%q,"zone":"a","slots":8,"state":%q,"seq":%d,"born":%d}`,
-			upstream.proxy.address(), state, sequence, upstream.born))
+	for sequence := int64(1); ; sequence++ {
+		upstream.list(!upstream.leftAt().IsZero(), sequence)
 		select {
 		case <-upstream.stop:
 			return
@@ -222,11 +222,21 @@
 	}
 }
 
+// list writes the entry of the upstream.
+func (upstream *upstream) list(leaving bool, sequence int64) {
+	value, err := platform.EncodeUpstream(table.Entry{
+		Upstream: clementinewind.Upstream(upstream.name), Service: service, Address: upstream.proxy.address(), Zone: "a",
+		Slots: upstreamSlots, Leaving: leaving, Sequence: sequence, Incarnation: upstream.born,
+	})
+	if err != nil {
+		panic(err)
+	}
+	upstream.world.store.Put(platform.TopicUpstreams, upstream.name, value)
+}
+
 // leave says that the upstream leaves; it stops later.
 func (upstream *upstream) leave() {
-	upstream.world.store.Put(platform.TopicUpstreams, upstream.name, fmt.Appendf(nil,
-		`{"service":"s","address":%q,"zone":"a","slots":8,"state":"draining","seq":1000000,"born":%d}`,
-		upstream.proxy.address(), upstream.born))
+	upstream.list(true, lastSequence)
 	upstream.mutex.Lock()
 	upstream.left = time.Now()
 	upstream.mutex.Unlock()
