Halve the window of the shares where they are kept, and name defaults

Cause: the entry halved the window before it gave it to usage.NewShares, so that trial, which plays the same policy, still decayed over the whole of it. Defaults of settings, the soak and trial were bare figures. Ruled out: another constructor beside NewShares; all callers mean a window that slides. Conclusion: the router behaves as before; trials now compare shares as it does.

--- a/cmd/clementinewind/soak.go
+++ b/cmd/clementinewind/soak.go
@@ -14,6 +14,9 @@
 	"github.com/clementinewind/clementinewind/internal/tools/soak"
 )
 
+// soakTime is long enough for each kind of fault to come once or twice.
+const soakTime = 20 * time.Second
+
 // soakCommand returns the command that runs routers under random faults.
 func soakCommand() *urfave.Command {
 	return &urfave.Command{
@@ -24,7 +27,7 @@
 		Flags: []urfave.Flag{
 			&urfave.Uint64Flag{Name: "seed", Usage: "first `SEED`; 0 takes the time", Value: 1},
 			&urfave.IntFlag{Name: "seeds", Usage: "number of runs, each with the next seed", Value: 1},
-			&urfave.DurationFlag{Name: "duration", Usage: "time of the faults in each run", Value: 20 * time.Second},
+			&urfave.DurationFlag{Name: "duration", Usage: "time of the faults in each run", Value: soakTime},
 			&urfave.IntFlag{Name: "routers", Usage: "number of router processes", Value: 3},
 			&urfave.StringFlag{Name: "folder", Usage: "`FOLDER` for settings and logs", Value: filepath.Join(os.TempDir(), "clementinewind-soak")},
 			&urfave.BoolFlag{Name: "verbose", Usage: "print each fault"},
--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -63,21 +63,29 @@
 	maxRatio          = 100.0
 	maxRetryExtra     = 1_000_000
 	lastPort          = 65535
+	// The defaults are those of the users' smaller deployments, as far as these have one size.
+	defaultMemory            = 256 * mebibyte
+	defaultDescriptors       = 4096
+	defaultGrace             = 8 * time.Second
+	defaultAddressTimeToLive = 2 * time.Second
+	defaultRetryRatio        = 0.2
+	defaultRetryWindow       = 10 * time.Second
+	defaultShareWindow       = 4 * time.Second
 )
 
 // DefaultEntry returns the settings that a file does not have to give.
 func DefaultEntry() Entry {
 	return Entry{
 		LogLevel:          hclog.Info,
-		MemoryBytes:       256 * mebibyte,
-		Descriptors:       4096,
+		MemoryBytes:       defaultMemory,
+		Descriptors:       defaultDescriptors,
 		CoreShare:         1,
-		Grace:             8 * time.Second,
-		AddressTimeToLive: 2 * time.Second,
-		RetryRatio:        0.2,
-		RetryWindow:       10 * time.Second,
+		Grace:             defaultGrace,
+		AddressTimeToLive: defaultAddressTimeToLive,
+		RetryRatio:        defaultRetryRatio,
+		RetryWindow:       defaultRetryWindow,
 		ColdRatio:         1,
-		ShareWindow:       4 * time.Second,
+		ShareWindow:       defaultShareWindow,
 	}
 }
 
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -93,8 +93,7 @@
 		ColdRatio: settings.ColdRatio, ColdExtra: settings.ColdExtra,
 		Owns: func(upstream clementinewind.Upstream) bool { return entry.roster.Owns(string(upstream), time.Now()) },
 	})
-	// A decaying sum is on average as old as the end of its window, a sliding one half as old.
-	entry.shares = usage.NewShares(settings.ShareWindow / 2)
+	entry.shares = usage.NewShares(settings.ShareWindow)
 	entry.view = view.New(view.Config{
 		Board: entry.board, Logger: config.Logger,
 		Gone: func(upstream clementinewind.Upstream) { entry.relay.Retire(upstream) },
--- a/internal/load/usage/share.go
+++ b/internal/load/usage/share.go
@@ -58,9 +58,10 @@
 	at     time.Time
 }
 
-// NewShares returns shares over a window.
+// NewShares returns shares over a window that slides. The sums decay over half of it, because what they count is on average as
+// old as the time over which they decay, and what a sliding window counts half as old as the window.
 func NewShares(window time.Duration) *Shares {
-	return &Shares{asked: New[uint32](window), served: New[uint32](window), peers: map[Source]peerReport{}}
+	return &Shares{asked: New[uint32](window / 2), served: New[uint32](window / 2), peers: map[Source]peerReport{}}
 }
 
 // Ask counts a request that arrived.
--- a/internal/tools/trial/site.go
+++ b/internal/tools/trial/site.go
@@ -28,6 +28,12 @@
 	coldRate  = 6
 	// shareWindow is the time over which the users compare organisations.
 	shareWindow = 4 * time.Second
+	// coldTime is how long an engine stays cold after a start there.
+	coldTime = 3 * time.Second
+	// retryWindow, retryRatio and retryExtra are the bound of repeated requests there.
+	retryWindow = 10 * time.Second
+	retryRatio  = 0.2
+	retryExtra  = 50
 	// maxConnections is what an engine of the users accepts.
 	maxConnections = 400
 )
@@ -65,7 +71,7 @@
 	site.router = relay.New(relay.Config{
 		Board: site.board, Shares: usage.NewShares(shareWindow), Table: func() *table.Table { return current },
 		Routers: func() int { return 1 }, Closing: never, Refusing: never, Overloaded: never, Busy: never, Dial: network.Dial,
-		Budget: func() budget.Config { return budget.Config{Window: 10 * time.Second, Ratio: 0.2, Extra: 50} },
+		Budget: func() budget.Config { return budget.Config{Window: retryWindow, Ratio: retryRatio, Extra: retryExtra} },
 		Meter:  site.meter, Logger: hclog.NewNullLogger(),
 	})
 	site.servers = append(site.servers, network.Serve("router", site.router))
@@ -85,7 +91,7 @@
 			Shares: []table.Share{{Service: service, Weight: 1}},
 		}},
 		Services: []table.ServiceSettings{{
-			Name: service, MaxConnections: maxConnections, ColdRate: coldRate, ColdTime: 3 * time.Second,
+			Name: service, MaxConnections: maxConnections, ColdRate: coldRate, ColdTime: coldTime,
 			Engine: &table.Engine{Slots: site.scenario.Engines.Slots, MemoryTokens: site.scenario.Engines.MemoryTokens},
 		}},
 	}
