Count tokens, not bytes, as progress of an engine's stream

Cause: the idle timeout of a stream was renewed by each read, so that a stalled engine that sends a comment or a byte now and then kept its stream, and the caller, for good. Found with a test, on the users' list of what operators met.

Ruled out: a limit for the whole stream, which cuts slow but sound ones.

Change: the timeout runs while the router waits for a token, and only tokens renew it.

Before: TestCommentsAreNoProgress does not end. After: it ends after the 10 s of the idle timeout.

--- a/internal/route/infer/client.go
+++ b/internal/route/infer/client.go
@@ -32,7 +32,7 @@
 type Config struct {
 	// Dial opens connections; nil dials TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// IdleTimeout limits the time without any byte from the engine; 0 means 10 s.
+	// IdleTimeout limits the time without a new token from the engine; 0 means 10 s.
 	IdleTimeout time.Duration
 	// MaxEvent limits the size of an event in bytes; 0 means 64 KiB.
 	MaxEvent int
--- a/internal/route/infer/client_test.go
+++ b/internal/route/infer/client_test.go
@@ -18,6 +18,7 @@
 	"github.com/clementinewind/clementinewind/internal/route/answer"
 	"github.com/clementinewind/clementinewind/internal/route/infer"
 	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/internal/tools/stand"
 )
 
@@ -193,6 +194,26 @@
 	})
 }
 
+// Guards against a stalled engine that sends a comment now and then and keeps its stream for good.
+func TestCommentsAreNoProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(stand.EngineConfig{})
+		defer fixture.close()
+		fixture.server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			controller := http.NewResponseController(writer)
+			for controller.Flush() == nil && pause.For(request.Context(), time.Second) == nil {
+				fmt.Fprint(writer, ": still here\n\n")
+			}
+		})
+		stream, err := fixture.client.Generate(t.Context(), newRequest("a prompt", nil))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		start := time.Now()
+		_, err = readAll(stream, 0)
+		quicktest.Assert(t, err, quicktest.ErrorMatches, "Dispatched: ConnectionLost: stream was silent.*")
+		quicktest.Assert(t, time.Since(start), quicktest.Equals, 10*time.Second)
+	})
+}
+
 // Guards against an idle timeout for each of several idle connections that went silent together.
 func TestSilentIdleConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/route/infer/stream.go
+++ b/internal/route/infer/stream.go
@@ -41,6 +41,9 @@
 	events   *eventReader
 	order    *answer.Order
 	err      error
+	// patience is what is left of the idle timeout. Only tokens renew it: an engine that sends a byte or a comment now and then
+	// makes no progress.
+	patience time.Duration
 	// requestID is the text form of the request id.
 	requestID string
 	// complete says that the whole answer was delivered, so that Next no longer reads.
@@ -85,6 +88,7 @@
 		stream.err = io.EOF
 		return answer.Chunk{}, io.EOF
 	}
+	stream.patience = stream.config.client.config.IdleTimeout
 	for {
 		position := stream.order.Next()
 		tokens, err := stream.read()
@@ -163,7 +167,12 @@
 
 // Read reads from the response body.
 func (reader *idleReader) Read(data []byte) (int, error) {
-	reader.stream.config.idle.Reset(reader.stream.config.client.config.IdleTimeout)
-	defer reader.stream.config.idle.Stop()
-	return reader.stream.response.Body.Read(data)
+	stream := reader.stream
+	began := time.Now()
+	stream.config.idle.Reset(stream.patience)
+	defer func() {
+		stream.config.idle.Stop()
+		stream.patience = max(stream.patience-time.Since(began), 0)
+	}()
+	return stream.response.Body.Read(data)
 }
