Withstand endless bytes, late copies, half streams, pauses and a stop under load

Causes, each found by a test that failed before: - The head of an answer was read without a limit: an upstream in trouble that sends header lines or a status line without end filled the router's memory until the deadline (TestEndlessHead). - A refusal without an identifier counted as the answer to the request that uses the connection, also when an earlier request had used it: a late copy told a caller that work has not run which runs (TestLateRefusalOnReusedConnection). It counts on new connections only. - A stream that ends with its connection was passed on as complete when it broke off within an event (TestStreamThatBreaksOffIsNotComplete). - Streams of callers and routes without a limit were cut after 30 s although they were sound. Now only the lack of events ends them, after the callers' patience (TestStreamWithoutDeadline). - A router that was paused, or that waited long for a connection, sent by what it had been allowed before.

Ruled out: cutting streams with a deadline for their silence, which the users exclude.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/clementinewind/clementinewind/internal/load/budget"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/relay"
+	"github.com/clementinewind/clementinewind/internal/share/boot"
 	"github.com/clementinewind/clementinewind/internal/store/view"
 	"github.com/clementinewind/clementinewind/platform"
 )
@@ -34,11 +35,13 @@
 	// drainTail is the part of the grace period after which new requests are refused, and lastShare the part after which
 	// the process ends, whatever still runs.
 	drainTail = 0.35
-	lastShare = 0.96
-	// drainPoll is how often a stopping router looks whether its requests have ended.
-	drainPoll = 50 * time.Millisecond
-	// flushTime is for the last log lines.
-	flushTime = 100 * time.Millisecond
+	lastShare = 0.92
+	// flushShare is the part of the grace period in which the last answers are flushed.
+	flushShare = 0.05
+	// drainPoll is how often a stopping router looks whether its requests have ended, and quietPolls how often in a row it must
+	// find none: a request that has just been accepted is not counted yet.
+	drainPoll  = 50 * time.Millisecond
+	quietPolls = 4
 )
 
 // Config configures an Entry.
@@ -104,11 +107,14 @@
 	})
 	entry.relay = relay.New(relay.Config{
 		Zone: settings.Zone, Board: entry.board, Shares: entry.shares, Table: entry.view.Table, Routers: entry.roster.Known,
-		Closing: entry.sendsAway, Refusing: entry.refusing.Load, Overloaded: entry.lag.overloaded, Busy: entry.lag.busy, Dial: dialer.DialContext,
-		Budget: entry.budget,
-		Meter:  config.Meter, Logger: config.Logger,
+		Closing: entry.sendsAway, Refusing: entry.refusing.Load, Stale: entry.stale, Overloaded: entry.lag.overloaded, Busy: entry.lag.busy,
+		Dial: dialer.DialContext, Budget: entry.budget,
+		Meter: config.Meter, Logger: config.Logger,
 	})
 	entry.readers = newReaders(entry)
+	entry.lag.watch = boot.NewWatch(boot.WatchConfig{
+		Clock: boot.Now, Limit: pauseLimit, Trust: pauseTrust, Refreshed: entry.readers.knownAt, Resumed: entry.resume,
+	})
 	return entry
 }
 
@@ -128,6 +134,15 @@
 	return !entry.closing.Load() && entry.view.Table() != nil && entry.board.Count() > 0
 }
 
+// stale reports whether the process was paused and does not know yet what others decided meanwhile.
+func (entry *Entry) stale() bool { return entry.lag.watch.Stale() }
+
+// resume is called after a pause of the process.
+func (entry *Entry) resume(paused time.Duration) {
+	entry.config.Logger.Warn("process was paused, reading what changed meanwhile", "Paused", paused)
+	entry.readers.refresh()
+}
+
 // refresh brings the router's own state in the roster up to date.
 func (entry *Entry) refresh() {
 	load := entry.load.measure(time.Now())
@@ -179,7 +194,7 @@
 		if !other.address.IsValid() {
 			continue
 		}
-		started, err := listen(other.address, other.handler, logger)
+		started, err := listen(other.address, other.handler, 0, logger)
 		if err != nil {
 			return errors.Wrapf(err, "listen at [Listen] %s", other.name)
 		}
@@ -257,7 +272,8 @@
 	entry.config.Logger.Info("stopping", "Grace", grace, "InFlight", entry.inFlight.Load())
 	refuseAt := time.Duration(drainTail * float64(grace))
 	endAt := time.Duration(lastShare * float64(grace))
-	for {
+	callers.flushTime = time.Duration(flushShare * float64(grace))
+	for quiet := 0; ; time.Sleep(drainPoll) {
 		waited := time.Since(started)
 		if waited >= min(addressGrace, refuseAt) {
 			callers.stopAccepting()
@@ -265,10 +281,11 @@
 		if waited >= refuseAt {
 			entry.refusing.Store(true)
 		}
-		idle := waited >= refuseAt && entry.inFlight.Load() == 0
-		if idle || waited >= endAt {
+		if quiet++; waited < refuseAt || entry.inFlight.Load() > 0 {
+			quiet = 0
+		}
+		if quiet >= quietPolls || waited >= endAt {
 			return errDrained
 		}
-		time.Sleep(drainPoll)
 	}
 }
--- a/internal/edge/entry/lag.go
+++ b/internal/edge/entry/lag.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"github.com/clementinewind/clementinewind/internal/share/boot"
 )
 
 const (
@@ -16,11 +18,19 @@
 	lagLimit = 120 * time.Millisecond
 	// lagBusy is the lag from which streams are passed on in larger pieces; an idle processor is late by less than 3 ms.
 	lagBusy = 15 * time.Millisecond
+	// pauseLimit is the time without running from which the process counts as paused: what it was allowed to do may have ended
+	// since. The shortest of the users' bounds on such permissions is 2 s.
+	pauseLimit = time.Second
+	// pauseTrust is how long after a pause a router that reads nothing new waits before it goes on with what it knows, as one
+	// does that is cut off from the store.
+	pauseTrust = 3 * time.Second
 )
 
 // lag measures how long the process waits for the processor.
 type lag struct {
 	nanoseconds atomic.Int64
+	// watch notices pauses of the process.
+	watch *boot.Watch
 }
 
 // run measures until the context ends.
@@ -36,6 +46,7 @@
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		lag.watch.Tick()
 		now := time.Now()
 		late := now.Sub(began) - lagProbe
 		if int64(late) >= lag.nanoseconds.Load() || now.Sub(largestAt) > lagHold {
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
+	"github.com/clementinewind/clementinewind/internal/share/boot"
 	"github.com/clementinewind/clementinewind/internal/store/feed"
 	"github.com/clementinewind/clementinewind/internal/store/view"
 	"github.com/clementinewind/clementinewind/platform"
@@ -44,6 +45,9 @@
 	mutex       sync.Mutex
 	lag         feed.Lag
 	directUntil time.Time
+	// began is when the current read was sent, and known the moment at which the last successful one was, both on the clock
+	// that counts pauses.
+	began, known time.Duration
 }
 
 func newReaders(entry *Entry) readers {
@@ -58,7 +62,7 @@
 		topic.follower = feed.NewFollower(feed.FollowerConfig{
 			Topic: name, Mirror: topic.mirror, Apply: apply, Logger: entry.config.Logger,
 			Plan:             func() feed.Plan { return built.plan(topic, atStore, time.Now()) },
-			ReachedElsewhere: entry.roster.StoreReached,
+			ReachedElsewhere: entry.roster.StoreReached, Reached: topic.reached,
 		})
 	}
 	follow(built.operator, platform.TopicOperator, feed.Plan{Source: built.store, Wait: followWait}, entry.view.ApplyOperator)
@@ -80,6 +84,7 @@
 // calls to the store do not grow with the fleet. The load it answers: many routers, and many upstreams whose heartbeats
 // each of them would read.
 func (readers readers) plan(topic *topic, atStore feed.Plan, now time.Time) feed.Plan {
+	topic.begin()
 	reader, ok := readers.entry.roster.Reader(now)
 	switch _, loaded := topic.mirror.Next(); {
 	case !ok, !loaded, topic.direct(now), readers.store.retry(now):
@@ -88,6 +93,39 @@
 	return feed.Plan{Source: peerSource{gossip.Source{Address: reader.PeerAddress, Client: readers.client}, topic}, Wait: followWait}
 }
 
+// begin records that a read is sent.
+func (topic *topic) begin() {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	topic.began = boot.Now()
+}
+
+// reached records the result of a read. What it brought is as old as its beginning, at most.
+func (topic *topic) reached(err error) {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	if err == nil {
+		topic.known = topic.began
+	}
+}
+
+func (topic *topic) knownAt() time.Duration {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	return topic.known
+}
+
+// knownAt returns the moment up to which all topics are known.
+func (readers readers) knownAt() time.Duration {
+	return min(readers.operator.knownAt(), readers.upstreams.knownAt())
+}
+
+// refresh reads all topics at once.
+func (readers readers) refresh() {
+	readers.operator.follower.Nudge()
+	readers.upstreams.follower.Nudge()
+}
+
 // direct reports whether the store is to be read although another router reads it.
 func (topic *topic) direct(now time.Time) bool {
 	topic.mutex.Lock()
--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -34,6 +35,11 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
+	// backlogTime is how long a listener that is to be closed still takes the connections that the kernel has accepted. Closing
+	// it at once would reset them.
+	backlogTime = 100 * time.Millisecond
+	// defaultFlushTime is for the last answers of servers that are not drained.
+	defaultFlushTime = 100 * time.Millisecond
 )
 
 // dialer connects so that a partition ends the connection.
@@ -59,38 +65,59 @@
 type server struct {
 	*http.Server
 	listener net.Listener
+	backlog  *backlogListener
 	once     sync.Once
 	// ended is closed by close.
 	ended chan struct{}
+	// flushTime is how long close waits for the last answers.
+	flushTime time.Duration
 }
 
-func listen(address netip.AddrPort, handler http.Handler, logger hclog.Logger) (*server, error) {
-	listener, err := net.Listen("tcp4", address.String())
-	if err != nil {
-		return nil, err
+// backlogListener accepts the connections that the kernel has taken before it ends.
+type backlogListener struct{ *net.TCPListener }
+
+// Accept returns net.ErrClosed after the end of drain.
+func (listener *backlogListener) Accept() (net.Conn, error) {
+	conn, err := listener.TCPListener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, errors.Wrap(net.ErrClosed, "drained")
 	}
-	return newServer(listener, handler, logger), nil
+	return conn, err
 }
 
-func newServer(listener net.Listener, handler http.Handler, logger hclog.Logger) *server {
+// drain lets Accept go on for a moment. The server closes the listener when Accept has ended.
+func (listener *backlogListener) drain() error {
+	return listener.SetDeadline(time.Now().Add(backlogTime))
+}
+
+// listen opens a server with at most the given number of connections; 0 sets no limit. Connections beyond it wait until others
+// are closed.
+func listen(address netip.AddrPort, handler http.Handler, connections int, logger hclog.Logger) (*server, error) {
+	opened, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, err
+	}
+	backlog := &backlogListener{opened}
+	listener := net.Listener(backlog)
+	if connections > 0 {
+		listener = netutil.LimitListener(backlog, connections)
+	}
 	return &server{
+		backlog: backlog,
 		Server: &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes,
 			ErrorLog: logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		},
-		listener: listener, ended: make(chan struct{}),
-	}
+		listener: listener, ended: make(chan struct{}), flushTime: defaultFlushTime,
+	}, nil
 }
 
-// callerServer listens for callers. Connections beyond its limit wait until others are closed.
+// callerServer listens for callers.
 func (entry *Entry) callerServer() (*server, error) {
 	settings := entry.settings.Load()
-	listener, err := net.Listen("tcp4", settings.CallerListen.String())
-	if err != nil {
-		return nil, errors.Wrap(err, "listen at [Listen] Caller")
-	}
 	connections := int((1 - upstreamShare) * float64(settings.Connections()))
-	return newServer(netutil.LimitListener(listener, connections), entry.serving(entry.relay), entry.config.Logger), nil
+	opened, err := listen(settings.CallerListen, entry.serving(entry.relay), connections, entry.config.Logger)
+	return opened, errors.Wrap(err, "listen at [Listen] Caller")
 }
 
 // serve serves until close is called, also after the listener was closed.
@@ -108,17 +135,19 @@
 	return nil
 }
 
-// stopAccepting refuses new connections. Open ones are served.
+// stopAccepting refuses new connections after a moment. Open ones are served.
 func (server *server) stopAccepting() {
 	server.once.Do(func() {
 		// Only the listener ends; Shutdown would close idle connections that requests are on their way to.
-		_ = server.listener.Close()
+		if err := server.backlog.drain(); err != nil {
+			_ = server.listener.Close()
+		}
 	})
 }
 
 func (server *server) close() {
 	close(server.ended)
-	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	ctx, cancel := context.WithTimeout(context.Background(), server.flushTime)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		// What still runs is cut at the end of the grace period.
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -13,6 +13,7 @@
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/internal/share/boot"
 )
 
 // peerAge is the age at which the work that a peer told of no longer counts.
@@ -61,6 +62,8 @@
 	ColdExtra float64
 	// Owns reports whether this router may send to an upstream while it is cold.
 	Owns func(upstream clementinewind.Upstream) bool
+	// Clock bounds the permission to send a placed request; nil is boot.Now.
+	Clock boot.Clock
 }
 
 // Board is the state of all upstreams. Its methods may be called by many goroutines.
@@ -93,6 +96,9 @@
 
 // New returns a board without upstreams.
 func New(config Config) *Board {
+	if config.Clock == nil {
+		config.Clock = boot.Now
+	}
 	return &Board{
 		config:    config,
 		upstreams: map[clementinewind.Upstream]*upstream{},
@@ -293,7 +299,7 @@
 	ticket := &Ticket{
 		Entry: chosen.entry, Expected: decision.Expected, Uncached: decision.UncachedTokens, Candidates: len(eligible),
 		Elsewhere: chosen.remote.Running,
-		board:     board, upstream: chosen, placed: now,
+		board:     board, upstream: chosen, placed: now, expires: board.config.Clock() + permitTime,
 		queued: decision.EffectiveTokens, ahead: candidates[decision.Index].QueuedTokens + decision.EffectiveTokens,
 		resident: decision.UncachedTokens + request.Prompt.OutputTokens,
 	}
--- a/internal/load/board/ticket.go
+++ b/internal/load/board/ticket.go
@@ -27,6 +27,10 @@
 // declineTime is how long an upstream that rejected a request gets no other one.
 const declineTime = 50 * time.Millisecond
 
+// permitTime is how long a placed request may be sent. Opening a connection takes less than a third of it; a process that
+// needs longer was paused.
+const permitTime = time.Second
+
 // Ticket is a request that is counted at an upstream. Each ticket must be ended.
 type Ticket struct {
 	// Entry is the upstream as it was when the request was placed.
@@ -45,6 +49,8 @@
 	board    *Board
 	upstream *upstream
 	placed   time.Time
+	// expires is when the permission to send ends, on a clock that counts pauses of the process.
+	expires time.Duration
 	// queued counts the prompt tokens of the request itself, ahead all that are read until its first event.
 	queued   int
 	ahead    int
@@ -53,6 +59,16 @@
 	ended    bool
 }
 
+// Permitted reports whether the request may still be sent. What allowed it may have changed since it was placed: the upstream
+// leaves, its zone was taken out of service, or the process was paused for so long that the state behind the choice is old.
+func (ticket *Ticket) Permitted() bool {
+	ticket.board.mutex.Lock()
+	defer ticket.board.mutex.Unlock()
+	upstream := ticket.upstream
+	known := ticket.board.upstreams[ticket.Entry.Upstream] == upstream
+	return known && !upstream.entry.Leaving && !upstream.zoneOut && ticket.board.config.Clock() < ticket.expires
+}
+
 // First records the first event of the answer.
 func (ticket *Ticket) First(now time.Time) {
 	ticket.board.mutex.Lock()
--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,10 +24,17 @@
 	strayBytes = 1 << 20
 	// strayAnswers bounds how many of them are skipped before the connection is given up.
 	strayAnswers = 3
+	// headBytes bounds the status line and header of an answer. The largest header that the platform allows in a request is
+	// 16 KiB; an upstream in trouble may send bytes without end.
+	headBytes = 64 << 10
 )
 
+// errHeadSize is the cause of a connection that was given up because the head of an answer did not end.
+var errHeadSize = errors.Errorf("head of the answer exceeds %d bytes", headBytes)
+
 type conn struct {
 	raw    net.Conn
+	source *boundedReader
 	reader *bufio.Reader
 	pool   *Pool
 
@@ -37,7 +45,32 @@
 }
 
 func newConn(raw net.Conn, pool *Pool) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), pool: pool, keep: DefaultIdle}
+	source := &boundedReader{reader: raw}
+	return &conn{raw: raw, source: source, reader: bufio.NewReaderSize(source, readBuffer), pool: pool, keep: DefaultIdle}
+}
+
+// boundedReader fails after a number of bytes while it is bounded.
+type boundedReader struct {
+	reader  io.Reader
+	bounded bool
+	left    int
+}
+
+// bound lets the next reads return up to the given number of bytes.
+func (bounded *boundedReader) bound(limit int) { bounded.bounded, bounded.left = true, limit }
+
+func (bounded *boundedReader) unbound() { bounded.bounded = false }
+
+func (bounded *boundedReader) Read(buffer []byte) (int, error) {
+	if !bounded.bounded {
+		return bounded.reader.Read(buffer)
+	}
+	if bounded.left <= 0 {
+		return 0, errHeadSize
+	}
+	count, err := bounded.reader.Read(buffer[:min(len(buffer), bounded.left)])
+	bounded.left -= count
+	return count, err
 }
 
 func (conn *conn) close() {
@@ -111,7 +144,7 @@
 // readResponse reads the header of the answer to this request and skips answers to others.
 func (conn *conn) readResponse(request Request) (*http.Response, error) {
 	for range strayAnswers {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: request.Method})
+		response, err := conn.readHead(request.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -121,6 +154,10 @@
 		if request.Mine == nil || request.Mine(response) {
 			return response, nil
 		}
+		// On a connection that served others it may be the second copy of the answer to one of them.
+		if !conn.reused && request.Unnamed != nil && request.Unnamed(response) {
+			return response, nil
+		}
 		count, err := io.Copy(io.Discard, io.LimitReader(response.Body, strayBytes))
 		if err != nil || count == strayBytes || response.Close {
 			return nil, errors.New("answer belongs to another request")
@@ -129,6 +166,13 @@
 	return nil, errors.New("answers belong to other requests")
 }
 
+// readHead reads the status line and the header of an answer.
+func (conn *conn) readHead(method string) (*http.Response, error) {
+	conn.source.bound(headBytes)
+	defer conn.source.unbound()
+	return http.ReadResponse(conn.reader, &http.Request{Method: method})
+}
+
 // Answer is an answer whose body is still arriving.
 type Answer struct {
 	Response *http.Response
@@ -138,12 +182,26 @@
 	written chan error
 	ended   bool
 	closed  bool
+	// cut is why Cut was called; nil until then.
+	cut atomic.Pointer[error]
+}
+
+// Cut closes the connection, so that the upstream stops working and a Read that waits fails with the cause. It may be called
+// by another goroutine than the reader's.
+func (answer *Answer) Cut(cause error) {
+	if answer.cut.CompareAndSwap(nil, &cause) {
+		answer.conn.close()
+	}
 }
 
 // Read reads from the body. It returns io.EOF only after the complete body.
 func (answer *Answer) Read(buffer []byte) (int, error) {
 	count, err := answer.Response.Body.Read(buffer)
-	if err == io.EOF {
+	cause := answer.cut.Load()
+	switch {
+	case cause != nil && err != nil:
+		err = *cause
+	case err == io.EOF:
 		answer.ended = true
 	}
 	return count, err
@@ -163,7 +221,7 @@
 		wrote = err == nil
 	default:
 	}
-	if canceled || !wrote || !answer.ended || answer.Response.Close || conn.reader.Buffered() > 0 {
+	if canceled || answer.cut.Load() != nil || !wrote || !answer.ended || answer.Response.Close || conn.reader.Buffered() > 0 {
 		conn.pool.drop(conn)
 		return
 	}
--- a/internal/route/link/error.go
+++ b/internal/route/link/error.go
@@ -11,6 +11,8 @@
 	ErrBusy = errors.New("all connections to the upstream are in use")
 	// ErrRetired is returned by a pool whose upstream is gone. Nothing was sent.
 	ErrRetired = errors.New("upstream is gone")
+	// ErrExpired is returned when the permission to send ran out before the first byte. Nothing was sent.
+	ErrExpired = errors.New("permission to send has expired")
 )
 
 // UnreachableError is a connection that could not be opened. Nothing was sent.
@@ -42,5 +44,5 @@
 // Sent reports whether a request that ended with this error may have reached the upstream.
 func Sent(err error) bool {
 	var unreachable *UnreachableError
-	return !errors.Is(err, ErrBusy) && !errors.Is(err, ErrRetired) && !errors.As(err, &unreachable)
+	return !errors.Is(err, ErrBusy) && !errors.Is(err, ErrRetired) && !errors.Is(err, ErrExpired) && !errors.As(err, &unreachable)
 }
--- a/internal/route/link/pool.go
+++ b/internal/route/link/pool.go
@@ -86,6 +86,12 @@
 	MaxIdle time.Duration
 	// Mine reports whether an answer belongs to this request. Upstreams may send an answer to an earlier request late.
 	Mine func(response *http.Response) bool
+	// Unnamed reports whether an answer does not tell to which request it belongs, and may belong to this one if the
+	// connection has served no other. Nil takes none of them.
+	Unnamed func(response *http.Response) bool
+	// Permitted reports whether the request may still be sent. It is asked after all waiting, just before the first byte.
+	// Nil permits it.
+	Permitted func() bool
 }
 
 // Do sends a request and returns when the header of its answer has arrived. The caller closes the answer. Canceling ctx
@@ -100,6 +106,10 @@
 		pool.put(conn)
 		return nil, &UnreachableError{Cause: err}
 	}
+	if request.Permitted != nil && !request.Permitted() {
+		pool.put(conn)
+		return nil, ErrExpired
+	}
 	answer, err := conn.roundTrip(ctx, request)
 	if err != nil {
 		pool.drop(conn)
--- /dev/null
+++ b/internal/route/link/trouble_test.go
@@ -0,0 +1,140 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind/internal/route/link"
+)
+
+// flood writes the same bytes until the other side closes the connection, and counts them.
+func flood(conn net.Conn, start, piece string, written *atomic.Int64) {
+	if _, err := io.WriteString(conn, start); err != nil {
+		return
+	}
+	block := strings.Repeat(piece, 1+(16<<10)/len(piece))
+	for {
+		count, err := io.WriteString(conn, block)
+		written.Add(int64(count))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Guards against an upstream in trouble that sends bytes without end where the head of an answer is due: the router would
+// hold all of them in memory until the deadline of the request.
+func TestEndlessHead(t *testing.T) {
+	tests := map[string]struct{ start, piece string }{
+		"no line ends":                 {"", "x"},
+		"a status line without end":    {"HTTP/1.1 200 ", "O"},
+		"header lines without end":     {"HTTP/1.1 200 OK\r\n", "X-Noise: noise\r\n"},
+		"a header value without end":   {"HTTP/1.1 200 OK\r\nX-Noise: ", "n"},
+		"informational answers only":   {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"an answer to another, no end": {"HTTP/1.1 200 OK\r\nX-Other: 1\r\n\r\n", "noise"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var written atomic.Int64
+			ended := make(chan struct{})
+			pool, _ := serve(t, func(conn net.Conn, _ int) {
+				defer close(ended)
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				flood(conn, test.start, test.piece, &written)
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			asked := request()
+			asked.Mine = func(response *http.Response) bool { return response.Header.Get("X-Other") == "" }
+			_, err := pool.Do(ctx, asked)
+			quicktest.Assert(t, err, quicktest.IsNotNil)
+			quicktest.Check(t, ctx.Err(), quicktest.IsNil)
+			// The work may have run.
+			quicktest.Check(t, link.Sent(err), quicktest.IsTrue)
+			<-ended
+			// What was read, and what the sockets of both sides hold.
+			quicktest.Check(t, written.Load() < 32<<20, quicktest.IsTrue, quicktest.Commentf("%d bytes", written.Load()))
+		})
+	}
+}
+
+// Guards against a refusal of an earlier request, sent a second time and late, that is taken for the answer to the request
+// that uses the connection now: its caller would be told that work has not run which runs.
+func TestLateRefusalOnReusedConnection(t *testing.T) {
+	pool, _ := serve(t, func(conn net.Conn, _ int) {
+		reader := bufio.NewReader(conn)
+		for number := 0; ; number++ {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			if number > 0 {
+				fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Unnamed: 1\r\nContent-Length: 0\r\n\r\n")
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Name: %d\r\nContent-Length: 2\r\n\r\nok", number)
+		}
+	})
+	for number := range 2 {
+		asked := request()
+		asked.Mine = func(response *http.Response) bool { return response.Header.Get("X-Name") == fmt.Sprint(number) }
+		asked.Unnamed = func(response *http.Response) bool { return response.Header.Get("X-Unnamed") != "" }
+		answer, err := pool.Do(t.Context(), asked)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Check(t, answer.Response.StatusCode, quicktest.Equals, http.StatusOK)
+		_, err = io.Copy(io.Discard, answer)
+		quicktest.Check(t, err, quicktest.IsNil)
+		answer.Close()
+	}
+}
+
+// Guards against a refusal without an identifier that is skipped on a new connection, where it can belong to no other request.
+func TestUnnamedRefusalOnNewConnection(t *testing.T) {
+	pool, _ := serve(t, func(conn net.Conn, _ int) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		fmt.Fprint(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Unnamed: 1\r\nContent-Length: 0\r\n\r\n")
+	})
+	asked := request()
+	asked.Mine = func(*http.Response) bool { return false }
+	asked.Unnamed = func(response *http.Response) bool { return response.Header.Get("X-Unnamed") != "" }
+	answer, err := pool.Do(t.Context(), asked)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer answer.Close()
+	quicktest.Check(t, answer.Response.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+}
+
+// Guards against a permission that ran out while the connection was opened or the process was paused: the request is not
+// sent, and the connection stays usable.
+func TestPermissionIsCheckedLast(t *testing.T) {
+	var reached atomic.Int64
+	pool, _ := serve(t, func(conn net.Conn, _ int) {
+		reader := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			reached.Add(1)
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	asked := request()
+	asked.Permitted = func() bool { return false }
+	_, err := pool.Do(t.Context(), asked)
+	quicktest.Assert(t, err, quicktest.ErrorIs, link.ErrExpired)
+	quicktest.Check(t, link.Sent(err), quicktest.IsFalse)
+	_, err = ask(t, pool)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, reached.Load(), quicktest.Equals, int64(1))
+}
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -54,7 +54,9 @@
 	service      table.ServiceSettings
 	organisation clementinewind.Organisation
 	deadline     time.Time
-	body         []byte
+	// unbounded is set for a stream for which neither the caller nor the route sets a limit.
+	unbounded bool
+	body      []byte
 
 	// tried are the upstreams that had the request; runs counts those that may have run it.
 	tried []clementinewind.Upstream
@@ -146,6 +148,12 @@
 	giveUp := time.Now().Add(time.Duration(waitShare * float64(goal)))
 	for {
 		now := time.Now()
+		if exchange.relay.config.Stale() {
+			if now.After(giveUp) || pause.For(ctx, placeWait) != nil {
+				return nil
+			}
+			continue
+		}
 		patience := goal
 		if share, scarce := exchange.relay.config.Shares.Ratio(exchange.organisation, now); scarce {
 			exchange.share = share
@@ -235,8 +243,13 @@
 		Body: exchange.body, MaxIdle: maxIdle,
 		Mine: func(response *http.Response) bool {
 			meaning := platform.DecodeAnswer(response.StatusCode, response.Header)
-			return meaning.RequestID == exchange.call.RequestID || (meaning.RequestID == "" && meaning.NotRun)
+			return meaning.RequestID == exchange.call.RequestID
 		},
+		Unnamed: func(response *http.Response) bool {
+			meaning := platform.DecodeAnswer(response.StatusCode, response.Header)
+			return meaning.RequestID == "" && meaning.NotRun
+		},
+		Permitted: func() bool { return !exchange.relay.config.Stale() && ticket.Permitted() },
 	}
 }
 
@@ -249,6 +262,8 @@
 		result = board.ResultAbandoned
 	case errors.Is(err, link.ErrBusy), errors.Is(err, link.ErrRetired):
 		result = board.ResultDeclined
+	case errors.Is(err, link.ErrExpired):
+		result = board.ResultAbandoned
 	case !link.Sent(err) && ctx.Err() == nil:
 		result = board.ResultUnreachable
 	}
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -25,6 +25,8 @@
 const (
 	// defaultPatience bounds requests of callers that do not tell how long they wait, on routes without a time-out.
 	defaultPatience = 30 * time.Second
+	// streamLimit bounds streams of such callers; it is above the time that any sound one takes.
+	streamLimit = time.Hour
 	// defaultBodyBytes bounds bodies while the configuration sets no limit.
 	defaultBodyBytes = 4 << 20
 	// startRetry is when to return to a router that knows no configuration yet.
@@ -50,6 +52,8 @@
 	// Closing reports whether callers should open their next connection elsewhere, Refusing whether requests are refused.
 	Closing  func() bool
 	Refusing func() bool
+	// Stale reports whether the process was paused and does not know yet what changed meanwhile; nothing is sent then.
+	Stale func() bool
 	// Overloaded reports whether the processor is not enough for the requests.
 	Overloaded func() bool
 	// Busy reports whether the processor is short, so that events of streams are passed on several at a time.
@@ -195,6 +199,10 @@
 	}
 	if patience == 0 {
 		patience = defaultPatience
+		// The length of a stream is not known in advance; only a stalled one is cut.
+		if exchange.unbounded = exchange.route.Kind == table.RouteStream; exchange.unbounded {
+			patience = streamLimit
+		}
 	}
 	exchange.deadline = exchange.arrived.Add(patience)
 }
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -40,6 +40,7 @@
 
 	overloaded atomic.Bool
 	busy       atomic.Bool
+	stale      atomic.Bool
 
 	mutex sync.Mutex
 	// ran are the upstreams that got a request, in order.
@@ -96,7 +97,7 @@
 	started.server = httptest.NewServer(relay.New(relay.Config{
 		Board: started.board, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
 		Closing: func() bool { return false }, Refusing: func() bool { return false },
-		Overloaded: started.overloaded.Load, Busy: started.busy.Load,
+		Stale: started.stale.Load, Overloaded: started.overloaded.Load, Busy: started.busy.Load,
 		Dial:   new(net.Dialer).DialContext,
 		Budget: func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
 		Meter:  noMeter{}, Logger: hclog.NewNullLogger(),
@@ -108,18 +109,27 @@
 // ask sends a request and returns the status, the body and the error of reading it.
 func (fleet *fleet) ask(t *testing.T, method, body string) (*http.Response, string, error) {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), method, fleet.server.URL+"/p/x?y=%2f", strings.NewReader(body))
-	quicktest.Assert(t, err, quicktest.IsNil)
-	request.Host = "host.example"
-	stand.Caller(request.Header, "id-1", "key", 2*time.Second)
-	stand.Prompt(request.Header, "subject", 5000, 4000, 10)
-	response, err := http.DefaultClient.Do(request)
+	response, err := fleet.send(t, method, body, 2*time.Second)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
 	return response, string(content), err
 }
 
+// send sends a request whose caller waits for the given time, and does not tell it if that is 0.
+func (fleet *fleet) send(t *testing.T, method, body string, patience time.Duration) (*http.Response, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, fleet.server.URL+"/p/x?y=%2f", strings.NewReader(body))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	request.Host = "host.example"
+	stand.Caller(request.Header, "id-1", "key", patience)
+	if patience == 0 {
+		request.Header.Del(stand.Deadline)
+	}
+	stand.Prompt(request.Header, "subject", 5000, 4000, 10)
+	return http.DefaultClient.Do(request)
+}
+
 func sealed(writer http.ResponseWriter, status int, body string) {
 	stand.Seal(writer)
 	writer.WriteHeader(status)
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/share/pause"
@@ -18,6 +20,11 @@
 	maxEventBytes = 1 << 20
 	// eventBytes is read at once; events are mostly smaller.
 	eventBytes = 4 << 10
+	// leastStall, goalStalls and gapStalls are the callers' patience with a stream that makes no progress: the longest of
+	// leastStall, goalStalls times the goal of the first event and gapStalls times the longest pause between two events.
+	leastStall = 2 * time.Second
+	goalStalls = 4
+	gapStalls  = 8
 	// gatherTime is how long events gather before they are passed on while the processor is short. Each read and write costs
 	// more than the event itself. Callers see it as a delay, of which the users allow 120 ms.
 	gatherTime = 50 * time.Millisecond
@@ -31,6 +38,32 @@
 	last string
 }
 
+// errStalled is the cause of a stream that was cut because it made no progress.
+var errStalled = errors.New("no event within the callers' patience")
+
+// stallTime is the time without an event after which a stream that has no deadline is cut. Streams with a deadline are never
+// cut for their silence.
+func (exchange *exchange) stallTime() time.Duration {
+	return max(leastStall, goalStalls*exchange.route.LatencyGoal, gapStalls*exchange.route.GapGoal)
+}
+
+// endOfEvents returns the number of bytes up to the end of the last complete event, which a blank line ends.
+func endOfEvents(pending []byte) int {
+	end := 0
+	for _, blank := range []string{"\n\n", "\n\r\n"} {
+		if at := bytes.LastIndex(pending, []byte(blank)); at >= 0 {
+			end = max(end, at+len(blank))
+		}
+	}
+	return end
+}
+
+// untilClose reports whether the end of the connection is the end of an answer, so that nothing tells a complete answer from
+// one that broke off.
+func untilClose(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // pass passes on a stream, event by event, so that it can go on at another upstream after the last complete event.
 func (exchange *exchange) pass(ctx context.Context, ticket *board.Ticket, answer *link.Answer) verdict {
 	controller := http.NewResponseController(exchange.writer)
@@ -38,6 +71,8 @@
 	if err := controller.SetWriteDeadline(exchange.deadline.Add(writeSlack)); err != nil {
 		exchange.logger.Debug("no write deadline", "Request", exchange.call.RequestID, "Error", err)
 	}
+	stall := exchange.watch(answer)
+	defer stall.Stop()
 	var pending []byte
 	buffer := make([]byte, eventBytes)
 	first := true
@@ -50,17 +85,25 @@
 			exchange.relay.config.Meter.FirstEvent(exchange.service.Name, now.Sub(exchange.arrived), ticket.Expected)
 		}
 		pending = append(pending, buffer[:count]...)
-		complete := bytes.LastIndex(pending, []byte("\n\n")) + len("\n\n")
-		if err == io.EOF {
+		complete := endOfEvents(pending)
+		switch {
+		case err != io.EOF:
+		case untilClose(answer.Response) && complete < len(pending):
+			err = io.ErrUnexpectedEOF
+		default:
 			complete = len(pending)
 		}
-		if complete > 1 || err == io.EOF {
+		if complete > 0 || err == io.EOF {
+			events := exchange.stream.events
 			if writeErr := exchange.forward(answer, pending[:complete], controller); writeErr != nil {
 				ticket.End(board.ResultAbandoned, time.Now())
 				exchange.ended("Abandoned", "caller left during the stream")
 				return verdictDone
 			}
 			pending = pending[complete:]
+			if exchange.stream.events > events {
+				stall.Reset(exchange.stallTime())
+			}
 			if err == nil && exchange.relay.config.Busy() {
 				// The next read tells that the caller has left.
 				_ = pause.For(ctx, gatherTime)
@@ -77,6 +120,16 @@
 	}
 }
 
+// watch cuts a stream without a deadline when it stalls. The timer is reset by each event; bytes that are no event, such as
+// comments, are no progress.
+func (exchange *exchange) watch(answer *link.Answer) *time.Timer {
+	return time.AfterFunc(exchange.stallTime(), func() {
+		if exchange.unbounded {
+			answer.Cut(errStalled)
+		}
+	})
+}
+
 // forward writes complete events to the caller.
 func (exchange *exchange) forward(answer *link.Answer, events []byte, controller *http.ResponseController) error {
 	if !exchange.stream.started {
--- /dev/null
+++ b/internal/route/relay/trouble_test.go
@@ -0,0 +1,207 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
+	"github.com/clementinewind/clementinewind/internal/route/relay"
+	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
+	standin "github.com/clementinewind/clementinewind/internal/tools/stand"
+	"github.com/clementinewind/clementinewind/platform/stand"
+)
+
+// upstreamOf listens for one request and answers it by hand.
+func upstreamOf(t *testing.T, fleet *fleet, answer func(conn net.Conn, request *http.Request)) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					answer(conn, request)
+				}
+			}()
+		}
+	}()
+	fleet.board.Set(table.Entry{Upstream: "u", Service: "service", Address: listener.Addr().String()}, time.Now())
+}
+
+// Guards against an answer that breaks off halfway and reaches the caller as a complete success, with each way in which the
+// end of a stream is told.
+func TestStreamThatBreaksOffIsNotComplete(t *testing.T) {
+	tests := map[string]struct {
+		head, body string
+		complete   bool
+	}{
+		"to the end of the connection, in an event": {"", "id: 1\ndata: a\n\nid: 2\nda", false},
+		"to the end of the connection, after one":   {"", "id: 1\ndata: a\n\n", true},
+		"length, cut":             {"Content-Length: 60\r\n", "id: 1\ndata: a\n\n", false},
+		"length, cut in an event": {"Content-Length: 60\r\n", "id: 1\ndata: a\n\nid: 2\nda", false},
+		"chunks, cut":             {"Transfer-Encoding: chunked\r\n", "f\r\nid: 1\ndata: a\n\n\r\n", false},
+		"chunks, cut in an event": {"Transfer-Encoding: chunked\r\n", "17\r\nid: 1\ndata: a\n\nid: 2\nda\r\n", false},
+		"chunks":                  {"Transfer-Encoding: chunked\r\n", "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			fleet := start(t, table.Route{Kind: table.RouteStream, MaxAttempts: 1})
+			upstreamOf(t, fleet, func(conn net.Conn, request *http.Request) {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%s\r\n%s", stand.AnswerHead(stand.RequestID(request.Header)), test.head, test.body)
+			})
+			response, body, err := fleet.ask(t, http.MethodGet, "")
+			quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusOK)
+			quicktest.Check(t, body, quicktest.Equals, "id: 1\ndata: a\n\n")
+			quicktest.Check(t, err == nil, quicktest.Equals, test.complete, quicktest.Commentf("%v", err))
+		})
+	}
+}
+
+// Guards against an upstream in trouble that sends a body without end: the caller of a request with a deadline gets its end
+// by then, and never as a success.
+func TestEndlessBody(t *testing.T) {
+	tests := map[string]struct {
+		route table.Route
+		piece string
+	}{
+		"answer":                {table.Route{Kind: table.RouteOnce, MaxAttempts: 1}, "noise"},
+		"stream without events": {table.Route{Kind: table.RouteStream, MaxAttempts: 1}, "noise"},
+		"stream of comments":    {table.Route{Kind: table.RouteStream, MaxAttempts: 1}, ": noise\n\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			fleet := start(t, test.route)
+			closed := make(chan struct{})
+			upstreamOf(t, fleet, func(conn net.Conn, request *http.Request) {
+				defer close(closed)
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n", stand.AnswerHead(stand.RequestID(request.Header)))
+				for {
+					if _, err := io.WriteString(conn, test.piece); err != nil {
+						return
+					}
+				}
+			})
+			began := time.Now()
+			response, err := fleet.send(t, http.MethodGet, "", time.Second)
+			quicktest.Assert(t, err, quicktest.IsNil)
+			defer response.Body.Close()
+			_, err = io.Copy(io.Discard, response.Body)
+			if response.StatusCode == http.StatusOK {
+				quicktest.Check(t, err, quicktest.IsNotNil)
+			}
+			quicktest.Check(t, time.Since(began) < 3*time.Second, quicktest.IsTrue)
+			<-closed
+		})
+	}
+}
+
+// Guards against a sound stream that is cut although neither its caller nor its route sets a limit, and against a stalled one
+// that sends a byte now and then and never ends.
+func TestStreamWithoutDeadline(t *testing.T) {
+	tests := map[string]struct {
+		piece    string
+		pause    time.Duration
+		pieces   int
+		complete bool
+		within   time.Duration
+	}{
+		"slow events for two minutes": {"id: 1\ndata: a\n\n", 1500 * time.Millisecond, 80, true, 3 * time.Minute},
+		"a byte now and then":         {":", time.Second, 1000, false, 3 * time.Second},
+		"a comment now and then":      {": c\n\n", time.Second, 1000, false, 3 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := standin.NewPipeNetwork()
+				engine := network.Serve("engine", http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+					stand.Echo(writer, request)
+					stand.Seal(writer)
+					controller := http.NewResponseController(writer)
+					for range test.pieces {
+						_, _ = io.WriteString(writer, test.piece)
+						if controller.Flush() != nil || pause.For(request.Context(), test.pause) != nil {
+							return
+						}
+					}
+				}))
+				relay := newRelay(network.Dial, table.Route{Kind: table.RouteStream, MaxAttempts: 1}, "engine")
+				router := network.Serve("router", relay)
+				client := &http.Client{Transport: &http.Transport{
+					DialContext: func(ctx context.Context, kind, _ string) (net.Conn, error) { return network.Dial(ctx, kind, "router") },
+				}}
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://host.example/p/x", nil)
+				quicktest.Assert(t, err, quicktest.IsNil)
+				stand.Caller(request.Header, "id-1", "key", 0)
+				request.Header.Del(stand.Deadline)
+				began := time.Now()
+				response, err := client.Do(request)
+				quicktest.Assert(t, err, quicktest.IsNil)
+				_, err = io.Copy(io.Discard, response.Body)
+				complete := err == nil && response.StatusCode == http.StatusOK
+				quicktest.Check(t, complete, quicktest.Equals, test.complete, quicktest.Commentf("%d, %v", response.StatusCode, err))
+				quicktest.Check(t, time.Since(began) < test.within, quicktest.IsTrue, quicktest.Commentf("%v", time.Since(began)))
+				response.Body.Close()
+				client.CloseIdleConnections()
+				relay.Retire("engine")
+				quicktest.Check(t, router.Close(), quicktest.IsNil)
+				quicktest.Check(t, engine.Close(), quicktest.IsNil)
+			})
+		})
+	}
+}
+
+// newRelay returns a relay with one route to one upstream, whose name is its address.
+func newRelay(dial func(ctx context.Context, network, address string) (net.Conn, error), route table.Route, upstream string) *relay.Relay {
+	route.Host, route.PathPrefix, route.Shares = "host.example", "/p/", []table.Share{{Service: "service", Weight: 1}}
+	current := table.New(table.Configuration{
+		Version: 1, Routes: []table.Route{route}, Services: []table.ServiceSettings{{Name: "service", MaxConnections: 100}},
+		Organisations: []table.OrganisationKeys{{Organisation: "Patel", Keys: []string{"key"}}},
+	})
+	never := func() bool { return false }
+	built := board.New(board.Config{Owns: func(clementinewind.Upstream) bool { return true }})
+	built.SetServices(current.Services())
+	built.Set(table.Entry{Upstream: clementinewind.Upstream(upstream), Service: "service", Address: upstream, Slots: 4}, time.Now())
+	return relay.New(relay.Config{
+		Board: built, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
+		Closing: never, Refusing: never, Stale: never, Overloaded: never, Busy: never, Dial: dial,
+		Budget: func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
+		Meter:  noMeter{}, Logger: hclog.NewNullLogger(),
+	})
+}
+
+// Guards against a process that was paused and sends requests by what it knew before: it waits until it knows more, and
+// refuses truthfully if that takes too long.
+func TestPausedRouterSendsNothing(t *testing.T) {
+	fleet := start(t, table.Route{Kind: table.RouteOnce, MaxAttempts: 1, LatencyGoal: 800 * time.Millisecond},
+		func(writer http.ResponseWriter, _ *http.Request, _ int) { sealed(writer, http.StatusOK, "answer") })
+	fleet.stale.Store(true)
+	response, _, err := fleet.ask(t, http.MethodPost, "body")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	quicktest.Check(t, response.Header.Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
+	quicktest.Check(t, fleet.runs(), quicktest.HasLen, 0)
+	time.AfterFunc(20*time.Millisecond, func() { fleet.stale.Store(false) })
+	response, _, err = fleet.ask(t, http.MethodPost, "body")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusOK)
+}
