Load the configuration from other routers while the store is down

Cause: a router that restarts without state read its topics at the store only, and answered 503 until an outage of the store ended.

Change: until a topic is loaded, each second read goes to a router that serves, of the own zone if possible, while the store fails. The others still send beats to the address, by which it knows them.

--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -167,6 +167,14 @@
 	return err
 }
 
+// kill ends a router at once.
+func (fleet *fleet) kill(number int) {
+	router := fleet.routers[number]
+	delete(fleet.routers, number)
+	router.cancel()
+	<-router.ended
+}
+
 func get(address netip.AddrPort, path string) (int, string) {
 	client := http.Client{Timeout: waitTime, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Get("http://" + address.String() + path)
@@ -270,6 +278,30 @@
 	quicktest.Check(t, status, quicktest.Equals, http.StatusOK)
 }
 
+// Guards against a router that is replaced while the store is down and serves nobody until it returns: the others know all that
+// it needs.
+func TestRestartWithoutStore(t *testing.T) {
+	fleet := newFleet(t)
+	first, second := fleet.start(1), fleet.start(2)
+	fleet.ready(first, second)
+	fleet.until("two addresses", func() bool { return len(first.addresses()) == 2 })
+	fleet.store.SetFault(func(writer http.ResponseWriter, _ *http.Request) bool {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	fleet.kill(2)
+	restarted := fleet.start(2)
+	fleet.ready(restarted)
+	status, body := restarted.ask("key")
+	quicktest.Check(t, status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s", body))
+	status, _ = restarted.ask("other")
+	quicktest.Check(t, status, quicktest.Equals, http.StatusUnauthorized)
+	// Once it is back, the store counts again.
+	fleet.store.SetFault(nil)
+	fleet.configure("other")
+	fleet.until("the new key in force", func() bool { status, _ := restarted.ask("other"); return status == http.StatusOK })
+}
+
 // Guards against a router that the store turns away and that keeps a revoked key in force: it reads from the others.
 func TestStoreTurnsOneRouterAway(t *testing.T) {
 	fleet := newFleet(t)
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -48,6 +48,8 @@
 	// began is when the current read was sent, and known the moment at which the last successful one was, both on the clock
 	// that counts pauses.
 	began, known time.Duration
+	// atPeer is set if the last try to load the topic was at another router.
+	atPeer bool
 }
 
 func newReaders(entry *Entry) readers {
@@ -85,6 +87,12 @@
 // each of them would read.
 func (readers readers) plan(topic *topic, atStore feed.Plan, now time.Time) feed.Plan {
 	topic.begin()
+	if topic.turnsToPeer(readers.store.failing()) {
+		// The others may have forgotten the router that ran here before, so that none is heard yet.
+		if informed, ok := readers.entry.roster.Informed(now); ok {
+			return feed.Plan{Source: peerSource{gossip.Source{Address: informed.PeerAddress, Client: readers.client}, topic}}
+		}
+	}
 	reader, ok := readers.entry.roster.Reader(now)
 	switch _, loaded := topic.mirror.Next(); {
 	case !ok, !loaded, topic.direct(now), readers.store.retry(now):
@@ -126,6 +134,16 @@
 	readers.upstreams.follower.Nudge()
 }
 
+// turnsToPeer reports whether a router that has not read the topic yet asks another one: each second time while the store
+// fails. The load it answers: routers that restart without state while the store is down.
+func (topic *topic) turnsToPeer(storeFails bool) bool {
+	_, loaded := topic.mirror.Next()
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	topic.atPeer = storeFails && !loaded && !topic.atPeer
+	return topic.atPeer
+}
+
 // direct reports whether the store is to be read although another router reads it.
 func (topic *topic) direct(now time.Time) bool {
 	topic.mutex.Lock()
@@ -163,6 +181,11 @@
 	topic *topic
 }
 
+// Newest implements feed.Source.
+func (source peerSource) Newest(ctx context.Context, topic string) (feed.Batch, error) {
+	return source.Read(ctx, topic, 0, 0)
+}
+
 // Read implements feed.Source.
 func (source peerSource) Read(ctx context.Context, topic string, from int64, wait time.Duration) (feed.Batch, error) {
 	batch, err := source.Source.Read(ctx, topic, from, wait)
@@ -211,6 +234,13 @@
 	return !source.failed && !source.tried.IsZero()
 }
 
+// failing reports whether the last call failed.
+func (source *storeSource) failing() bool {
+	source.mutex.Lock()
+	defer source.mutex.Unlock()
+	return source.failed
+}
+
 // retry reports whether a store that did not answer should be tried again.
 func (source *storeSource) retry(now time.Time) bool {
 	source.mutex.Lock()
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -303,6 +304,30 @@
 	return *reader, true
 }
 
+// Informed returns any other router that serves requests, in the own zone if there is one, and so knows the configuration. It
+// is false if none is heard.
+func (roster *Roster) Informed(now time.Time) (Member, bool) {
+	self := roster.Self()
+	var near, all []Member
+	for _, member := range serving(roster.view(now).alive) {
+		if member.Instance == self.Instance {
+			continue
+		}
+		all = append(all, member)
+		if member.Zone == self.Zone {
+			near = append(near, member)
+		}
+	}
+	if len(near) > 0 {
+		all = near
+	}
+	if len(all) == 0 {
+		return Member{}, false
+	}
+	// Routers that start together spread over those that serve; the choice needs no secrecy.
+	return all[rand.IntN(len(all))], true
+}
+
 func memberID(member Member) uint64 { return xxhash.Sum64String(string(member.Instance)) }
 
 // memberWeight is how often a router is named to callers against the others. No caller is told of a router twice, which
