Accept fractions in the settings that the platform fills in

Cause: the template passes on the platform's figures, which may be fractions; [Retry] Extra and the sizes took whole numbers only.

Change: Extra is a number, sizes take fractions, and of descriptors the whole ones count. TestParseEntryFractions fails before.

--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -46,7 +46,7 @@
 	// RetryRatio times the requests plus RetryExtra.
 	RetryRatio  float64
 	RetryWindow time.Duration
-	RetryExtra  int
+	RetryExtra  float64
 	// ColdRatio and ColdExtra bound the requests in one second to a cold upstream: ColdRatio times its rate plus ColdExtra.
 	ColdRatio float64
 	ColdExtra float64
@@ -61,7 +61,7 @@
 	maxDescriptors    = 1 << 20
 	maxWindow         = time.Hour
 	maxRatio          = 100.0
-	maxRetryExtra     = 1_000_000
+	maxRetryExtra     = 1_000_000.0
 	lastPort          = 65535
 	// The defaults are those of the users' smaller deployments, as far as these have one size.
 	defaultMemory            = 256 * mebibyte
@@ -99,11 +99,8 @@
 	duration := func(target func(*Entry) *time.Duration) func(*Entry, string) *problem {
 		return func(entry *Entry, text string) *problem { return setDuration(text, 0, maxWindow, target(entry)) }
 	}
-	count := func(low, high int, target func(*Entry) *int) func(*Entry, string) *problem {
-		return func(entry *Entry, text string) *problem { return setCount(text, low, high, target(entry)) }
-	}
-	ratio := func(target func(*Entry) *float64) func(*Entry, string) *problem {
-		return func(entry *Entry, text string) *problem { return setRatio(text, target(entry)) }
+	ratio := func(high float64, target func(*Entry) *float64) func(*Entry, string) *problem {
+		return func(entry *Entry, text string) *problem { return setRatio(text, high, target(entry)) }
 	}
 	return []field[Entry]{
 		{"Instance", "Name", true, func(entry *Entry, text string) *problem { return setName(text, &entry.Name) }},
@@ -120,15 +117,17 @@
 		{"Sizes", "Memory", false, func(entry *Entry, text string) *problem {
 			return setSize(text, 16*mebibyte, 1024*gibibyte, &entry.MemoryBytes)
 		}},
-		{"Sizes", "Descriptors", false, count(descriptorReserve, maxDescriptors, func(entry *Entry) *int { return &entry.Descriptors })},
-		{"Sizes", "CoreShare", false, ratio(func(entry *Entry) *float64 { return &entry.CoreShare })},
+		{"Sizes", "Descriptors", false, func(entry *Entry, text string) *problem {
+			return setFloor(text, descriptorReserve, maxDescriptors, &entry.Descriptors)
+		}},
+		{"Sizes", "CoreShare", false, ratio(maxRatio, func(entry *Entry) *float64 { return &entry.CoreShare })},
 		{"Times", "Grace", false, duration(func(entry *Entry) *time.Duration { return &entry.Grace })},
 		{"Times", "AddressTimeToLive", false, duration(func(entry *Entry) *time.Duration { return &entry.AddressTimeToLive })},
-		{"Retry", "Ratio", false, ratio(func(entry *Entry) *float64 { return &entry.RetryRatio })},
+		{"Retry", "Ratio", false, ratio(maxRatio, func(entry *Entry) *float64 { return &entry.RetryRatio })},
 		{"Retry", "Window", false, duration(func(entry *Entry) *time.Duration { return &entry.RetryWindow })},
-		{"Retry", "Extra", false, count(0, maxRetryExtra, func(entry *Entry) *int { return &entry.RetryExtra })},
-		{"Cold", "Ratio", false, ratio(func(entry *Entry) *float64 { return &entry.ColdRatio })},
-		{"Cold", "Extra", false, ratio(func(entry *Entry) *float64 { return &entry.ColdExtra })},
+		{"Retry", "Extra", false, ratio(maxRetryExtra, func(entry *Entry) *float64 { return &entry.RetryExtra })},
+		{"Cold", "Ratio", false, ratio(maxRatio, func(entry *Entry) *float64 { return &entry.ColdRatio })},
+		{"Cold", "Extra", false, ratio(maxRatio, func(entry *Entry) *float64 { return &entry.ColdExtra })},
 		{"Share", "Window", false, duration(func(entry *Entry) *time.Duration { return &entry.ShareWindow })},
 	}
 }
@@ -178,13 +177,26 @@
 	return setCount(high, *first, lastPort, last)
 }
 
-func setRatio(text string, target *float64) *problem {
+// setFloor reads a limit that may be given as a fraction, of which only whole units can be used.
+func setFloor(text string, low, high int, target *int) *problem {
+	number := float64(low)
+	if problem := setRatio(text, float64(high), &number); problem != nil {
+		return problem
+	}
+	if whole := int(number); whole < low {
+		return problemf(FaultOutOfRange, "%d: want %d to %d", whole, low, high)
+	}
+	*target = int(number)
+	return nil
+}
+
+func setRatio(text string, high float64, target *float64) *problem {
 	ratio, err := strconv.ParseFloat(text, 64)
 	switch {
 	case err != nil:
 		return problemf(FaultBadValue, "%q: want a number, for example 0.2", text)
-	case !(ratio >= 0 && ratio <= maxRatio):
-		return problemf(FaultOutOfRange, "%v: want 0 to %v", ratio, maxRatio)
+	case !(ratio >= 0 && ratio <= high):
+		return problemf(FaultOutOfRange, "%v: want 0 to %v", ratio, high)
 	}
 	*target = ratio
 	return nil
--- a/internal/admin/conf/entry_test.go
+++ b/internal/admin/conf/entry_test.go
@@ -37,12 +37,31 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, entry.CallerListen.String(), quicktest.Equals, "10.1.0.33:8783")
 	quicktest.Check(t, entry.FirstPort, quicktest.Equals, 7400)
-	quicktest.Check(t, entry.RetryExtra, quicktest.Equals, 58)
+	quicktest.Check(t, entry.RetryExtra, quicktest.Equals, 58.0)
 	quicktest.Check(t, entry.Grace, quicktest.Equals, 8*time.Second)
 	quicktest.Check(t, entry.MemoryBytes, quicktest.Equals, int64(284<<20))
 	quicktest.Check(t, entry.Connections(), quicktest.Equals, 3900)
 }
 
+// Guards against a process that does not start because the platform fills in a fraction: it may for every figure.
+func TestParseEntryFractions(t *testing.T) {
+	text := rendered(t)
+	for old, replacement := range map[string]string{
+		"Extra = 58": "Extra = 33.1578947368421", "Memory = 284MiB": "Memory = 160.5MiB", "Descriptors = 4100": "Descriptors = 4100.5",
+		"Grace = 8s": "Grace = 8.25s", "Window = 10s": "Window = 9.5s",
+	} {
+		quicktest.Assert(t, strings.Contains(text, old), quicktest.IsTrue, quicktest.Commentf("%s", old))
+		text = strings.Replace(text, old, replacement, 1)
+	}
+	entry, err := conf.ParseEntry("entry.ini", []byte(text))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, entry.RetryExtra, quicktest.Equals, 33.1578947368421)
+	quicktest.Check(t, entry.MemoryBytes, quicktest.Equals, int64(160.5*(1<<20)))
+	quicktest.Check(t, entry.Descriptors, quicktest.Equals, 4100)
+	quicktest.Check(t, entry.Grace, quicktest.Equals, 8250*time.Millisecond)
+	quicktest.Check(t, entry.RetryWindow, quicktest.Equals, 9500*time.Millisecond)
+}
+
 // Guards against a process that starts with a part of its settings, and against reports that name only the first fault.
 func TestParseEntryFaults(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/admin/conf/value.go
+++ b/internal/admin/conf/value.go
@@ -25,7 +25,7 @@
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$`)
 
 // sizePattern separates the number of a size from its unit.
-var sizePattern = regexp.MustCompile(`^([0-9]+)\s*([A-Za-z]*)$`)
+var sizePattern = regexp.MustCompile(`^([0-9]+(?:\.[0-9]+)?)\s*([A-Za-z]*)$`)
 
 var sizeUnits = map[string]int64{"B": 1, "KiB": kibibyte, "MiB": mebibyte, "GiB": gibibyte}
 
@@ -79,11 +79,12 @@
 	if !ok {
 		return problemf(FaultWrongUnit, "%q: want the unit B, KiB, MiB or GiB, for example 64KiB", text)
 	}
-	count, err := strconv.ParseInt(parts[1], 10, 64)
-	if err != nil || count > high/unit || count*unit < low {
+	count, err := strconv.ParseFloat(parts[1], 64)
+	size := count * float64(unit)
+	if err != nil || size > float64(high) || size < float64(low) {
 		return problemf(FaultOutOfRange, "%q: want %s to %s", text, formatSize(low), formatSize(high))
 	}
-	*target = count * unit
+	*target = int64(size)
 	return nil
 }
 
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -120,7 +120,7 @@
 
 func (entry *Entry) budget() budget.Config {
 	settings := entry.settings.Load()
-	return budget.Config{Window: settings.RetryWindow, Ratio: settings.RetryRatio, Extra: float64(settings.RetryExtra)}
+	return budget.Config{Window: settings.RetryWindow, Ratio: settings.RetryRatio, Extra: settings.RetryExtra}
 }
 
 // peerAddress is the first of the ports that are free for traffic between routers.
