Let heads of zones collect beats and send digests in large fleets

Cause: beyond 16 routers each one sent everything to all routers of its zone five times a second, and a sign of life to all others each 0.8 s.

Ruled out: a head alone, whose loss leaves its zone without digests until all agree on the next; longer intervals, which make the work of the others older.

Change: a router tells the head of its zone and the deputy (internal/ fleet/head: most processor time first, silent ones are passed over after 0.7 s). The head sends the sums of its zone to the heads and deputies of the others, and all sums to its zone, from which each router takes its own part by the sequence number of the beat that counts. Presence, with the age at which a router was heard, is part of the digests; no fact goes back to an older one. Who gets no digests asks for them.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -72,6 +72,8 @@
 	relay   *relay.Relay
 	store   *platform.Store
 	readers readers
+	// chatter is nil until Run.
+	chatter atomic.Pointer[gossip.Gossip]
 
 	inFlight atomic.Int64
 	load     *load
@@ -141,6 +143,9 @@
 func (entry *Entry) resume(paused time.Duration) {
 	entry.config.Logger.Warn("process was paused, reading what changed meanwhile", "Paused", paused)
 	entry.readers.refresh()
+	if chatter := entry.chatter.Load(); chatter != nil {
+		chatter.Forget()
+	}
 }
 
 // refresh brings the router's own state in the roster up to date.
@@ -176,6 +181,7 @@
 		Conn: conn, Roster: entry.roster, Board: entry.board, Shares: entry.shares, Offsets: entry.readers.offsets, Ahead: entry.readers.ahead,
 		Version: entry.version, Refresh: entry.refresh, Logger: logger,
 	})
+	entry.chatter.Store(chatter)
 	callers, err := entry.callerServer()
 	if err != nil {
 		return err
--- a/internal/fleet/gossip/encode.go
+++ b/internal/fleet/gossip/encode.go
@@ -1,6 +1,9 @@
 package gossip
 
 import (
+	"math"
+	"time"
+
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
@@ -29,6 +32,22 @@
 	}
 }
 
+func encodeSighting(sighting roster.Sighting, now time.Time) *fleetv1.Presence {
+	age := min(max(now.Sub(sighting.Heard).Milliseconds(), 0), math.MaxUint32)
+	return &fleetv1.Presence{
+		Instance: sighting.Name, Incarnation: sighting.Incarnation, AgeMillis: uint32(age), Load: count(int(sighting.Load)),
+		Ready: sighting.Ready, Leaving: sighting.Leaving, StoreReachable: sighting.StoreReachable,
+	}
+}
+
+func decodeSighting(presence *fleetv1.Presence, now time.Time) roster.Sighting {
+	return roster.Sighting{
+		Name: presence.Instance, Incarnation: presence.Incarnation,
+		Heard: now.Add(-time.Duration(presence.AgeMillis) * time.Millisecond), Load: float64(presence.Load),
+		Ready: presence.Ready, Leaving: presence.Leaving, StoreReachable: presence.StoreReachable,
+	}
+}
+
 func count(value int) uint32 { return uint32(max(value, 0)) }
 
 func encodeWork(work map[uint32]board.Work) []*fleetv1.UpstreamLoad {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -10,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/fleet/head"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
@@ -19,16 +21,22 @@
 const (
 	// beatInterval is the pause between two beats. The work of the other routers is known with this age.
 	beatInterval = 200 * time.Millisecond
-	// fullMesh is the number of other routers up to which each router tells all others everything. In a larger fleet that
-	// goes to the routers of the own zone, and to the other zones in a digest, because bytes between zones are paid for.
+	// fullMesh is the number of other routers up to which each router tells all others everything. Beyond it, what a full mesh
+	// costs each router exceeds what the digests cost.
 	fullMesh = 16
-	// presenceInterval is the pause between two beats to routers of other zones in a large fleet. They only say that the
-	// router is alive.
-	presenceInterval = 800 * time.Millisecond
+	// presenceInterval is the pause between two lists of the routers of a zone. Several may be lost before a router counts as gone.
+	presenceInterval = 400 * time.Millisecond
+	// headSilence is the time without a digest after which the head of the zone is passed over: three of them may be lost. What
+	// the routers know of each other's work then has an age of less than a second.
+	headSilence = 700 * time.Millisecond
+	// headRetry is how long a silent head is passed over.
+	headRetry = 5 * time.Second
 	// usageInterval is the pause between two reports of what the organisations used; they change over seconds.
 	usageInterval = 800 * time.Millisecond
 	// maxDatagram is far above a digest of the largest fleet.
 	maxDatagram = 60000
+	// bundleBytes bounds a bundle; digests beyond it go in a datagram of their own.
+	bundleBytes = 40000
 	// maxPlacements bounds a datagram under a burst; what is left out costs one reading of a prefix.
 	maxPlacements = 1500
 	// digestAge is the age at which a digest no longer stands for the routers of its zone.
@@ -59,18 +67,36 @@
 
 // Gossip sends and receives beats and digests.
 type Gossip struct {
-	config   Config
+	config Config
+
+	mutex    sync.Mutex
 	sequence uint64
-	// presenceAt and usageAt are when those were last sent.
-	presenceAt time.Time
-	usageAt    time.Time
-	zone       *zone
-	received   *received
+	// usageAt is when the usage was last sent.
+	usageAt  time.Time
+	zone     *zone
+	received *received
+	watch    *head.Watch
+	own      history
+	// leads is set while this router is the head of its zone in its own eyes, since leadsSince.
+	leads      bool
+	leadsSince time.Time
+	// head is the router that it takes for the head, and deputy is set while it is the deputy itself.
+	head   roster.Member
+	deputy bool
+	// actsAs is the router of the zone whose digest arrived last, at actedAt.
+	actsAs  clementinewind.Instance
+	actedAt time.Time
+	// news are the digests of other zones that were not passed on yet, and latest the last ones, by zone.
+	news   map[clementinewind.Zone]*fleetv1.Digest
+	latest map[clementinewind.Zone]*fleetv1.Digest
 }
 
 // New returns a gossip that has not sent anything.
 func New(config Config) *Gossip {
-	return &Gossip{config: config, zone: newZone(), received: newReceived()}
+	return &Gossip{
+		config: config, zone: newZone(), received: newReceived(), news: map[clementinewind.Zone]*fleetv1.Digest{}, latest: map[clementinewind.Zone]*fleetv1.Digest{},
+		watch: head.NewWatch(head.WatchConfig{Silence: headSilence, Retry: headRetry}),
+	}
 }
 
 // Send sends beats until the context ends.
@@ -81,7 +107,7 @@
 	for {
 		gossip.config.Refresh()
 		now := time.Now()
-		gossip.beat(now)
+		gossip.Beat(now)
 		for _, member := range gossip.config.Roster.Silent(now, last) {
 			gossip.config.Logger.Warn("peer lost", "Peer", member.Instance, "Address", member.PeerAddress)
 		}
@@ -94,58 +120,19 @@
 	}
 }
 
-// beat tells the others what this router knows: everything to those nearby, and the rest only that it is alive.
-func (gossip *Gossip) beat(now time.Time) {
+// Beat tells the others what this router knows. Send calls it. A small fleet is a full mesh; in a large one each router tells the
+// head of its zone and its deputy, and gets digests from there, so that what a router sends does not grow with the fleet.
+func (gossip *Gossip) Beat(now time.Time) {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
 	gossip.sequence++
-	peers := gossip.config.Roster.Peers()
 	self := gossip.config.Roster.Self()
-	large := len(peers) > fullMesh
-	presence := gossip.presence(self)
-	beat := gossip.withWork(presence, now)
-	near, far := peers, []roster.Member(nil)
-	if large {
-		near, far = split(peers, self.Zone)
-		gossip.zone.collect(self.Instance, beat)
-	}
-	gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Beat{Beat: beat}}, near)
-	if !large {
-		return
-	}
-	if now.Sub(gossip.presenceAt) >= presenceInterval {
-		gossip.presenceAt = now
-		gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Beat{Beat: presence}}, far)
-	}
-	gossip.digest(self, now)
-}
-
-// split separates the routers of a zone from the others.
-func split(peers []roster.Member, zone clementinewind.Zone) (near, far []roster.Member) {
-	for _, peer := range peers {
-		if peer.Zone == zone {
-			near = append(near, peer)
-		} else {
-			far = append(far, peer)
-		}
-	}
-	return near, far
-}
-
-// digest sends the digest of the own zone to the other zones, if this router does that for its zone.
-func (gossip *Gossip) digest(self roster.Member, now time.Time) {
-	heads := gossip.config.Roster.Heads(now)
-	digest := gossip.zone.digest(now)
-	if heads[self.Zone].Instance != self.Instance {
+	beat := gossip.withWork(gossip.presence(self), now)
+	if gossip.config.Roster.Known() <= 1+fullMesh {
+		gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Beat{Beat: beat}}, gossip.config.Roster.Peers())
 		return
 	}
-	digest.Instance, digest.Zone = string(self.Instance), string(self.Zone)
-	digest.Incarnation, digest.Sequence = self.Incarnation, gossip.sequence
-	var others []roster.Member
-	for zone, head := range heads {
-		if zone != self.Zone {
-			others = append(others, head)
-		}
-	}
-	gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Digest{Digest: digest}}, others)
+	gossip.beatInZone(self, beat, now)
 }
 
 func (gossip *Gossip) send(datagram *fleetv1.Datagram, peers []roster.Member) {
@@ -185,10 +172,13 @@
 	work, placements := gossip.config.Board.Own(now)
 	beat.Loads = encodeWork(work)
 	beat.Placements = encodePlacements(placements)
+	var report usage.Report
 	if now.Sub(gossip.usageAt) >= usageInterval {
 		gossip.usageAt = now
-		beat.Usages = encodeReport(gossip.config.Shares.Own(now))
+		report = gossip.config.Shares.Own(now)
+		beat.Usages = encodeReport(report)
 	}
+	gossip.own.add(beat.Sequence, work, report)
 	return beat
 }
 
@@ -206,18 +196,28 @@
 			// A peer that is gone shows as an error of a socket that goes on to work.
 			continue
 		}
-		var datagram fleetv1.Datagram
-		if err := proto.Unmarshal(buffer[:size], &datagram); err != nil {
-			gossip.config.Logger.Debug("datagram not readable", "Error", err)
-			continue
-		}
-		now := time.Now()
-		if beat := datagram.GetBeat(); beat.GetInstance() != "" {
-			gossip.hear(beat, now)
-		}
-		if digest := datagram.GetDigest(); digest.GetZone() != "" {
-			gossip.learn(digest, now)
-		}
+		gossip.Take(buffer[:size], time.Now())
+	}
+}
+
+// Take handles one datagram. Receive calls it.
+func (gossip *Gossip) Take(content []byte, now time.Time) {
+	gossip.mutex.Lock()
+	defer gossip.mutex.Unlock()
+	var datagram fleetv1.Datagram
+	if err := proto.Unmarshal(content, &datagram); err != nil {
+		gossip.config.Logger.Debug("datagram not readable", "Error", err)
+		return
+	}
+	if beat := datagram.GetBeat(); beat.GetInstance() != "" {
+		gossip.hear(beat, now)
+	}
+	if digest := datagram.GetDigest(); digest.GetZone() != "" {
+		gossip.learn(digest, now)
+		gossip.relay(digest)
+	}
+	for _, digest := range datagram.GetBundle().GetDigests() {
+		gossip.learn(digest, now)
 	}
 }
 
@@ -227,37 +227,29 @@
 		return
 	}
 	member := MemberOf(beat)
+	gossip.watch.Hear(member.Instance, now)
 	if gossip.config.Roster.Hear(member, now) {
 		gossip.config.Logger.Info("peer heard", "Peer", member.Instance, "Address", member.PeerAddress)
 	}
-	self := gossip.config.Roster.Self()
-	if member.Zone == self.Zone {
-		gossip.zone.collect(member.Instance, beat)
+	if member.Zone == gossip.config.Roster.Self().Zone {
+		gossip.zone.collect(member, beat, now)
+		if beat.Unserved && !gossip.leads {
+			gossip.serve(member, now)
+		}
 	}
 	// A digest already counts the routers of its zone.
-	if member.Zone == self.Zone || !gossip.received.hasDigest(member.Zone, now) {
-		gossip.apply(usage.Source{Instance: member.Instance}, beat.Loads, beat.Placements, beat.Usages, now)
-	}
-	own := gossip.config.Offsets()
-	if beat.OperatorOffset > own.Operator || beat.UpstreamOffset > own.Upstreams {
-		gossip.config.Ahead(Offsets{Operator: beat.OperatorOffset, Upstreams: beat.UpstreamOffset})
+	if !gossip.received.hasDigest(member.Zone, now) {
+		gossip.apply(usage.Source{Instance: member.Instance, Zone: member.Zone}, beat.Loads, beat.Placements, beat.Usages, now)
 	}
+	gossip.catchUp(beat.OperatorOffset, beat.UpstreamOffset)
 }
 
-// learn handles the digest of another zone, and passes it on in the own zone if it came from there.
-func (gossip *Gossip) learn(digest *fleetv1.Digest, now time.Time) {
-	self := gossip.config.Roster.Self()
-	zone := clementinewind.Zone(digest.Zone)
-	if zone == self.Zone || !gossip.received.newer("digest of "+digest.Instance, digest.Incarnation, digest.Sequence) {
-		return
-	}
-	gossip.received.setDigest(zone, now)
-	gossip.apply(usage.Source{Zone: zone}, digest.Loads, digest.Placements, digest.Usages, now)
-	if gossip.config.Roster.Heads(now)[self.Zone].Instance != self.Instance {
-		return
+// catchUp reports that another router has read the topics of the store further than this one.
+func (gossip *Gossip) catchUp(operator, upstreams int64) {
+	own := gossip.config.Offsets()
+	if operator > own.Operator || upstreams > own.Upstreams {
+		gossip.config.Ahead(Offsets{Operator: operator, Upstreams: upstreams})
 	}
-	near, _ := split(gossip.config.Roster.Peers(), self.Zone)
-	gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Digest{Digest: digest}}, near)
 }
 
 func (gossip *Gossip) apply(
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -73,6 +73,8 @@
 	mutex   sync.Mutex
 	self    Member
 	members map[clementinewind.Instance]*known
+	// names finds routers by the hash of their names.
+	names map[uint32]clementinewind.Instance
 	// storeReached is when another router last said that it reaches the platform's store.
 	storeReached time.Time
 	// current is the last snapshot, or nil if something has changed since.
@@ -89,7 +91,10 @@
 
 // New returns a roster with only the router itself.
 func New(config Config) *Roster {
-	return &Roster{name: config.Self.Instance, self: config.Self, members: map[clementinewind.Instance]*known{}}
+	return &Roster{
+		name: config.Self.Instance, self: config.Self,
+		members: map[clementinewind.Instance]*known{}, names: map[uint32]clementinewind.Instance{},
+	}
 }
 
 // List adds a router that is listed in the platform's store. It counts as alive for a short time only, because entries
@@ -104,32 +109,98 @@
 		return
 	}
 	member.Ready, member.StoreReachable = true, false
+	roster.names[NameHash(member.Instance)] = member.Instance
 	roster.members[member.Instance] = &known{Member: member, heard: now}
 	roster.current.Store(nil)
 }
 
-// Hear records a beat. It reports whether the router was silent, or unknown, before.
-func (roster *Roster) Hear(member Member, now time.Time) bool {
+// Hear records that a router was heard, by this one or by another. It reports whether the router was silent, or unknown,
+// before. What is older than what is known changes nothing.
+func (roster *Roster) Hear(member Member, heard time.Time) bool {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
+	return roster.hearLocked(member, heard)
+}
+
+func (roster *Roster) hearLocked(member Member, heard time.Time) bool {
 	if member.Instance == roster.self.Instance {
 		return false
 	}
 	old, ok := roster.members[member.Instance]
-	if ok && old.Incarnation > member.Incarnation {
+	if ok && (old.Incarnation > member.Incarnation || (old.Incarnation == member.Incarnation && old.beaten && heard.Before(old.heard))) {
 		return false
 	}
-	fresh := !ok || old.Incarnation < member.Incarnation || now.Sub(old.heard) > silence
-	if fresh || old.Member != member {
+	fresh := !ok || old.Incarnation < member.Incarnation || heard.Sub(old.heard) > silence
+	if fresh || !sameButLoad(old.Member, member) {
 		roster.current.Store(nil)
 	}
-	roster.members[member.Instance] = &known{Member: member, heard: now, beaten: true}
-	if member.StoreReachable {
-		roster.storeReached = now
+	roster.names[NameHash(member.Instance)] = member.Instance
+	roster.members[member.Instance] = &known{Member: member, heard: heard, beaten: true}
+	if member.StoreReachable && heard.After(roster.storeReached) {
+		roster.storeReached = heard
 	}
 	return fresh
 }
 
+// sameButLoad compares two states of a router. A snapshot that is a moment old may have an older load.
+func sameButLoad(a, b Member) bool {
+	a.Load = b.Load
+	return a == b
+}
+
+// Sighting is what the head of a zone says of a router there.
+type Sighting struct {
+	// Name is a hash of the router's name, Incarnation the lower half of its incarnation.
+	Name        uint32
+	Incarnation uint32
+	Heard       time.Time
+	Load        float64
+
+	Ready, Leaving, StoreReachable bool
+}
+
+// SightingOf returns what a head says of a router that it heard.
+func SightingOf(member Member, heard time.Time) Sighting {
+	return Sighting{
+		Name: NameHash(member.Instance), Incarnation: uint32(member.Incarnation), Heard: heard, Load: member.Load,
+		Ready: member.Ready, Leaving: member.Leaving, StoreReachable: member.StoreReachable,
+	}
+}
+
+// Sightings returns the other routers that are alive, with the time at which each was heard.
+func (roster *Roster) Sightings(now time.Time) []Sighting {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	var sightings []Sighting
+	for _, member := range roster.members {
+		if now.Sub(member.heard) <= silence {
+			sightings = append(sightings, SightingOf(member.Member, member.heard))
+		}
+	}
+	return sightings
+}
+
+// Sight records what the head of a zone heard. Routers that are not known are left out; their description is sent too.
+func (roster *Roster) Sight(sightings []Sighting) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	for _, sighting := range sightings {
+		old, ok := roster.members[roster.names[sighting.Name]]
+		if !ok || uint32(old.Incarnation) != sighting.Incarnation {
+			continue
+		}
+		member := old.Member
+		member.Load, member.Ready, member.Leaving = sighting.Load, sighting.Ready, sighting.Leaving
+		member.StoreReachable = sighting.StoreReachable
+		roster.hearLocked(member, sighting.Heard)
+	}
+}
+
+// NameHash returns the number that stands for a router in digests.
+func NameHash(instance clementinewind.Instance) uint32 {
+	return uint32(memberID(Member{Instance: instance}))
+}
+
 // StoreReached returns when another router last said that it reaches the platform's store.
 func (roster *Roster) StoreReached() time.Time {
 	roster.mutex.Lock()
@@ -146,6 +217,7 @@
 		switch end := member.heard.Add(silence); {
 		case now.Sub(member.heard) > forget:
 			delete(roster.members, instance)
+			delete(roster.names, NameHash(instance))
 			roster.current.Store(nil)
 		case end.After(since) && !end.After(now):
 			silent = append(silent, member.Member)
@@ -185,17 +257,6 @@
 	return peers
 }
 
-// Heads returns the first live router of each zone, which exchange the digests of their zones.
-func (roster *Roster) Heads(now time.Time) map[clementinewind.Zone]Member {
-	heads := map[clementinewind.Zone]Member{}
-	for _, member := range roster.view(now).alive {
-		if _, ok := heads[member.Zone]; !ok && !member.Leaving {
-			heads[member.Zone] = member
-		}
-	}
-	return heads
-}
-
 // Known returns how many routers there are, including those that fell silent a short time ago.
 func (roster *Roster) Known() int {
 	roster.mutex.Lock()
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -48,6 +49,16 @@
 	}
 }
 
+// Minus returns what is left without a part.
+func (work Work) Minus(part Work) Work {
+	return Work{
+		Running:        max(work.Running-part.Running, 0),
+		QueuedTokens:   max(work.QueuedTokens-part.QueuedTokens, 0),
+		ResidentTokens: max(work.ResidentTokens-part.ResidentTokens, 0),
+		RecentTokens:   max(work.RecentTokens-part.RecentTokens, 0),
+	}
+}
+
 // Placement says that a prefix was sent to an upstream.
 type Placement struct {
 	Upstream uint32
@@ -204,6 +215,13 @@
 	board.peers[source] = peer{work: work, at: now}
 }
 
+// ForgetRouters drops what single routers of a zone told, because the zone is known as a whole.
+func (board *Board) ForgetRouters(zone clementinewind.Zone) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	maps.DeleteFunc(board.peers, func(source usage.Source, _ peer) bool { return source.IsRouterOf(zone) })
+}
+
 func (board *Board) sumLocked(now time.Time) {
 	board.summed = now
 	for _, upstream := range board.upstreams {
--- a/internal/load/usage/share.go
+++ b/internal/load/usage/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -32,15 +33,19 @@
 	Served float64
 }
 
-// Report is the usage of one router, by the hashes of the organisations.
-type Report map[uint32]Sum
+// Plus returns the sum of two.
+func (sum Sum) Plus(other Sum) Sum {
+	return Sum{Asked: sum.Asked + other.Asked, Served: sum.Served + other.Served}
+}
 
-// Source is who told of work or usage: another router, or another zone as a whole.
-type Source struct {
-	Instance clementinewind.Instance
-	Zone     clementinewind.Zone
+// Minus returns what is left without a part.
+func (sum Sum) Minus(part Sum) Sum {
+	return Sum{Asked: max(sum.Asked-part.Asked, 0), Served: max(sum.Served-part.Served, 0)}
 }
 
+// Report is the usage of one router, by the hashes of the organisations.
+type Report map[uint32]Sum
+
 // Shares compares what the organisations get from all routers. Its methods may be called by many goroutines.
 type Shares struct {
 	mutex  sync.Mutex
@@ -85,6 +90,13 @@
 	shares.peers[source] = peerReport{report: report, at: now}
 }
 
+// ForgetRouters drops what single routers of a zone told, because the zone is known as a whole.
+func (shares *Shares) ForgetRouters(zone clementinewind.Zone) {
+	shares.mutex.Lock()
+	defer shares.mutex.Unlock()
+	maps.DeleteFunc(shares.peers, func(source Source, _ peerReport) bool { return source.IsRouterOf(zone) })
+}
+
 // Own returns the usage of this router, at most MaxReported organisations.
 func (shares *Shares) Own(now time.Time) Report {
 	shares.mutex.Lock()
