Refuse a part that follows the lag, and gather events by the accepted delay

Cause: a router above a lag of 120 ms refused everything for 0.3 s, and nothing below it.

While the processor is short, events gather for 0.4 to 0.6 of the delay that callers accept, which is a setting now. Accepted connections send no keep-alive probes, which saves four system calls each.

--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -42,6 +42,8 @@
 	Grace time.Duration
 	// AddressTimeToLive is how long callers may cache an answer of Locate.
 	AddressTimeToLive time.Duration
+	// EventDelay is how late callers accept an event of a stream.
+	EventDelay time.Duration
 	// RetryRatio, RetryWindow and RetryExtra bound the repeated requests of all routers to one service: in each window
 	// RetryRatio times the requests plus RetryExtra.
 	RetryRatio  float64
@@ -68,6 +70,7 @@
 	defaultDescriptors       = 4096
 	defaultGrace             = 8 * time.Second
 	defaultAddressTimeToLive = 2 * time.Second
+	defaultEventDelay        = 120 * time.Millisecond
 	defaultRetryRatio        = 0.2
 	defaultRetryWindow       = 10 * time.Second
 	defaultShareWindow       = 4 * time.Second
@@ -82,6 +85,7 @@
 		CoreShare:         1,
 		Grace:             defaultGrace,
 		AddressTimeToLive: defaultAddressTimeToLive,
+		EventDelay:        defaultEventDelay,
 		RetryRatio:        defaultRetryRatio,
 		RetryWindow:       defaultRetryWindow,
 		ColdRatio:         1,
@@ -123,6 +127,7 @@
 		{"Sizes", "CoreShare", false, ratio(maxRatio, func(entry *Entry) *float64 { return &entry.CoreShare })},
 		{"Times", "Grace", false, duration(func(entry *Entry) *time.Duration { return &entry.Grace })},
 		{"Times", "AddressTimeToLive", false, duration(func(entry *Entry) *time.Duration { return &entry.AddressTimeToLive })},
+		{"Times", "EventDelay", false, duration(func(entry *Entry) *time.Duration { return &entry.EventDelay })},
 		{"Retry", "Ratio", false, ratio(maxRatio, func(entry *Entry) *float64 { return &entry.RetryRatio })},
 		{"Retry", "Window", false, duration(func(entry *Entry) *time.Duration { return &entry.RetryWindow })},
 		{"Retry", "Extra", false, ratio(maxRetryExtra, func(entry *Entry) *float64 { return &entry.RetryExtra })},
--- a/internal/admin/conf/entry_test.go
+++ b/internal/admin/conf/entry_test.go
@@ -23,7 +23,7 @@
 		"listen.directory": "10.1.0.33:8789", "portRange.0": "7400", "portRange.1": "7415", "platform.address": "10.200.1.7:8781",
 		"limits.memoryMb": "284", "limits.maxFds": "4100", "limits.cpuShare": "0.4", "bounds.graceS": "8", "bounds.contactMs": "3000", "bounds.ttl_max_s": "5",
 		"bounds.retryBudgetRatio": "0.2", "bounds.budgetWindowS": "10", "bounds.budgetExtra": "58", "bounds.coldOverrun": "1.5",
-		"bounds.coldSlack": "5", "bounds.quotaWindowS": "4",
+		"bounds.coldSlack": "5", "bounds.quotaWindowS": "4", "bounds.passMs": "200",
 	}
 	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(placeholder string) string {
 		value, ok := values[strings.Trim(placeholder, "{}")]
@@ -39,6 +39,7 @@
 	quicktest.Check(t, entry.FirstPort, quicktest.Equals, 7400)
 	quicktest.Check(t, entry.RetryExtra, quicktest.Equals, 58.0)
 	quicktest.Check(t, entry.Grace, quicktest.Equals, 8*time.Second)
+	quicktest.Check(t, entry.EventDelay, quicktest.Equals, 200*time.Millisecond)
 	quicktest.Check(t, entry.MemoryBytes, quicktest.Equals, int64(284<<20))
 	quicktest.Check(t, entry.Connections(), quicktest.Equals, 3900)
 }
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -109,11 +109,12 @@
 	})
 	entry.relay = relay.New(relay.Config{
 		Zone: settings.Zone, Board: entry.board, Shares: entry.shares, Table: entry.view.Table, Routers: entry.roster.Known,
-		Closing: entry.sendsAway, Refusing: entry.refusing.Load, Stale: entry.stale, Overloaded: entry.lag.overloaded, Busy: entry.lag.busy,
+		Closing: entry.sendsAway, Refusing: entry.refusing.Load, Stale: entry.stale, Overloaded: entry.lag.refuses, Gather: entry.gather,
 		Dial: dialer.DialContext, Budget: entry.budget,
 		Meter: config.Meter, Logger: config.Logger,
 	})
 	entry.readers = newReaders(entry)
+	entry.lag.shed = newShed()
 	entry.lag.watch = boot.NewWatch(boot.WatchConfig{
 		Clock: boot.Now, Limit: pauseLimit, Trust: pauseTrust, Refreshed: entry.readers.knownAt, Resumed: entry.resume,
 	})
@@ -139,6 +140,9 @@
 // stale reports whether the process was paused and does not know yet what others decided meanwhile.
 func (entry *Entry) stale() bool { return entry.lag.watch.Stale() }
 
+// gather returns how long events of streams gather, which callers see as a delay.
+func (entry *Entry) gather() time.Duration { return entry.lag.gather(entry.settings.Load().EventDelay) }
+
 // resume is called after a pause of the process.
 func (entry *Entry) resume(paused time.Duration) {
 	entry.config.Logger.Warn("process was paused, reading what changed meanwhile", "Paused", paused)
--- a/internal/edge/entry/lag.go
+++ b/internal/edge/entry/lag.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/clementinewind/clementinewind/internal/load/shed"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
 )
 
@@ -13,11 +15,22 @@
 	lagProbe = 20 * time.Millisecond
 	// lagHold is how long the largest lag counts, so that a burst is not taken for over between two probes.
 	lagHold = 300 * time.Millisecond
-	// lagLimit is the lag from which new requests are refused. A request passes the scheduler a few times, so that it would
-	// be late by several times this.
-	lagLimit = 120 * time.Millisecond
+	// lagTarget is the lag that the refusals hold; an idle processor is late by less than 3 ms. A request passes the scheduler
+	// about ten times.
+	lagTarget = 15 * time.Millisecond
+	// lagGain, lagDamping, lagWorst and mostRefused are those of shed.Config.
+	lagGain     = 0.4
+	lagDamping  = 0.25
+	lagWorst    = 4
+	mostRefused = 0.95
+	// overloadedPart is the refused part from which callers are told to connect elsewhere.
+	overloadedPart = 0.05
 	// lagBusy is the lag from which streams are passed on in larger pieces; an idle processor is late by less than 3 ms.
 	lagBusy = 15 * time.Millisecond
+	// busyGather and mostGather are the parts of the delay that callers accept for an event for which events gather. The rest is
+	// for the processor.
+	busyGather = 0.4
+	mostGather = 0.6
 	// pauseLimit is the time without running from which the process counts as paused: what it was allowed to do may have ended
 	// since. The shortest of the users' bounds on such permissions is 2 s.
 	pauseLimit = time.Second
@@ -29,6 +42,7 @@
 // lag measures how long the process waits for the processor.
 type lag struct {
 	nanoseconds atomic.Int64
+	shed        *shed.Controller
 	// watch notices pauses of the process.
 	watch *boot.Watch
 }
@@ -49,6 +63,7 @@
 		lag.watch.Tick()
 		now := time.Now()
 		late := now.Sub(began) - lagProbe
+		lag.shed.Observe(late, now.Sub(began))
 		if int64(late) >= lag.nanoseconds.Load() || now.Sub(largestAt) > lagHold {
 			lag.nanoseconds.Store(int64(late))
 			largestAt = now
@@ -56,8 +71,24 @@
 	}
 }
 
-// busy reports whether the processor is short.
-func (lag *lag) busy() bool { return lag.nanoseconds.Load() > int64(lagBusy) }
+// gather returns how long events gather of which callers accept the given delay: 0 while the processor is idle, and longer while
+// requests are refused.
+func (lag *lag) gather(accepted time.Duration) time.Duration {
+	switch {
+	case lag.overloaded():
+		return time.Duration(mostGather * float64(accepted))
+	case lag.nanoseconds.Load() > int64(lagBusy):
+		return time.Duration(busyGather * float64(accepted))
+	}
+	return 0
+}
+
+// overloaded reports whether the processor is not enough for the requests.
+func (lag *lag) overloaded() bool { return lag.shed.Part() > overloadedPart }
 
-// overloaded reports whether requests would wait too long for the processor.
-func (lag *lag) overloaded() bool { return lag.nanoseconds.Load() > int64(lagLimit) }
+// refuses decides for one request whether it is refused because the processor is not enough. The choice needs no secrecy.
+func (lag *lag) refuses() bool { return rand.Float64() < lag.shed.Part() }
+
+func newShed() *shed.Controller {
+	return shed.New(shed.Config{Target: lagTarget, Gain: lagGain, Damping: lagDamping, Worst: lagWorst, Most: mostRefused})
+}
--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -93,11 +93,17 @@
 // listen opens a server with at most the given number of connections; 0 sets no limit. Connections beyond it wait until others
 // are closed.
 func listen(address netip.AddrPort, handler http.Handler, connections int, logger hclog.Logger) (*server, error) {
-	opened, err := net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(address))
+	// Keep-alive probes would cost four system calls for each connection; callers that vanish are found by the deadlines.
+	opener := net.ListenConfig{KeepAlive: -1}
+	opened, err := opener.Listen(context.Background(), "tcp4", address.String())
 	if err != nil {
 		return nil, err
 	}
-	backlog := &backlogListener{opened}
+	listening, ok := opened.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Errorf("listener at %s is no TCP listener", address)
+	}
+	backlog := &backlogListener{listening}
 	listener := net.Listener(backlog)
 	if connections > 0 {
 		listener = netutil.LimitListener(backlog, connections)
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -54,11 +54,12 @@
 	Refusing func() bool
 	// Stale reports whether the process was paused and does not know yet what changed meanwhile; nothing is sent then.
 	Stale func() bool
-	// Overloaded reports whether the processor is not enough for the requests.
+	// Overloaded decides for each request whether it is refused because the processor is not enough for all.
 	Overloaded func() bool
-	// Busy reports whether the processor is short, so that events of streams are passed on several at a time.
-	Busy func() bool
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Gather returns how long events of a stream gather before they are passed on together; it is 0 unless the processor is
+	// short.
+	Gather func() time.Duration
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	// Budget returns the bound of repeated requests for all routers together.
 	Budget func() budget.Config
 	Meter  Meter
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -54,6 +54,14 @@
 	return slices.Clone(fleet.ran)
 }
 
+// gather is what a busy router waits for events.
+func (fleet *fleet) gather() time.Duration {
+	if fleet.busy.Load() {
+		return 50 * time.Millisecond
+	}
+	return 0
+}
+
 // upstream handles a request at an upstream; number counts the requests of all upstreams from 0.
 type upstream func(writer http.ResponseWriter, request *http.Request, number int)
 
@@ -97,7 +105,7 @@
 	started.server = httptest.NewServer(relay.New(relay.Config{
 		Board: started.board, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
 		Closing: func() bool { return false }, Refusing: func() bool { return false },
-		Stale: started.stale.Load, Overloaded: started.overloaded.Load, Busy: started.busy.Load,
+		Stale: started.stale.Load, Overloaded: started.overloaded.Load, Gather: started.gather,
 		Dial:   new(net.Dialer).DialContext,
 		Budget: func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
 		Meter:  noMeter{}, Logger: hclog.NewNullLogger(),
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -25,9 +25,6 @@
 	leastStall = 2 * time.Second
 	goalStalls = 4
 	gapStalls  = 8
-	// gatherTime is how long events gather before they are passed on while the processor is short. Each read and write costs
-	// more than the event itself. Callers see it as a delay, of which the users allow 120 ms.
-	gatherTime = 50 * time.Millisecond
 )
 
 // stream is the part of a stream of events that the caller already has.
@@ -104,9 +101,9 @@
 			if exchange.stream.events > events {
 				stall.Reset(exchange.stallTime())
 			}
-			if err == nil && exchange.relay.config.Busy() {
-				// The next read tells that the caller has left.
-				_ = pause.For(ctx, gatherTime)
+			if gather := exchange.relay.config.Gather(); err == nil && gather > 0 {
+				// Each read and write costs more than the event itself. The next read tells that the caller has left.
+				_ = pause.For(ctx, gather)
 			}
 		}
 		switch {
