Keep the earliest time at which an upstream is overdue

Cause: each placement walked over the unanswered requests of all upstreams to find the oldest, 47% of its time in a profile of BenchmarkPlace.

Ruled out: keeping the estimates of an upstream for 20 ms, which gained 6% there (tried, not kept).

Change: an upstream keeps the earliest due time and looks for the next one only when that request ends (TestOldestRequestDecides compares it with a walk in random orders).

--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -334,7 +334,8 @@
 	chosen.queued += ticket.queued
 	chosen.resident += ticket.resident
 	chosen.recent.Add(float64(ticket.queued), now)
-	chosen.unanswered[ticket] = struct{}{}
+	ticket.due = now.Add(overdueFactor*ticket.Expected + overdueSlack)
+	chosen.await(ticket)
 	if chosen.cold(now) {
 		chosen.coldSends = append(chosen.coldSends, now)
 		ticket.Cold = true
--- a/internal/load/board/board_test.go
+++ b/internal/load/board/board_test.go
@@ -1,10 +1,12 @@
 package board_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
@@ -195,3 +197,34 @@
 	work, _ = built.Own(began.Add(time.Minute))
 	quicktest.Check(t, work, quicktest.HasLen, 0)
 }
+
+// Guards against an upstream that no longer answers and counts as sound, or as silent after it has answered: the oldest of the
+// requests that wait decides, in whatever order they end.
+func TestOldestRequestDecides(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		built := newBoard(true, "u0")
+		now := began
+		var waiting []*board.Ticket
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
+			if len(waiting) == 0 || rapid.Bool().Draw(t, "place") {
+				request := quote("subject")
+				request.Patience = time.Hour
+				if ticket, _ := built.Place(request, now); ticket != nil {
+					waiting = append(waiting, ticket)
+				}
+			} else {
+				at := rapid.IntRange(0, len(waiting)-1).Draw(t, "which")
+				waiting[at].End(board.ResultAbandoned, now)
+				waiting = slices.Delete(waiting, at, at+1)
+			}
+			want := time.Duration(0)
+			for _, ticket := range waiting {
+				want = max(want, now.Sub(ticket.Due()))
+			}
+			if got := built.Overdue("u0", now); got != want {
+				t.Fatalf("overdue by %v, want %v", got, want)
+			}
+		}
+	})
+}
--- a/internal/load/board/ticket.go
+++ b/internal/load/board/ticket.go
@@ -49,6 +49,8 @@
 	board    *Board
 	upstream *upstream
 	placed   time.Time
+	// due is when the first event is later than the estimate explains.
+	due time.Time
 	// expires is when the permission to send ends, on a clock that counts pauses of the process.
 	expires time.Duration
 	// queued counts the prompt tokens of the request itself, ahead all that are read until its first event.
@@ -81,7 +83,7 @@
 	if !ticket.first {
 		ticket.first = true
 		ticket.upstream.queued -= ticket.queued
-		delete(ticket.upstream.unanswered, ticket)
+		ticket.upstream.answered(ticket)
 	}
 }
 
--- a/internal/load/board/upstream.go
+++ b/internal/load/board/upstream.go
@@ -66,8 +66,9 @@
 
 	failure   float64
 	failureAt time.Time
-	// unanswered holds the requests without a first event.
+	// unanswered holds the requests without a first event, and due is the earliest time at which one of them is late.
 	unanswered map[*Ticket]struct{}
+	due        time.Time
 
 	unreachable int
 	downUntil   time.Time
@@ -151,12 +152,32 @@
 
 // overdue returns by how much the oldest unanswered request is later than its estimate explains.
 func (upstream *upstream) overdue(now time.Time) time.Duration {
-	var overdue time.Duration
-	for ticket := range upstream.unanswered {
-		late := now.Sub(ticket.placed) - overdueFactor*ticket.Expected - overdueSlack
-		overdue = max(overdue, late)
+	if len(upstream.unanswered) == 0 {
+		return 0
+	}
+	return max(now.Sub(upstream.due), 0)
+}
+
+// await adds a request without a first event.
+func (upstream *upstream) await(ticket *Ticket) {
+	if len(upstream.unanswered) == 0 || ticket.due.Before(upstream.due) {
+		upstream.due = ticket.due
+	}
+	upstream.unanswered[ticket] = struct{}{}
+}
+
+// answered removes a request that got its first event, or ended.
+func (upstream *upstream) answered(ticket *Ticket) {
+	delete(upstream.unanswered, ticket)
+	if !ticket.due.Equal(upstream.due) {
+		return
+	}
+	upstream.due = time.Time{}
+	for other := range upstream.unanswered {
+		if upstream.due.IsZero() || other.due.Before(upstream.due) {
+			upstream.due = other.due
+		}
 	}
-	return overdue
 }
 
 // learn adjusts the estimates of the upstream and its service to the time of a first event.
