Drop requests whose callers left, and send nothing while far behind

Its requests wait in the queue of its listener, which the lag does not show; it sent them on after their callers had left, and to upstreams that had left 3 s before, because it did not come to reading the topics.

Ruled out: waiting for the server to notice that a caller left, which it does through the same queue.

Change: while requests are refused, a look at the caller's connection before a request is placed and before its first byte drops those whose caller is gone; a router that could read its topics and has not for 2.7 s sends nothing. TestCallerThatLeftIsDropped, TestClosed.

Found beside it: a caller that closes only its own side got an empty success, because the handler of an abandoned request returned without an answer (TestHalfClosedCallerGetsNoSuccess: 200 before, a closed connection after).

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/budget"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
+	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/route/relay"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
 	"github.com/clementinewind/clementinewind/internal/store/view"
@@ -109,7 +110,7 @@
 	})
 	entry.relay = relay.New(relay.Config{
 		Zone: settings.Zone, Board: entry.board, Shares: entry.shares, Table: entry.view.Table, Routers: entry.roster.Known,
-		Closing: entry.sendsAway, Refusing: entry.refusing.Load, Stale: entry.stale, Overloaded: entry.lag.refuses, Gather: entry.gather,
+		Closing: entry.sendsAway, Refusing: entry.refusing.Load, Stale: entry.stale, Left: entry.left, Overloaded: entry.lag.refuses, Gather: entry.gather,
 		Dial: dialer.DialContext, Budget: entry.budget,
 		Meter: config.Meter, Logger: config.Logger,
 	})
@@ -137,8 +138,21 @@
 	return !entry.closing.Load() && entry.view.Table() != nil && entry.board.Count() > 0
 }
 
-// stale reports whether the process was paused and does not know yet what others decided meanwhile.
-func (entry *Entry) stale() bool { return entry.lag.watch.Stale() }
+// stale reports whether the process was paused, or has so little processor time, that it does not know yet what others decided
+// meanwhile.
+func (entry *Entry) stale() bool {
+	return entry.lag.watch.Stale() || (entry.lag.overloaded() && entry.readers.behind())
+}
+
+// connKey is the key of a caller's connection in the context of its requests.
+type connKey struct{}
+
+// left reports whether the caller of a request has closed its connection. The server notices that too, but late while the
+// processor is short; looking costs a system call, so that it is done only then.
+func (entry *Entry) left(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && entry.lag.overloaded() && link.Closed(conn)
+}
 
 // gather returns how long events of streams gather, which callers see as a delay.
 func (entry *Entry) gather() time.Duration { return entry.lag.gather(entry.settings.Load().EventDelay) }
@@ -190,6 +204,9 @@
 	if err != nil {
 		return err
 	}
+	callers.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
 	servers := []*server{callers}
 	for _, other := range []struct {
 		name    string
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -24,6 +24,10 @@
 	aheadTime = 300 * time.Millisecond
 	// directTime is how long a router reads the store itself after a read from another router failed.
 	directTime = 3 * time.Second
+	// behindTime is the age from which the state of a topic is too old to send requests by, if the router could know more. A read
+	// that waits makes it 2 s old, and one that fails is noticed after 2.4 s; an upstream that leaves must get no requests 3 s later
+	// in the users' large deployments.
+	behindTime = 2700 * time.Millisecond
 	// storeRetry is the pause between tries of a store that does not answer this router while it reads from another one.
 	storeRetry = time.Second
 )
@@ -48,6 +52,8 @@
 	// began is when the current read was sent, and known the moment at which the last successful one was, both on the clock
 	// that counts pauses.
 	began, known time.Duration
+	// failing is set while reads fail, so that nobody tells the router anything.
+	failing bool
 	// atPeer is set if the last try to load the topic was at another router.
 	atPeer bool
 }
@@ -112,11 +118,19 @@
 func (topic *topic) reached(err error) {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
+	topic.failing = err != nil
 	if err == nil {
 		topic.known = topic.began
 	}
 }
 
+// behind reports whether the topic is known only up to a moment that is too long ago, although reads do not fail.
+func (topic *topic) behind(now time.Duration) bool {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	return !topic.failing && topic.known > 0 && now-topic.known > behindTime
+}
+
 func (topic *topic) knownAt() time.Duration {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
@@ -128,6 +142,12 @@
 	return min(readers.operator.knownAt(), readers.upstreams.knownAt())
 }
 
+// behind reports whether this router does not come to reading what it could read.
+func (readers readers) behind() bool {
+	now := boot.Now()
+	return readers.operator.behind(now) || readers.upstreams.behind(now)
+}
+
 // refresh reads all topics at once.
 func (readers readers) refresh() {
 	readers.operator.follower.Nudge()
--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -83,24 +83,52 @@
 	if conn.reader.Buffered() > 0 {
 		return false
 	}
-	system, ok := conn.raw.(syscall.Conn)
+	state := peek(conn.raw)
+	return state == peekEmpty || state == peekUnknown
+}
+
+// peekState is what a look at the bytes that a connection has received shows.
+type peekState int
+
+const (
+	// peekUnknown is a connection that cannot be looked at.
+	peekUnknown peekState = iota
+	// peekEmpty is an open connection without bytes to read.
+	peekEmpty
+	// peekBytes is a connection with bytes to read.
+	peekBytes
+	// peekClosed is a connection that the other side has closed or reset.
+	peekClosed
+)
+
+func peek(conn net.Conn) peekState {
+	system, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return peekUnknown
 	}
 	raw, err := system.SyscallConn()
 	if err != nil {
-		return false
+		return peekClosed
 	}
-	open := false
-	err = raw.Read(func(descriptor uintptr) bool {
+	state := peekClosed
+	if err := raw.Control(func(descriptor uintptr) {
 		var peeked [1]byte
-		_, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && open
+		count, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN || err == syscall.EWOULDBLOCK || err == syscall.EINTR:
+			state = peekEmpty
+		case err == nil && count > 0:
+			state = peekBytes
+		}
+	}); err != nil {
+		return peekClosed
+	}
+	return state
 }
 
+// Closed reports whether the other side of a connection has closed it. Bytes that it sent before are left to be read.
+func Closed(conn net.Conn) bool { return peek(conn) == peekClosed }
+
 func (conn *conn) roundTrip(ctx context.Context, request Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, conn.close)
 	written := make(chan error, 1)
--- a/internal/route/link/trouble_test.go
+++ b/internal/route/link/trouble_test.go
@@ -138,3 +138,28 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, reached.Load(), quicktest.Equals, int64(1))
 }
+
+// Guards against a closed connection that is taken for an open one, and against one with unread bytes that is taken for closed.
+func TestClosed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer listener.Close()
+	ours, err := net.Dial("tcp", listener.Addr().String())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer ours.Close()
+	theirs, err := listener.Accept()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, link.Closed(ours), quicktest.IsFalse)
+	fmt.Fprint(theirs, "bytes")
+	_, err = ours.Read(make([]byte, 1))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, link.Closed(ours), quicktest.IsFalse)
+	_, err = io.ReadFull(ours, make([]byte, 4))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, theirs.Close(), quicktest.IsNil)
+	for end := time.Now().Add(10 * time.Second); !link.Closed(ours); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a closed connection counts as open")
+		}
+	}
+}
--- a/internal/route/relay/answer.go
+++ b/internal/route/relay/answer.go
@@ -135,6 +135,13 @@
 	panic(http.ErrAbortHandler)
 }
 
+// abandon ends a request whose caller has left. A handler that returned would answer with an empty success, which a caller that
+// closed only its own side would read.
+func (exchange *exchange) abandon(detail string) {
+	exchange.ended("Abandoned", detail)
+	panic(http.ErrAbortHandler)
+}
+
 func (exchange *exchange) ended(outcome, detail string) {
 	exchange.logger.Info("ended", "Request", exchange.call.RequestID, "Outcome", outcome, "Detail", detail,
 		"Route", exchange.route.Name, "Tried", len(exchange.tried), "Took", time.Since(exchange.arrived))
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -69,6 +69,8 @@
 	// share.
 	late  time.Duration
 	share float64
+	// gone is set when the caller was found to have left.
+	gone bool
 }
 
 // fallback is a failure of an upstream that the caller gets if no other upstream serves the request.
@@ -148,6 +150,10 @@
 	giveUp := time.Now().Add(time.Duration(waitShare * float64(goal)))
 	for {
 		now := time.Now()
+		if exchange.relay.config.Left(exchange.request.Context()) {
+			exchange.gone = true
+			return nil
+		}
 		if exchange.relay.config.Stale() {
 			if now.After(giveUp) || pause.For(ctx, placeWait) != nil {
 				return nil
@@ -249,7 +255,9 @@
 			meaning := platform.DecodeAnswer(response.StatusCode, response.Header)
 			return meaning.RequestID == "" && meaning.NotRun
 		},
-		Permitted: func() bool { return !exchange.relay.config.Stale() && ticket.Permitted() },
+		Permitted: func() bool {
+			return !exchange.relay.config.Left(exchange.request.Context()) && !exchange.relay.config.Stale() && ticket.Permitted()
+		},
 	}
 }
 
@@ -285,7 +293,9 @@
 func (exchange *exchange) fail(ctx context.Context) {
 	switch {
 	case exchange.request.Context().Err() != nil:
-		exchange.ended("Abandoned", "caller left")
+		exchange.abandon("caller left")
+	case exchange.gone && exchange.runs == 0:
+		exchange.refuse(clementinewind.ReasonNoCapacity, 0, "caller closed its connection")
 	case exchange.stream.started:
 		exchange.abort("stream broke off")
 	case exchange.fallback != nil:
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -54,6 +54,8 @@
 	Refusing func() bool
 	// Stale reports whether the process was paused and does not know yet what changed meanwhile; nothing is sent then.
 	Stale func() bool
+	// Left reports whether the caller of the request with this context is known to have left.
+	Left func(ctx context.Context) bool
 	// Overloaded decides for each request whether it is refused because the processor is not enough for all.
 	Overloaded func() bool
 	// Gather returns how long events of a stream gather before they are passed on together; it is 0 unless the processor is
@@ -224,8 +226,7 @@
 		return exchange.deny(http.StatusRequestEntityTooLarge, clementinewind.ReasonInvalid, "body too large")
 	}
 	if exchange.request.Context().Err() != nil {
-		exchange.ended("Abandoned", "caller left while it sent the body")
-		return false
+		exchange.abandon("caller left while it sent the body")
 	}
 	return exchange.deny(http.StatusBadRequest, clementinewind.ReasonInvalid, err.Error())
 }
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -41,6 +42,7 @@
 	overloaded atomic.Bool
 	busy       atomic.Bool
 	stale      atomic.Bool
+	left       atomic.Bool
 
 	mutex sync.Mutex
 	// ran are the upstreams that got a request, in order.
@@ -105,7 +107,8 @@
 	started.server = httptest.NewServer(relay.New(relay.Config{
 		Board: started.board, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
 		Closing: func() bool { return false }, Refusing: func() bool { return false },
-		Stale: started.stale.Load, Overloaded: started.overloaded.Load, Gather: started.gather,
+		Stale: started.stale.Load, Left: func(context.Context) bool { return started.left.Load() },
+		Overloaded: started.overloaded.Load, Gather: started.gather,
 		Dial:   new(net.Dialer).DialContext,
 		Budget: func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
 		Meter:  noMeter{}, Logger: hclog.NewNullLogger(),
--- a/internal/route/relay/trouble_test.go
+++ b/internal/route/relay/trouble_test.go
@@ -183,7 +183,7 @@
 	built.Set(table.Entry{Upstream: clementinewind.Upstream(upstream), Service: "service", Address: upstream, Slots: 4}, time.Now())
 	return relay.New(relay.Config{
 		Board: built, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
-		Closing: never, Refusing: never, Stale: never, Overloaded: never, Gather: func() time.Duration { return 0 }, Dial: dial,
+		Closing: never, Refusing: never, Stale: never, Left: func(context.Context) bool { return false }, Overloaded: never, Gather: func() time.Duration { return 0 }, Dial: dial,
 		Budget: func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
 		Meter:  noMeter{}, Logger: hclog.NewNullLogger(),
 	})
@@ -205,3 +205,30 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusOK)
 }
+
+// Guards against requests that are sent on after their callers left, at a router whose processor is too short to notice it in
+// time.
+func TestCallerThatLeftIsDropped(t *testing.T) {
+	fleet := start(t, table.Route{Kind: table.RouteIdempotent, MaxAttempts: 2},
+		func(writer http.ResponseWriter, _ *http.Request, _ int) { sealed(writer, http.StatusOK, "answer") })
+	fleet.left.Store(true)
+	_, err := fleet.send(t, http.MethodPost, "body", time.Second)
+	quicktest.Check(t, err, quicktest.IsNil)
+	quicktest.Check(t, fleet.runs(), quicktest.HasLen, 0)
+}
+
+// Guards against an empty success for a caller that closed its side of the connection and still reads.
+func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
+	fleet := start(t, table.Route{Kind: table.RouteOnce, MaxAttempts: 1}, func(_ http.ResponseWriter, request *http.Request, _ int) {
+		<-request.Context().Done()
+	})
+	conn, err := net.Dial("tcp", fleet.server.Listener.Addr().String())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer conn.Close()
+	fmt.Fprint(conn, "GET /p/ HTTP/1.1\r\nHost: host.example\r\nAuthorization: Bearer key\r\n\r\n")
+	half, ok := conn.(*net.TCPConn)
+	quicktest.Assert(t, ok, quicktest.IsTrue)
+	quicktest.Assert(t, half.CloseWrite(), quicktest.IsNil)
+	answer, err := io.ReadAll(conn)
+	quicktest.Check(t, string(answer), quicktest.Equals, "", quicktest.Commentf("%v", err))
+}
