Hold connections back while what was accepted takes too long

Change: while the lag is above 60 ms, connections wait in the kernel's queue, which is bounded to 128, for 0.2 s each at most; those beyond it fail, and their callers try another address. A router that refuses reads its topics at least every 0.3 s and sends nothing by a state of 1.5 s.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -144,6 +144,10 @@
 	return entry.lag.watch.Stale() || (entry.lag.overloaded() && entry.readers.behind())
 }
 
+// holdsBack reports whether new connections wait in the queue of the kernel. The load it answers: more callers connect than can
+// even be refused, and nothing is served.
+func (entry *Entry) holdsBack() bool { return !entry.closing.Load() && entry.lag.holds() }
+
 // connKey is the key of a caller's connection in the context of its requests.
 type connKey struct{}
 
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -24,10 +24,11 @@
 	aheadTime = 300 * time.Millisecond
 	// directTime is how long a router reads the store itself after a read from another router failed.
 	directTime = 3 * time.Second
-	// behindTime is the age from which the state of a topic is too old to send requests by, if the router could know more. A read
-	// that waits makes it 2 s old, and one that fails is noticed after 2.4 s; an upstream that leaves must get no requests 3 s later
-	// in the users' large deployments.
-	behindTime = 2700 * time.Millisecond
+	// busyWait is how long a read of a router waits that refuses requests, and behindTime the age from which the state of a topic is
+	// too old there to send requests by. An upstream that leaves must get no requests 3 s later in the users' large deployments, of
+	// which the router that reads the store may need one.
+	busyWait   = 300 * time.Millisecond
+	behindTime = 1500 * time.Millisecond
 	// storeRetry is the pause between tries of a store that does not answer this router while it reads from another one.
 	storeRetry = time.Second
 )
@@ -93,6 +94,11 @@
 // each of them would read.
 func (readers readers) plan(topic *topic, atStore feed.Plan, now time.Time) feed.Plan {
 	topic.begin()
+	wait := followWait
+	if readers.entry.lag.overloaded() {
+		wait = busyWait
+		atStore.Wait = min(atStore.Wait, busyWait)
+	}
 	if topic.turnsToPeer(readers.store.failing()) {
 		// The others may have forgotten the router that ran here before, so that none is heard yet.
 		if informed, ok := readers.entry.roster.Informed(now); ok {
@@ -104,7 +110,7 @@
 	case !ok, !loaded, topic.direct(now), readers.store.retry(now):
 		return atStore
 	}
-	return feed.Plan{Source: peerSource{gossip.Source{Address: reader.PeerAddress, Client: readers.client}, topic}, Wait: followWait}
+	return feed.Plan{Source: peerSource{gossip.Source{Address: reader.PeerAddress, Client: readers.client}, topic}, Wait: wait}
 }
 
 // begin records that a read is sent.
--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -38,6 +38,13 @@
 	// backlogTime is how long a listener that is to be closed still takes the connections that the kernel has accepted. Closing
 	// it at once would reset them.
 	backlogTime = 100 * time.Millisecond
+	// callerBacklog bounds the connections that wait while none is accepted. Those beyond it fail, so that their callers try
+	// another router.
+	callerBacklog = 128
+	// holdPause is the time between two looks at the lag while no connection is accepted.
+	holdPause = 5 * time.Millisecond
+	// mostHold is the longest time for which a connection is held: a router that is ready goes on to take some.
+	mostHold = 200 * time.Millisecond
 	// defaultFlushTime is for the last answers of servers that are not drained.
 	defaultFlushTime = 100 * time.Millisecond
 )
@@ -74,10 +81,30 @@
 }
 
 // backlogListener accepts the connections that the kernel has taken before it ends.
-type backlogListener struct{ *net.TCPListener }
+type backlogListener struct {
+	*net.TCPListener
+	// hold reports whether connections are left in the queue of the kernel for now; nil never does.
+	hold func() bool
+}
+
+// shorten bounds the queue of the kernel.
+func (listener *backlogListener) shorten(connections int) error {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failure error
+	if err := raw.Control(func(descriptor uintptr) { failure = unix.Listen(int(descriptor), connections) }); err != nil {
+		return err
+	}
+	return failure
+}
 
 // Accept returns net.ErrClosed after the end of drain.
 func (listener *backlogListener) Accept() (net.Conn, error) {
+	for waited := time.Duration(0); listener.hold != nil && listener.hold() && waited < mostHold; waited += holdPause {
+		time.Sleep(holdPause)
+	}
 	conn, err := listener.TCPListener.Accept()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, errors.Wrap(net.ErrClosed, "drained")
@@ -103,7 +130,7 @@
 	if !ok {
 		return nil, errors.Errorf("listener at %s is no TCP listener", address)
 	}
-	backlog := &backlogListener{listening}
+	backlog := &backlogListener{TCPListener: listening}
 	listener := net.Listener(backlog)
 	if connections > 0 {
 		listener = netutil.LimitListener(backlog, connections)
@@ -123,7 +150,11 @@
 	settings := entry.settings.Load()
 	connections := int((1 - upstreamShare) * float64(settings.Connections()))
 	opened, err := listen(settings.CallerListen, entry.serving(entry.relay), connections, entry.config.Logger)
-	return opened, errors.Wrap(err, "listen at [Listen] Caller")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen at [Listen] Caller")
+	}
+	opened.backlog.hold = entry.holdsBack
+	return opened, errors.Wrap(opened.backlog.shorten(callerBacklog), "bound the queue of [Listen] Caller")
 }
 
 // serve serves until close is called, also after the listener was closed.
