Pass over busy routers as heads and as readers of the store

Cause, from reading: the head of a zone is the router with most processor time, and the reader of the store the first by name; either may be the one that callers crowd, and then its zone learns of everything as late as that router answers.

Change: routers that refuse for lack of processor time come last in both orders. TestBusyRoutersComeLast, TestBusyReaderIsPassedOver.

--- a/internal/fleet/gossip/hub.go
+++ b/internal/fleet/gossip/hub.go
@@ -92,7 +92,9 @@
 	for _, member := range members {
 		if !member.Leaving {
 			byName[member.Instance] = member
-			candidates = append(candidates, head.Candidate{Instance: member.Instance, Incarnation: member.Incarnation, Cores: member.Cores})
+			candidates = append(candidates, head.Candidate{
+				Instance: member.Instance, Incarnation: member.Incarnation, Cores: member.Cores, Busy: member.Busy(),
+			})
 		}
 	}
 	var ordered []roster.Member
--- a/internal/fleet/head/head.go
+++ b/internal/fleet/head/head.go
@@ -16,18 +16,31 @@
 	Incarnation int64
 	// Cores is the processor time of its instance.
 	Cores float64
+	// Busy is set while that is not enough for its requests.
+	Busy bool
 }
 
 // Rank returns the candidates, the first of which is the head and the second its deputy: those with most processor time first,
-// because a head works for the whole zone.
+// because a head works for the whole zone, and busy ones last, because what the zone knows would be as late as their answers.
 func Rank(candidates []Candidate) []Candidate {
 	ranked := slices.Clone(candidates)
 	slices.SortFunc(ranked, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Instance, b.Instance))
+		return cmp.Or(compareBool(a.Busy, b.Busy), cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.Instance, b.Instance))
 	})
 	return ranked
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // WatchConfig configures a Watch.
 type WatchConfig struct {
 	// Silence is the time without a digest after which a head is passed over.
--- a/internal/fleet/head/head_test.go
+++ b/internal/fleet/head/head_test.go
@@ -30,6 +30,17 @@
 	// large-2
 }
 
+// Guards against a head that callers crowd, so that its zone hears of everything late.
+func TestBusyRoutersComeLast(t *testing.T) {
+	crowded := candidates()
+	crowded[2].Busy = true
+	quicktest.Check(t, string(head.Rank(crowded)[0].Instance), quicktest.Equals, "large-2")
+	for i := range crowded {
+		crowded[i].Busy = true
+	}
+	quicktest.Check(t, string(head.Rank(crowded)[0].Instance), quicktest.Equals, "large-1")
+}
+
 func newWatch() *head.Watch {
 	return head.NewWatch(head.WatchConfig{Silence: 700 * time.Millisecond, Retry: 5 * time.Second})
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -60,6 +60,9 @@
 	Cores float64
 }
 
+// Busy reports whether the processor of the router is not enough for what it gets.
+func (member Member) Busy() bool { return member.Load >= OverloadedLoad }
+
 // Config configures a Roster.
 type Config struct {
 	Self Member
@@ -347,7 +350,8 @@
 }
 
 // Reader returns the router from which this one reads the topics of the platform's store: the first of its zone that
-// reaches the store, or the first of all zones. It is false if this router is to read the store itself.
+// reaches the store, or the first of all zones. Busy ones come last, because what they pass on is late. It is false if this router
+// is to read the store itself.
 func (roster *Roster) Reader(now time.Time) (Member, bool) {
 	self := roster.Self()
 	var reader *Member
@@ -355,7 +359,7 @@
 		if !member.StoreReachable || member.Leaving {
 			continue
 		}
-		if reader == nil || (member.Zone == self.Zone && reader.Zone != self.Zone) {
+		if reader == nil || readsBefore(member, *reader, self.Zone) {
 			reader = &member
 		}
 	}
@@ -365,6 +369,14 @@
 	return *reader, true
 }
 
+// readsBefore reports whether a router of a zone rather reads from the first of two than from the second.
+func readsBefore(first, second Member, zone clementinewind.Zone) bool {
+	if first.Busy() != second.Busy() {
+		return second.Busy()
+	}
+	return first.Zone == zone && second.Zone != zone
+}
+
 // Informed returns any other router that serves requests, in the own zone if there is one, and so knows the configuration. It
 // is false if none is heard.
 func (roster *Roster) Informed(now time.Time) (Member, bool) {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -113,6 +113,23 @@
 	quicktest.Check(t, other, quicktest.IsFalse)
 }
 
+// Guards against a zone that learns of changes late, because it reads from a router that callers crowd.
+func TestBusyReaderIsPassedOver(t *testing.T) {
+	built := fleet()
+	built.Update(true, false, true, roster.OverloadedLoad)
+	reader, other := built.Reader(began)
+	quicktest.Check(t, other, quicktest.IsTrue)
+	quicktest.Check(t, reader.Instance, quicktest.Equals, clementinewind.Instance("router-1"))
+	for number, zone := range []clementinewind.Zone{"a", "a", "b", "b", "c", "c"} {
+		busy := member(number, zone)
+		busy.Load = roster.OverloadedLoad
+		built.Hear(busy, began)
+	}
+	// A snapshot may be a moment old.
+	_, other = built.Reader(began.Add(50 * time.Millisecond))
+	quicktest.Check(t, other, quicktest.IsFalse)
+}
+
 func TestOneOwner(t *testing.T) {
 	owners := 0
 	for number, zone := range []clementinewind.Zone{"a", "a", "b", "b", "c", "c"} {
