Give the reader of a zone time to read what another zone has read

Cause: in a large fleet digests tell each router at once how far the readers of all zones are.

Change: 0.8 s for the entries of upstreams from 18 routers on; smaller fleets and the configuration as before.

Not measured before this commit.

--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -20,8 +20,13 @@
 	// upstreamInterval is the pause between reads of the entries of upstreams at the store, where a read that waits ends at
 	// each of their heartbeats. An upstream that leaves must get no requests 2 s later.
 	upstreamInterval = 500 * time.Millisecond
-	// aheadTime is how long a record that other routers have read may be missing before a router reads the store at once.
-	aheadTime = 300 * time.Millisecond
+	// aheadTime is how long a record that other routers have read may be missing before a router reads the store at once. In a
+	// large fleet, whose users allow more time, it is above upstreamInterval: otherwise all routers of a zone read the store
+	// whenever the reader of another zone was first.
+	aheadTime      = 300 * time.Millisecond
+	aheadTimeLarge = 800 * time.Millisecond
+	// largeFleet is the number of routers from which the state of each one goes through heads of zones.
+	largeFleet = 18
 	// directTime is how long a router reads the store itself after a read from another router failed.
 	directTime = 3 * time.Second
 	// busyWait is how long a read of a router waits that refuses requests, and behindTime the age from which the state of a topic is
@@ -184,11 +189,11 @@
 }
 
 // ahead is told how far another router has read.
-func (topic *topic) ahead(offset int64, now time.Time) {
+func (topic *topic) ahead(offset int64, allowed time.Duration, now time.Time) {
 	next, _ := topic.mirror.Next()
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
-	if topic.lag.Behind(offset, next, aheadTime, now) {
+	if topic.lag.Behind(offset, next, allowed, now) {
 		topic.directUntil = now.Add(directTime)
 		topic.follower.Nudge()
 	}
@@ -197,8 +202,12 @@
 // ahead is told how far another router has read.
 func (readers readers) ahead(offsets gossip.Offsets) {
 	now := time.Now()
-	readers.operator.ahead(offsets.Operator, now)
-	readers.upstreams.ahead(offsets.Upstreams, now)
+	allowed := aheadTime
+	if readers.entry.roster.Known() >= largeFleet {
+		allowed = aheadTimeLarge
+	}
+	readers.operator.ahead(offsets.Operator, aheadTime, now)
+	readers.upstreams.ahead(offsets.Upstreams, allowed, now)
 }
 
 // peerSource reads from another router and turns to the store when that fails.
