Serve plain requests until the last request of a stopping router ends

Change: a stopping router refuses new streams after 0.35 of the grace period, as before, and goes on to accept connections and plain requests until nothing runs, or for 0.8 of it. Callers keep addresses for 1 s.

What is left are streams of callers that stay: they cannot end before the process must. TestStopServesLateCallers.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/route/relay"
+	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
 	"github.com/clementinewind/clementinewind/internal/store/view"
 	"github.com/clementinewind/clementinewind/platform"
@@ -30,13 +31,13 @@
 const (
 	// timeToLive is how long callers keep an answer of Locate: long enough that asking costs little, short enough that few
 	// callers still use a router that stops.
-	timeToLive = 2 * time.Second
-	// addressGrace is how long a router that stops still takes new connections: callers keep addresses for timeToLive.
-	addressGrace = 2500 * time.Millisecond
-	// drainTail is the part of the grace period after which new requests are refused, and lastShare the part after which
-	// the process ends, whatever still runs.
-	drainTail = 0.35
-	lastShare = 0.92
+	timeToLive = time.Second
+	// The parts of the grace period after which new streams, and all new requests and connections, are refused, and the part after
+	// which the process ends, whatever still runs. Some callers keep addresses for three times timeToLive, and some stay with
+	// one router. Plain requests end within a second.
+	streamShare  = 0.35
+	requestShare = 0.8
+	lastShare    = 0.92
 	// flushShare is the part of the grace period in which the last answers are flushed.
 	flushShare = 0.05
 	// drainPoll is how often a stopping router looks whether its requests have ended, and quietPolls how often in a row it must
@@ -80,9 +81,11 @@
 	load     *load
 	lag      lag
 	closing  atomic.Bool
-	refusing atomic.Bool
-	stop     chan struct{}
-	stopped  atomic.Bool
+	// refusingStreams and refusing are set while new streams, and all new requests, are refused because the router stops.
+	refusingStreams atomic.Bool
+	refusing        atomic.Bool
+	stop            chan struct{}
+	stopped         atomic.Bool
 }
 
 // New returns an entry that has not started.
@@ -110,7 +113,7 @@
 	})
 	entry.relay = relay.New(relay.Config{
 		Zone: settings.Zone, Board: entry.board, Shares: entry.shares, Table: entry.view.Table, Routers: entry.roster.Known,
-		Closing: entry.sendsAway, Refusing: entry.refusing.Load, Stale: entry.stale, Left: entry.left, Overloaded: entry.lag.refuses, Gather: entry.gather,
+		Closing: entry.sendsAway, Refusing: entry.refuses, Stale: entry.stale, Left: entry.left, Overloaded: entry.lag.refuses, Gather: entry.gather,
 		Dial: dialer.DialContext, Budget: entry.budget,
 		Meter: config.Meter, Logger: config.Logger,
 	})
@@ -148,6 +151,11 @@
 // even be refused, and nothing is served.
 func (entry *Entry) holdsBack() bool { return !entry.closing.Load() && entry.lag.holds() }
 
+// refuses reports whether requests of a kind are refused because the router stops.
+func (entry *Entry) refuses(kind table.RouteKind) bool {
+	return entry.refusing.Load() || (kind == table.RouteStream && entry.refusingStreams.Load())
+}
+
 // connKey is the key of a caller's connection in the context of its requests.
 type connKey struct{}
 
@@ -288,8 +296,9 @@
 	}
 }
 
-// drain waits for Stop and then leaves in steps: callers are told to connect elsewhere at once, new connections are
-// refused when all of them must know, new requests when they could not end in time.
+// drain waits for Stop and then leaves in steps: callers are told to connect elsewhere at once, new streams are refused when they
+// could not end in time, and everything when the last request has ended. The load it answers: routers are replaced one after the
+// other, and callers that keep their addresses for long, or stay with one router, meet it while its last streams run.
 func (entry *Entry) drain(ctx context.Context, callers *server) error {
 	select {
 	case <-ctx.Done():
@@ -301,21 +310,21 @@
 	entry.closing.Store(true)
 	entry.refresh()
 	entry.config.Logger.Info("stopping", "Grace", grace, "InFlight", entry.inFlight.Load())
-	refuseAt := time.Duration(drainTail * float64(grace))
-	endAt := time.Duration(lastShare * float64(grace))
-	callers.flushTime = time.Duration(flushShare * float64(grace))
-	for quiet := 0; ; time.Sleep(drainPoll) {
-		waited := time.Since(started)
-		if waited >= min(addressGrace, refuseAt) {
-			callers.stopAccepting()
-		}
-		if waited >= refuseAt {
+	part := func(share float64) time.Duration { return time.Duration(share * float64(grace)) }
+	callers.flushTime = part(flushShare)
+	leaving, quiet := false, 0
+	for ; ; time.Sleep(drainPoll) {
+		waited, idle := time.Since(started), entry.inFlight.Load() == 0
+		entry.refusingStreams.Store(waited >= part(streamShare))
+		if !leaving && (waited >= part(requestShare) || (waited >= part(streamShare) && idle)) {
+			leaving = true
 			entry.refusing.Store(true)
+			callers.stopAccepting()
 		}
-		if quiet++; waited < refuseAt || entry.inFlight.Load() > 0 {
+		if quiet++; !leaving || !idle {
 			quiet = 0
 		}
-		if quiet >= quietPolls || waited >= endAt {
+		if quiet >= quietPolls || waited >= part(lastShare) {
 			return errDrained
 		}
 	}
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -313,6 +313,36 @@
 	fleet.until("the new key in force", func() bool { status, _ := second.ask("other"); return status == http.StatusOK })
 }
 
+// Guards against callers that keep an address for long and are turned away by each router of a rolling restart: plain requests are
+// served while streams keep the process.
+func TestStopServesLateCallers(t *testing.T) {
+	fleet := newFleet(t)
+	router := fleet.start(1)
+	fleet.ready(router)
+	running := make(chan struct{})
+	var once sync.Once
+	fleet.respond(func(writer http.ResponseWriter, _ *http.Request) {
+		first := false
+		once.Do(func() { first = true; close(running) })
+		if first {
+			time.Sleep(1500 * time.Millisecond)
+		}
+		fmt.Fprint(writer, "answer")
+	})
+	go router.ask("key")
+	<-running
+	began := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- fleet.stop(1) }()
+	// The grace period is 2 s.
+	for time.Since(began) < 1300*time.Millisecond {
+		status, body := router.ask("key")
+		quicktest.Check(t, status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%v after the stop: %s", time.Since(began), body))
+		time.Sleep(50 * time.Millisecond)
+	}
+	quicktest.Check(t, <-stopped, quicktest.IsNil)
+}
+
 // Guards against a planned stop that cuts requests: one that runs is answered whole, and one that comes during the stop is
 // answered or refused as not run.
 func TestStopCutsNothing(t *testing.T) {
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -49,9 +49,10 @@
 	Table func() *table.Table
 	// Routers returns the size of the fleet.
 	Routers func() int
-	// Closing reports whether callers should open their next connection elsewhere, Refusing whether requests are refused.
+	// Closing reports whether callers should open their next connection elsewhere, Refusing whether requests of a kind are refused
+	// because the router stops.
 	Closing  func() bool
-	Refusing func() bool
+	Refusing func(kind table.RouteKind) bool
 	// Stale reports whether the process was paused and does not know yet what changed meanwhile; nothing is sent then.
 	Stale func() bool
 	// Left reports whether the caller of the request with this context is known to have left.
@@ -189,7 +190,7 @@
 	}
 	exchange.service = current.Service(service)
 	exchange.setDeadline()
-	if exchange.relay.config.Refusing() {
+	if exchange.relay.config.Refusing(exchange.route.Kind) {
 		return exchange.refuse(clementinewind.ReasonShutdown, 0, "router stops")
 	}
 	return true
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -106,7 +106,7 @@
 	}
 	started.server = httptest.NewServer(relay.New(relay.Config{
 		Board: started.board, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
-		Closing: func() bool { return false }, Refusing: func() bool { return false },
+		Closing: func() bool { return false }, Refusing: func(table.RouteKind) bool { return false },
 		Stale: started.stale.Load, Left: func(context.Context) bool { return started.left.Load() },
 		Overloaded: started.overloaded.Load, Gather: started.gather,
 		Dial:   new(net.Dialer).DialContext,
