--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -160,10 +160,10 @@
 type connKey struct{}
 
 // left reports whether the caller of a request has closed its connection. The server notices that too, but late while the
-// processor is short; looking costs a system call, so that it is done only then.
+// processor is short, and after a connection has waited in the kernel's queue.
 func (entry *Entry) left(ctx context.Context) bool {
 	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && entry.lag.overloaded() && link.Closed(conn)
+	return ok && link.Closed(conn)
 }
 
 // gather returns how long events of streams gather, which callers see as a delay.
