Clean up the fleet layer and the watch of streams, same behaviour

Found on reading the whole change again: - gossip built a beat without work and cloned it to add the work, from the time when the first was sent too; it is built once now. - learn wrote again what apply does. apply takes decoded work and usage, and both paths call it. - roster.NameHash was usage.Hash under another name. - Each stream armed a timer, and reset it at each event, that does nothing for streams with a deadline. Only those without one arm it. - recipients looked at the same condition in each turn of its loop, and setFloor rounded twice.

Not mended: every router sorts all others by zone at each beat, although only heads need more than their own zone; hasDigest and hasFreshDigest differ by an age only.

--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -184,14 +184,15 @@
 
 // setFloor reads a limit that may be given as a fraction, of which only whole units can be used.
 func setFloor(text string, low, high int, target *int) *problem {
-	number := float64(low)
+	var number float64
 	if problem := setRatio(text, float64(high), &number); problem != nil {
 		return problem
 	}
-	if whole := int(number); whole < low {
+	whole := int(number)
+	if whole < low {
 		return problemf(FaultOutOfRange, "%d: want %d to %d", whole, low, high)
 	}
-	*target = int(number)
+	*target = whole
 	return nil
 }
 
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -94,8 +94,9 @@
 // New returns a gossip that has not sent anything.
 func New(config Config) *Gossip {
 	return &Gossip{
-		config: config, zone: newZone(), received: newReceived(), news: map[clementinewind.Zone]*fleetv1.Digest{}, latest: map[clementinewind.Zone]*fleetv1.Digest{},
-		watch: head.NewWatch(head.WatchConfig{Silence: headSilence, Retry: headRetry}),
+		config: config, zone: newZone(), received: newReceived(), news: map[clementinewind.Zone]*fleetv1.Digest{},
+		latest: map[clementinewind.Zone]*fleetv1.Digest{},
+		watch:  head.NewWatch(head.WatchConfig{Silence: headSilence, Retry: headRetry}),
 	}
 }
 
@@ -127,7 +128,7 @@
 	defer gossip.mutex.Unlock()
 	gossip.sequence++
 	self := gossip.config.Roster.Self()
-	beat := gossip.withWork(gossip.presence(self), now)
+	beat := gossip.describe(self, now)
 	if gossip.config.Roster.Known() <= 1+fullMesh {
 		gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Beat{Beat: beat}}, gossip.config.Roster.Peers())
 		return
@@ -156,19 +157,14 @@
 	}
 }
 
-// presence returns a beat that says who this router is and how far it has read, without its work.
-func (gossip *Gossip) presence(self roster.Member) *fleetv1.Beat {
-	presence := Describe(self)
+// describe returns a beat that says who this router is, how far it has read, its work, what it placed since the last call, and at
+// times the usage.
+func (gossip *Gossip) describe(self roster.Member, now time.Time) *fleetv1.Beat {
+	beat := Describe(self)
 	offsets := gossip.config.Offsets()
-	presence.Sequence = gossip.sequence
-	presence.ConfigurationVersion = gossip.config.Version()
-	presence.OperatorOffset, presence.UpstreamOffset = offsets.Operator, offsets.Upstreams
-	return presence
-}
-
-// withWork returns a copy of a beat with the work of this router, what it placed since the last call, and at times the usage.
-func (gossip *Gossip) withWork(presence *fleetv1.Beat, now time.Time) *fleetv1.Beat {
-	beat := proto.CloneOf(presence)
+	beat.Sequence = gossip.sequence
+	beat.ConfigurationVersion = gossip.config.Version()
+	beat.OperatorOffset, beat.UpstreamOffset = offsets.Operator, offsets.Upstreams
 	work, placements := gossip.config.Board.Own(now)
 	beat.Loads = encodeWork(work)
 	beat.Placements = encodePlacements(placements)
@@ -239,7 +235,8 @@
 	}
 	// A digest already counts the routers of its zone.
 	if !gossip.received.hasDigest(member.Zone, now) {
-		gossip.apply(usage.Source{Instance: member.Instance, Zone: member.Zone}, beat.Loads, beat.Placements, beat.Usages, now)
+		source := usage.Source{Instance: member.Instance, Zone: member.Zone}
+		gossip.apply(source, decodeWork(beat.Loads), beat.Placements, decodeReport(beat.Usages), now)
 	}
 	gossip.catchUp(beat.OperatorOffset, beat.UpstreamOffset)
 }
@@ -252,14 +249,15 @@
 	}
 }
 
+// apply records what a router, or a zone as a whole, told. An empty report says nothing.
 func (gossip *Gossip) apply(
-	source usage.Source, loads []*fleetv1.UpstreamLoad, placements []*fleetv1.Placement, usages []*fleetv1.Usage, now time.Time,
+	source usage.Source, work map[uint32]board.Work, placements []*fleetv1.Placement, report usage.Report, now time.Time,
 ) {
-	gossip.config.Board.SetPeer(source, decodeWork(loads), now)
+	gossip.config.Board.SetPeer(source, work, now)
 	if len(placements) > 0 {
 		gossip.config.Board.AddPlacements(decodePlacements(placements), now)
 	}
-	if len(usages) > 0 {
-		gossip.config.Shares.SetPeer(source, decodeReport(usages), now)
+	if len(report) > 0 {
+		gossip.config.Shares.SetPeer(source, report, now)
 	}
 }
--- a/internal/fleet/gossip/hub.go
+++ b/internal/fleet/gossip/hub.go
@@ -110,10 +110,10 @@
 	others := slices.DeleteFunc(slices.Clone(ranked), func(member roster.Member) bool { return member.Instance == self.Instance })
 	count := min(heads, len(others))
 	chosen := slices.Clone(others[:count])
+	if !unserved {
+		return chosen
+	}
 	for range min(askedInNeed, len(others)-count) {
-		if !unserved {
-			break
-		}
 		// The choice needs no secrecy.
 		chosen = append(chosen, others[count+rand.IntN(len(others)-count)])
 	}
@@ -245,7 +245,7 @@
 	}
 	gossip.learnPresence(digest, now)
 	gossip.catchUp(digest.OperatorOffset, digest.UpstreamOffset)
-	loads, report := decodeWork(digest.Loads), decodeReport(digest.Usages)
+	work, report := decodeWork(digest.Loads), decodeReport(digest.Usages)
 	if zone == self.Zone {
 		gossip.watch.Hear(sender, now)
 		gossip.actsAs, gossip.actedAt = sender, now
@@ -254,7 +254,7 @@
 			return
 		}
 		if sequence, ok := included(digest, self.Instance); ok {
-			loads, report = gossip.own.subtract(sequence, loads, report)
+			work, report = gossip.own.subtract(sequence, work, report)
 		}
 	} else if gossip.leads {
 		gossip.news[zone] = digest
@@ -265,14 +265,7 @@
 		gossip.config.Shares.ForgetRouters(zone)
 	}
 	gossip.received.setDigest(zone, now)
-	source := usage.Source{Zone: zone}
-	gossip.config.Board.SetPeer(source, loads, now)
-	if len(digest.Placements) > 0 {
-		gossip.config.Board.AddPlacements(decodePlacements(digest.Placements), now)
-	}
-	if len(digest.Usages) > 0 {
-		gossip.config.Shares.SetPeer(source, report, now)
-	}
+	gossip.apply(usage.Source{Zone: zone}, work, digest.Placements, report, now)
 }
 
 // learnPresence records which routers the head of a zone heard.
@@ -296,7 +289,7 @@
 
 // included returns the sequence number of the router's beat that is part of a digest.
 func included(digest *fleetv1.Digest, self clementinewind.Instance) (uint64, bool) {
-	at := slices.Index(digest.Included, roster.NameHash(self))
+	at := slices.Index(digest.Included, usage.Hash(self))
 	if at < 0 || at >= len(digest.Sequences) {
 		return 0, false
 	}
--- a/internal/fleet/gossip/zone.go
+++ b/internal/fleet/gossip/zone.go
@@ -115,7 +115,7 @@
 // include lists the beats that a digest counts.
 func (zone *zone) include(digest *fleetv1.Digest) {
 	for instance, member := range zone.members {
-		digest.Included = append(digest.Included, roster.NameHash(instance))
+		digest.Included = append(digest.Included, usage.Hash(instance))
 		digest.Sequences = append(digest.Sequences, member.sequence)
 	}
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/share/place"
 )
 
@@ -112,7 +113,7 @@
 		return
 	}
 	member.Ready, member.StoreReachable = true, false
-	roster.names[NameHash(member.Instance)] = member.Instance
+	roster.names[usage.Hash(member.Instance)] = member.Instance
 	roster.members[member.Instance] = &known{Member: member, heard: now}
 	roster.current.Store(nil)
 }
@@ -137,7 +138,7 @@
 	if fresh || !sameButLoad(old.Member, member) {
 		roster.current.Store(nil)
 	}
-	roster.names[NameHash(member.Instance)] = member.Instance
+	roster.names[usage.Hash(member.Instance)] = member.Instance
 	roster.members[member.Instance] = &known{Member: member, heard: heard, beaten: true}
 	if member.StoreReachable && heard.After(roster.storeReached) {
 		roster.storeReached = heard
@@ -165,7 +166,7 @@
 // SightingOf returns what a head says of a router that it heard.
 func SightingOf(member Member, heard time.Time) Sighting {
 	return Sighting{
-		Name: NameHash(member.Instance), Incarnation: uint32(member.Incarnation), Heard: heard, Load: member.Load,
+		Name: usage.Hash(member.Instance), Incarnation: uint32(member.Incarnation), Heard: heard, Load: member.Load,
 		Ready: member.Ready, Leaving: member.Leaving, StoreReachable: member.StoreReachable,
 	}
 }
@@ -199,11 +200,6 @@
 	}
 }
 
-// NameHash returns the number that stands for a router in digests.
-func NameHash(instance clementinewind.Instance) uint32 {
-	return uint32(memberID(Member{Instance: instance}))
-}
-
 // StoreReached returns when another router last said that it reaches the platform's store.
 func (roster *Roster) StoreReached() time.Time {
 	roster.mutex.Lock()
@@ -220,7 +216,7 @@
 		switch end := member.heard.Add(silence); {
 		case now.Sub(member.heard) > forget:
 			delete(roster.members, instance)
-			delete(roster.names, NameHash(instance))
+			delete(roster.names, usage.Hash(instance))
 			roster.current.Store(nil)
 		case end.After(since) && !end.After(now):
 			silent = append(silent, member.Member)
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -68,8 +68,11 @@
 	if err := controller.SetWriteDeadline(exchange.deadline.Add(writeSlack)); err != nil {
 		exchange.logger.Debug("no write deadline", "Request", exchange.call.RequestID, "Error", err)
 	}
-	stall := exchange.watch(answer)
-	defer stall.Stop()
+	var stall *time.Timer
+	if exchange.unbounded {
+		stall = time.AfterFunc(exchange.stallTime(), func() { answer.Cut(errStalled) })
+		defer stall.Stop()
+	}
 	var pending []byte
 	buffer := make([]byte, eventBytes)
 	first := true
@@ -98,7 +101,8 @@
 				return verdictDone
 			}
 			pending = pending[complete:]
-			if exchange.stream.events > events {
+			if stall != nil && exchange.stream.events > events {
+				// Bytes that are no event, such as comments, are no progress.
 				stall.Reset(exchange.stallTime())
 			}
 			if gather := exchange.relay.config.Gather(); err == nil && gather > 0 {
@@ -117,16 +121,6 @@
 	}
 }
 
-// watch cuts a stream without a deadline when it stalls. The timer is reset by each event; bytes that are no event, such as
-// comments, are no progress.
-func (exchange *exchange) watch(answer *link.Answer) *time.Timer {
-	return time.AfterFunc(exchange.stallTime(), func() {
-		if exchange.unbounded {
-			answer.Cut(errStalled)
-		}
-	})
-}
-
 // forward writes complete events to the caller.
 func (exchange *exchange) forward(answer *link.Answer, events []byte, controller *http.ResponseController) error {
 	if !exchange.stream.started {
