See callers that left at the socket, not at its wrapper

The look at a caller's connection takes its descriptor, and the listener that bounds the connections hid it in a wrapper, so that the look always found an open connection. relay's test put its own function there. TestCallerThatLeftIsSeen fails on the code before (tried on a copy: "left not seen").

Change: internal/edge/gate accepts callers' connections, with the bound, the drain and the hold-back of server.go unchanged; its Conn is the socket.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -15,12 +15,12 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/edge/gate"
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/budget"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
-	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/route/relay"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
@@ -113,7 +113,7 @@
 	})
 	entry.relay = relay.New(relay.Config{
 		Zone: settings.Zone, Board: entry.board, Shares: entry.shares, Table: entry.view.Table, Routers: entry.roster.Known,
-		Closing: entry.sendsAway, Refusing: entry.refuses, Stale: entry.stale, Left: entry.left, Overloaded: entry.lag.refuses, Gather: entry.gather,
+		Closing: entry.sendsAway, Refusing: entry.refuses, Stale: entry.stale, Left: callerLeft, Overloaded: entry.lag.refuses, Gather: entry.gather,
 		Dial: dialer.DialContext, Budget: entry.budget,
 		Meter: config.Meter, Logger: config.Logger,
 	})
@@ -156,16 +156,6 @@
 	return entry.refusing.Load() || (kind == table.RouteStream && entry.refusingStreams.Load())
 }
 
-// connKey is the key of a caller's connection in the context of its requests.
-type connKey struct{}
-
-// left reports whether the caller of a request has closed its connection. The server notices that too, but late while the
-// processor is short, and after a connection has waited in the kernel's queue.
-func (entry *Entry) left(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && link.Closed(conn)
-}
-
 // gather returns how long events of streams gather, which callers see as a delay.
 func (entry *Entry) gather() time.Duration { return entry.lag.gather(entry.settings.Load().EventDelay) }
 
@@ -216,9 +206,6 @@
 	if err != nil {
 		return err
 	}
-	callers.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, conn)
-	}
 	servers := []*server{callers}
 	for _, other := range []struct {
 		name    string
@@ -233,7 +220,7 @@
 		if !other.address.IsValid() {
 			continue
 		}
-		started, err := listen(other.address, other.handler, 0, logger)
+		started, err := listen(other.address, other.handler, gate.Config{}, logger)
 		if err != nil {
 			return errors.Wrapf(err, "listen at [Listen] %s", other.name)
 		}
--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -5,15 +5,16 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sys/unix"
+
+	"github.com/clementinewind/clementinewind/internal/edge/gate"
+	"github.com/clementinewind/clementinewind/internal/route/link"
 )
 
 const (
@@ -35,16 +36,9 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	// backlogTime is how long a listener that is to be closed still takes the connections that the kernel has accepted. Closing
-	// it at once would reset them.
-	backlogTime = 100 * time.Millisecond
 	// callerBacklog bounds the connections that wait while none is accepted. Those beyond it fail, so that their callers try
 	// another router.
 	callerBacklog = 128
-	// holdPause is the time between two looks at the lag while no connection is accepted.
-	holdPause = 5 * time.Millisecond
-	// mostHold is the longest time for which a connection is held: a router that is ready goes on to take some.
-	mostHold = 200 * time.Millisecond
 	// defaultFlushTime is for the last answers of servers that are not drained.
 	defaultFlushTime = 100 * time.Millisecond
 )
@@ -71,55 +65,16 @@
 // server is an http.Server with its listener.
 type server struct {
 	*http.Server
-	listener net.Listener
-	backlog  *backlogListener
-	once     sync.Once
+	gate *gate.Listener
+	once sync.Once
 	// ended is closed by close.
 	ended chan struct{}
 	// flushTime is how long close waits for the last answers.
 	flushTime time.Duration
 }
 
-// backlogListener accepts the connections that the kernel has taken before it ends.
-type backlogListener struct {
-	*net.TCPListener
-	// hold reports whether connections are left in the queue of the kernel for now; nil never does.
-	hold func() bool
-}
-
-// shorten bounds the queue of the kernel.
-func (listener *backlogListener) shorten(connections int) error {
-	raw, err := listener.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var failure error
-	if err := raw.Control(func(descriptor uintptr) { failure = unix.Listen(int(descriptor), connections) }); err != nil {
-		return err
-	}
-	return failure
-}
-
-// Accept returns net.ErrClosed after the end of drain.
-func (listener *backlogListener) Accept() (net.Conn, error) {
-	for waited := time.Duration(0); listener.hold != nil && listener.hold() && waited < mostHold; waited += holdPause {
-		time.Sleep(holdPause)
-	}
-	conn, err := listener.TCPListener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, errors.Wrap(net.ErrClosed, "drained")
-	}
-	return conn, err
-}
-
-// drain lets Accept go on for a moment. The server closes the listener when Accept has ended.
-func (listener *backlogListener) drain() error {
-	return listener.SetDeadline(time.Now().Add(backlogTime))
-}
-
-// listen opens a server with at most the given number of connections; 0 sets no limit. Connections beyond it wait until others
-// are closed.
-func listen(address netip.AddrPort, handler http.Handler, connections int, logger hclog.Logger) (*server, error) {
+// listen opens a server at an address; config is for its connections, without the listener.
+func listen(address netip.AddrPort, handler http.Handler, config gate.Config, logger hclog.Logger) (*server, error) {
 	// Keep-alive probes would cost four system calls for each connection; callers that vanish are found by the deadlines.
 	opener := net.ListenConfig{KeepAlive: -1}
 	opened, err := opener.Listen(context.Background(), "tcp4", address.String())
@@ -130,36 +85,48 @@
 	if !ok {
 		return nil, errors.Errorf("listener at %s is no TCP listener", address)
 	}
-	backlog := &backlogListener{TCPListener: listening}
-	listener := net.Listener(backlog)
-	if connections > 0 {
-		listener = netutil.LimitListener(backlog, connections)
+	config.Listener = listening
+	accepting, err := gate.New(config)
+	if err != nil {
+		return nil, err
 	}
 	return &server{
-		backlog: backlog,
 		Server: &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes,
-			ErrorLog: logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+			ErrorLog:    logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+			ConnContext: withConn,
 		},
-		listener: listener, ended: make(chan struct{}), flushTime: defaultFlushTime,
+		gate: accepting, ended: make(chan struct{}), flushTime: defaultFlushTime,
 	}, nil
 }
 
+// connKey is the key of a caller's connection in the context of its requests.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// callerLeft reports whether the caller of the request with this context has closed its connection. The server notices that too,
+// but late while the processor is short, and after a connection has waited in the kernel's queue.
+func callerLeft(ctx context.Context) bool {
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && link.Closed(conn)
+}
+
 // callerServer listens for callers.
 func (entry *Entry) callerServer() (*server, error) {
 	settings := entry.settings.Load()
 	connections := int((1 - upstreamShare) * float64(settings.Connections()))
-	opened, err := listen(settings.CallerListen, entry.serving(entry.relay), connections, entry.config.Logger)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen at [Listen] Caller")
-	}
-	opened.backlog.hold = entry.holdsBack
-	return opened, errors.Wrap(opened.backlog.shorten(callerBacklog), "bound the queue of [Listen] Caller")
+	opened, err := listen(settings.CallerListen, entry.serving(entry.relay), gate.Config{
+		Connections: connections, Backlog: callerBacklog, Hold: entry.holdsBack,
+	}, entry.config.Logger)
+	return opened, errors.Wrap(err, "listen at [Listen] Caller")
 }
 
 // serve serves until close is called, also after the listener was closed.
 func (server *server) serve() error {
-	err := server.Serve(server.listener)
+	err := server.Serve(server.gate)
 	select {
 	case <-server.ended:
 		return nil
@@ -176,8 +143,8 @@
 func (server *server) stopAccepting() {
 	server.once.Do(func() {
 		// Only the listener ends; Shutdown would close idle connections that requests are on their way to.
-		if err := server.backlog.drain(); err != nil {
-			_ = server.listener.Close()
+		if err := server.gate.Drain(); err != nil {
+			_ = server.gate.Close()
 		}
 	})
 }
--- a/internal/edge/entry/server_test.go
+++ b/internal/edge/entry/server_test.go
@@ -12,15 +12,17 @@
 
 	"github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/clementinewind/clementinewind/internal/edge/gate"
 )
 
 // Guards against connections that the kernel has accepted, with a request already sent, and that are reset by a planned stop.
 func TestStopServesTheBacklog(t *testing.T) {
 	started, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(writer, "answer")
-	}), 100, hclog.NewNullLogger())
+	}), gate.Config{Connections: 100}, hclog.NewNullLogger())
 	quicktest.Assert(t, err, quicktest.IsNil)
-	address := started.listener.Addr().String()
+	address := started.gate.Addr().String()
 	var conns []net.Conn
 	for range 20 {
 		conn, err := net.Dial("tcp", address)
@@ -56,21 +58,19 @@
 // queue, and those beyond it fail, so that their callers try another router.
 func TestHeldConnectionsWait(t *testing.T) {
 	const queue = 4
+	var held atomic.Bool
+	held.Store(true)
 	started, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(writer, "answer")
-	}), 100, hclog.NewNullLogger())
+	}), gate.Config{Connections: 100, Backlog: queue, Hold: held.Load}, hclog.NewNullLogger())
 	quicktest.Assert(t, err, quicktest.IsNil)
-	quicktest.Assert(t, started.backlog.shorten(queue), quicktest.IsNil)
-	var held atomic.Bool
-	held.Store(true)
-	started.backlog.hold = held.Load
 	ended := make(chan error, 1)
 	go func() { ended <- started.serve() }()
 	dialer := net.Dialer{Timeout: 200 * time.Millisecond}
 	var conns []net.Conn
 	failed := 0
 	for range 4 * queue {
-		conn, err := dialer.Dial("tcp", started.listener.Addr().String())
+		conn, err := dialer.Dial("tcp", started.gate.Addr().String())
 		if err != nil {
 			failed++
 			continue
@@ -88,3 +88,31 @@
 	started.close()
 	quicktest.Check(t, <-ended, quicktest.IsNil)
 }
+
+// Guards against requests that are sent on although their callers have left: the connection that the look is at must be the
+// socket, also where the number of connections is bounded.
+func TestCallerThatLeftIsSeen(t *testing.T) {
+	began, left, seen := make(chan struct{}), make(chan struct{}), make(chan bool, 2)
+	started, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		seen <- callerLeft(request.Context())
+		close(began)
+		<-left
+		for end := time.Now().Add(time.Second); !callerLeft(request.Context()) && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		seen <- callerLeft(request.Context())
+	}), gate.Config{Connections: 1}, hclog.NewNullLogger())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	ended := make(chan error, 1)
+	go func() { ended <- started.serve() }()
+	conn, err := net.Dial("tcp", started.gate.Addr().String())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-began
+	quicktest.Check(t, <-seen, quicktest.IsFalse)
+	conn.Close()
+	close(left)
+	quicktest.Check(t, <-seen, quicktest.IsTrue)
+	started.close()
+	quicktest.Check(t, <-ended, quicktest.IsNil)
+}
