--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -70,7 +70,7 @@
 		store:     &storeSource{store: entry.store},
 		operator:  &topic{mirror: feed.NewMirror(feed.MirrorConfig{})},
 		upstreams: &topic{mirror: feed.NewMirror(feed.MirrorConfig{Same: view.SameUpstream})},
-		client:    &http.Client{Transport: &http.Transport{DialContext: dialer().DialContext}},
+		client:    gossip.NewClient(dialer().DialContext),
 	}
 	follow := func(topic *topic, name string, atStore feed.Plan, apply func([]feed.Record, time.Time)) {
 		topic.follower = feed.NewFollower(feed.FollowerConfig{
--- a/internal/fleet/gossip/feed.go
+++ b/internal/fleet/gossip/feed.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/clementinewind/clementinewind/internal/share/bound"
 	"github.com/clementinewind/clementinewind/internal/store/feed"
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 )
@@ -22,8 +23,10 @@
 	feedSlack = 400 * time.Millisecond
 	// maxWait bounds how long a router waits for new records for another one.
 	maxWait = 5 * time.Second
-	// maxFeedBytes holds the largest configuration with room to spare.
-	maxFeedBytes = 64 << 20
+	// maxFeedBytes is above the configuration and the entries of thousands of upstreams.
+	maxFeedBytes = 16 << 20
+	// maxFeedHeaderBytes is above any header of a router.
+	maxFeedHeaderBytes = 64 << 10
 )
 
 // FeedHandler passes on what this router has read of the store's topics.
@@ -92,6 +95,13 @@
 	return encoded
 }
 
+// NewClient returns a client for Sources that connects by dial. Its calls are bounded by the Source.
+func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dial, MaxResponseHeaderBytes: maxFeedHeaderBytes, DisableCompression: true,
+	}}
+}
+
 // Source reads topics from another router.
 type Source struct {
 	Address string
@@ -117,7 +127,7 @@
 		return feed.Batch{}, errors.Wrap(err, "read feed")
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxFeedBytes))
+	content, err := bound.ReadAll(response.Body, maxFeedBytes)
 	if err != nil {
 		return feed.Batch{}, errors.Wrap(err, "read feed")
 	}
--- /dev/null
+++ b/internal/fleet/gossip/feed_test.go
@@ -0,0 +1,36 @@
+package gossip_test
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
+	"github.com/clementinewind/clementinewind/platform/stand"
+)
+
+// Guards against a router in trouble, or an address that is used again, that fills the memory of another router with bytes without
+// end while it reads a topic.
+func TestEndlessFeed(t *testing.T) {
+	for name, flood := range stand.Floods {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			quicktest.Assert(t, err, quicktest.IsNil)
+			defer listener.Close()
+			var written atomic.Int64
+			go stand.Flooding(listener, flood.Start, flood.Piece, &written)
+			client := gossip.NewClient((&net.Dialer{}).DialContext)
+			defer client.CloseIdleConnections()
+			source := gossip.Source{Address: listener.Addr().String(), Client: client}
+			began := time.Now()
+			_, err = source.Newest(t.Context(), "keyed.x")
+			quicktest.Check(t, err, quicktest.IsNotNil)
+			quicktest.Check(t, time.Since(began) < 2*time.Second, quicktest.IsTrue)
+			// What was read, and what the sockets of both sides hold.
+			quicktest.Check(t, written.Load() < 32<<20, quicktest.IsTrue, quicktest.Commentf("%d bytes", written.Load()))
+		})
+	}
+}
--- a/internal/route/link/trouble_test.go
+++ b/internal/route/link/trouble_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,23 +14,9 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/clementinewind/clementinewind/internal/route/link"
+	"github.com/clementinewind/clementinewind/platform/stand"
 )
 
-// flood writes the same bytes until the other side closes the connection, and counts them.
-func flood(conn net.Conn, start, piece string, written *atomic.Int64) {
-	if _, err := io.WriteString(conn, start); err != nil {
-		return
-	}
-	block := strings.Repeat(piece, 1+(16<<10)/len(piece))
-	for {
-		count, err := io.WriteString(conn, block)
-		written.Add(int64(count))
-		if err != nil {
-			return
-		}
-	}
-}
-
 // Guards against an upstream in trouble that sends bytes without end where the head of an answer is due: the router would
 // hold all of them in memory until the deadline of the request.
 func TestEndlessHead(t *testing.T) {
@@ -52,7 +37,7 @@
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 					return
 				}
-				flood(conn, test.start, test.piece, &written)
+				stand.Flood(conn, test.start, test.piece, &written)
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
