--- a/internal/fleet/gossip/feed.go
+++ b/internal/fleet/gossip/feed.go
@@ -19,6 +19,9 @@
 
 const (
 	feedPath = "/feed"
+	// headerTopic and headerFrom tell which read an answer belongs to.
+	headerTopic = "Topic"
+	headerFrom  = "From"
 	// feedSlack is the time for the answer of a router beyond the time that it waits for new records.
 	feedSlack = 400 * time.Millisecond
 	// maxWait bounds how long a router waits for new records for another one.
@@ -59,6 +62,8 @@
 			http.Error(writer, "batch not encoded", http.StatusInternalServerError)
 			return
 		}
+		writer.Header().Set(headerTopic, query.Get("Topic"))
+		writer.Header().Set(headerFrom, query.Get("From"))
 		if _, err := writer.Write(content); err != nil {
 			logger.Debug("feed not delivered", "Error", err)
 		}
@@ -134,6 +139,11 @@
 	if response.StatusCode != http.StatusOK {
 		return feed.Batch{}, errors.Errorf("router answered %d to a read of %s", response.StatusCode, topic)
 	}
+	if answered := response.Header; answered.Get(headerTopic) != topic || answered.Get(headerFrom) != query.Get("From") {
+		// A copy of an earlier answer on a connection in use again. What follows on the connection is late by one, too.
+		source.Client.CloseIdleConnections()
+		return feed.Batch{}, errors.Errorf("answer to a read of %q from %q, want %q from %d", answered.Get(headerTopic), answered.Get(headerFrom), topic, from)
+	}
 	var encoded fleetv1.FeedBatch
 	if err := proto.Unmarshal(content, &encoded); err != nil {
 		return feed.Batch{}, errors.Wrap(err, "decode feed")
--- a/internal/fleet/gossip/feed_test.go
+++ b/internal/fleet/gossip/feed_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
+	"github.com/clementinewind/clementinewind/internal/store/feed"
 	"github.com/clementinewind/clementinewind/platform/stand"
 )
 
@@ -34,3 +36,31 @@
 		})
 	}
 }
+
+// Guards against a second copy of an answer, late, on a connection in use again: the read of one topic would take the records of
+// another one.
+func TestLateCopyOfFeed(t *testing.T) {
+	mirrors := map[string]*feed.Mirror{}
+	for _, topic := range []string{"one", "two"} {
+		mirrors[topic] = feed.NewMirror(feed.MirrorConfig{})
+		mirrors[topic].Replace(feed.Batch{Next: 5, Records: []feed.Record{{Key: topic, Value: []byte(topic), Offset: 4}}})
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer listener.Close()
+	go stand.Repeating(listener, gossip.FeedHandler(mirrors, hclog.NewNullLogger()))
+	client := gossip.NewClient((&net.Dialer{}).DialContext)
+	defer client.CloseIdleConnections()
+	source := gossip.Source{Address: listener.Addr().String(), Client: client}
+	for range 3 {
+		for _, topic := range []string{"one", "two"} {
+			batch, err := source.Newest(t.Context(), topic)
+			if err != nil {
+				continue
+			}
+			for _, record := range batch.Records {
+				quicktest.Check(t, record.Key, quicktest.Equals, topic)
+			}
+		}
+	}
+}
