Try the next reader of a zone before the store

Cause (large site): one router of a zone reads the store for the others.

Change: in fleets of 18 routers and more the reader that does not answer is passed over for 3 s, with a short wait at the next one, and the store is called when that one fails too; a router that others are ahead of reads the store for 1 s instead of 3 s and notices anew if its reader is still behind. Small fleets do as before. TestSilentReaderIsPassedOver and TestReaderIsTriedAgain are new, and fail to build without it.

--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -6,7 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
+	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
 	"github.com/clementinewind/clementinewind/internal/store/feed"
 	"github.com/clementinewind/clementinewind/internal/store/view"
@@ -27,8 +29,11 @@
 	aheadTimeLarge = 800 * time.Millisecond
 	// largeFleet is the number of routers from which the state of each one goes through heads of zones.
 	largeFleet = 18
-	// directTime is how long a router reads the store itself after a read from another router failed.
+	// directTime is how long a router reads the store itself, or passes over another router, after a read from that one failed.
 	directTime = 3 * time.Second
+	// aheadDirectTime is how long a router of a large fleet reads the store itself because others are ahead. If its reader is still
+	// behind then, it notices that anew.
+	aheadDirectTime = time.Second
 	// busyWait is how long a read of a router waits that refuses requests, and behindTime the age from which the state of a topic is
 	// too old there to send requests by. An upstream that leaves must get no requests 3 s later in the users' large deployments, of
 	// which the router that reads the store may need one.
@@ -55,6 +60,9 @@
 	mutex       sync.Mutex
 	lag         feed.Lag
 	directUntil time.Time
+	// passed is the router whose last answer failed; it is passed over until passedUntil.
+	passed      clementinewind.Instance
+	passedUntil time.Time
 	// began is when the current read was sent, and known the moment at which the last successful one was, both on the clock
 	// that counts pauses.
 	began, known time.Duration
@@ -107,17 +115,32 @@
 	if topic.turnsToPeer(readers.store.failing()) {
 		// The others may have forgotten the router that ran here before, so that none is heard yet.
 		if informed, ok := readers.entry.roster.Informed(now); ok {
-			return feed.Plan{Source: peerSource{gossip.Source{Address: informed.PeerAddress, Client: readers.client}, topic}}
+			return feed.Plan{Source: readers.peer(topic, informed)}
 		}
 	}
-	reader, ok := readers.entry.roster.Reader(now)
+	passed := topic.passedOver(now)
+	reader, ok := readers.entry.roster.Reader(now, passed)
 	switch _, loaded := topic.mirror.Next(); {
 	case !ok, !loaded, topic.direct(now), readers.store.retry(now):
 		return atStore
 	}
-	return feed.Plan{Source: peerSource{gossip.Source{Address: reader.PeerAddress, Client: readers.client}, topic}, Wait: wait}
+	if passed != "" {
+		// If this one is silent too, little time is left.
+		wait = busyWait
+	}
+	return feed.Plan{Source: readers.peer(topic, reader), Wait: wait}
 }
 
+func (readers readers) peer(topic *topic, member roster.Member) peerSource {
+	return peerSource{
+		Source: gossip.Source{Address: member.PeerAddress, Client: readers.client}, topic: topic, instance: member.Instance,
+		large: readers.large(),
+	}
+}
+
+// large reports whether the calls of all routers to the store at once would be too many.
+func (readers readers) large() bool { return readers.entry.roster.Known() >= largeFleet }
+
 // begin records that a read is sent.
 func (topic *topic) begin() {
 	topic.mutex.Lock()
@@ -182,19 +205,35 @@
 	return now.Before(topic.directUntil)
 }
 
-func (topic *topic) setDirect(until time.Time) {
+// passedOver returns the router that does not answer, or "".
+func (topic *topic) passedOver(now time.Time) clementinewind.Instance {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
-	topic.directUntil = until
+	if now.Before(topic.passedUntil) {
+		return topic.passed
+	}
+	return ""
+}
+
+// unanswered records that a read from another router failed. In a large fleet the next reader is tried first, and the store if that
+// one fails too. The load it answers: the reader of a zone dies, and sixty routers turn to the store.
+func (topic *topic) unanswered(reader clementinewind.Instance, large bool, now time.Time) {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	if large && !now.Before(topic.passedUntil) {
+		topic.passed, topic.passedUntil = reader, now.Add(directTime)
+		return
+	}
+	topic.directUntil = now.Add(directTime)
 }
 
 // ahead is told how far another router has read.
-func (topic *topic) ahead(offset int64, allowed time.Duration, now time.Time) {
+func (topic *topic) ahead(offset int64, allowed, direct time.Duration, now time.Time) {
 	next, _ := topic.mirror.Next()
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
 	if topic.lag.Behind(offset, next, allowed, now) {
-		topic.directUntil = now.Add(directTime)
+		topic.directUntil = now.Add(direct)
 		topic.follower.Nudge()
 	}
 }
@@ -202,18 +241,21 @@
 // ahead is told how far another router has read.
 func (readers readers) ahead(offsets gossip.Offsets) {
 	now := time.Now()
-	allowed := aheadTime
-	if readers.entry.roster.Known() >= largeFleet {
-		allowed = aheadTimeLarge
+	allowed, direct := aheadTime, directTime
+	if readers.large() {
+		allowed, direct = aheadTimeLarge, aheadDirectTime
 	}
-	readers.operator.ahead(offsets.Operator, aheadTime, now)
-	readers.upstreams.ahead(offsets.Upstreams, allowed, now)
+	readers.operator.ahead(offsets.Operator, aheadTime, direct, now)
+	readers.upstreams.ahead(offsets.Upstreams, allowed, direct, now)
 }
 
-// peerSource reads from another router and turns to the store when that fails.
+// peerSource reads from another router and has the next read go elsewhere when that fails.
 type peerSource struct {
 	gossip.Source
-	topic *topic
+	topic    *topic
+	instance clementinewind.Instance
+	// large is that of readers.
+	large bool
 }
 
 // Newest implements feed.Source.
@@ -225,7 +267,7 @@
 func (source peerSource) Read(ctx context.Context, topic string, from int64, wait time.Duration) (feed.Batch, error) {
 	batch, err := source.Source.Read(ctx, topic, from, wait)
 	if err != nil && ctx.Err() == nil {
-		source.topic.setDirect(time.Now().Add(directTime))
+		source.topic.unanswered(source.instance, source.large, time.Now())
 	}
 	return batch, err
 }
--- /dev/null
+++ b/internal/edge/entry/readers_test.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/admin/telem"
+	"github.com/clementinewind/clementinewind/internal/fleet/roster"
+	"github.com/clementinewind/clementinewind/internal/store/feed"
+)
+
+// zoned returns an entry that has read both topics and hears the given number of routers of its zone. It is the last one by name.
+func zoned(t *testing.T, routers int) *Entry {
+	t.Helper()
+	settings := conf.DefaultEntry()
+	settings.Name, settings.Zone, settings.CoreShare = "router-z", "a", 1
+	meter, err := telem.NewEntry(telem.EntryConfig{})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	entry := New(Config{Settings: settings, Meter: meter, Logger: hclog.New(&hclog.LoggerOptions{Output: io.Discard})})
+	for number := range routers {
+		entry.roster.Hear(roster.Member{
+			Instance: clementinewind.Instance(fmt.Sprintf("router-%02d", number)), Zone: "a", Incarnation: 1, Ready: true, Cores: 1,
+			StoreReachable: true, PeerAddress: fmt.Sprintf("10.0.0.%d:1", number), CallerAddress: fmt.Sprintf("10.0.0.%d:2", number),
+		}, time.Now())
+	}
+	entry.roster.Update(true, false, true, 0)
+	for _, topic := range []*topic{entry.readers.operator, entry.readers.upstreams} {
+		topic.mirror.Replace(feed.Batch{Next: 1})
+	}
+	return entry
+}
+
+func (entry *Entry) sourceAt(now time.Time) string {
+	plan := entry.readers.plan(entry.readers.upstreams, feed.Plan{Source: entry.readers.store}, now)
+	if peer, ok := plan.Source.(peerSource); ok {
+		return string(peer.instance)
+	}
+	return "store"
+}
+
+// Replays a large zone whose reader dies: its routers turn to the next reader, and to the store only if that one is silent too.
+// Guards against sixty routers that call the store three times a second because of one.
+func TestSilentReaderIsPassedOver(t *testing.T) {
+	entry, now := zoned(t, largeFleet), time.Now()
+	topic := entry.readers.upstreams
+	quicktest.Check(t, entry.sourceAt(now), quicktest.Equals, "router-00")
+	topic.unanswered("router-00", true, now)
+	quicktest.Check(t, entry.sourceAt(now), quicktest.Equals, "router-01")
+	topic.unanswered("router-01", true, now)
+	quicktest.Check(t, entry.sourceAt(now), quicktest.Equals, "store")
+}
+
+// Guards against a reader that is passed over for good, and against a small fleet that loses the time of a second silent router.
+func TestReaderIsTriedAgain(t *testing.T) {
+	entry, now := zoned(t, largeFleet), time.Now()
+	entry.readers.upstreams.unanswered("router-00", true, now)
+	quicktest.Check(t, entry.readers.upstreams.passedOver(now), quicktest.Equals, clementinewind.Instance("router-00"))
+	quicktest.Check(t, entry.readers.upstreams.passedOver(now.Add(directTime)), quicktest.Equals, clementinewind.Instance(""))
+	small := zoned(t, 5)
+	small.readers.upstreams.unanswered("router-00", small.readers.large(), now)
+	quicktest.Check(t, small.sourceAt(now), quicktest.Equals, "store")
+	quicktest.Check(t, small.readers.upstreams.direct(now.Add(directTime)), quicktest.IsFalse)
+}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -346,13 +346,13 @@
 }
 
 // Reader returns the router from which this one reads the topics of the platform's store: the first of its zone that
-// reaches the store, or the first of all zones. Busy ones come last, because what they pass on is late. It is false if this router
-// is to read the store itself.
-func (roster *Roster) Reader(now time.Time) (Member, bool) {
+// reaches the store, or the first of all zones. Busy ones come last, because what they pass on is late, and the one with the
+// name in passed does not count; "" passes over none. It is false if this router is to read the store itself.
+func (roster *Roster) Reader(now time.Time, passed clementinewind.Instance) (Member, bool) {
 	self := roster.Self()
 	var reader *Member
 	for _, member := range roster.view(now).alive {
-		if !member.StoreReachable || member.Leaving {
+		if !member.StoreReachable || member.Leaving || member.Instance == passed {
 			continue
 		}
 		if reader == nil || readsBefore(member, *reader, self.Zone) {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -97,19 +97,22 @@
 func TestReader(t *testing.T) {
 	built := fleet()
 	// The router itself is the first of its zone.
-	_, other := built.Reader(began)
+	_, other := built.Reader(began, "")
 	quicktest.Check(t, other, quicktest.IsFalse)
 	built.Update(true, false, false, 0)
-	reader, other := built.Reader(began)
+	reader, other := built.Reader(began, "")
 	quicktest.Check(t, other, quicktest.IsTrue)
 	quicktest.Check(t, reader.Instance, quicktest.Equals, clementinewind.Instance("router-1"))
+	// One that does not answer is passed over, and the router itself may be the next one.
+	reader, _ = built.Reader(began, "router-1")
+	quicktest.Check(t, reader.Instance, quicktest.Equals, clementinewind.Instance("router-2"))
 	// A reader that does not reach the store is no reader; another zone serves.
 	cut := member(1, "a")
 	cut.StoreReachable = false
 	built.Hear(cut, began)
-	reader, _ = built.Reader(began)
+	reader, _ = built.Reader(began, "")
 	quicktest.Check(t, reader.Instance, quicktest.Equals, clementinewind.Instance("router-2"))
-	_, other = built.Reader(began.Add(time.Minute))
+	_, other = built.Reader(began.Add(time.Minute), "")
 	quicktest.Check(t, other, quicktest.IsFalse)
 }
 
@@ -117,7 +120,7 @@
 func TestBusyReaderIsPassedOver(t *testing.T) {
 	built := fleet()
 	built.Update(true, false, true, roster.OverloadedLoad)
-	reader, other := built.Reader(began)
+	reader, other := built.Reader(began, "")
 	quicktest.Check(t, other, quicktest.IsTrue)
 	quicktest.Check(t, reader.Instance, quicktest.Equals, clementinewind.Instance("router-1"))
 	for number, zone := range []clementinewind.Zone{"a", "a", "b", "b", "c", "c"} {
@@ -126,7 +129,7 @@
 		built.Hear(busy, began)
 	}
 	// A snapshot may be a moment old.
-	_, other = built.Reader(began.Add(50 * time.Millisecond))
+	_, other = built.Reader(began.Add(50*time.Millisecond), "")
 	quicktest.Check(t, other, quicktest.IsFalse)
 }
 
