Give small shared parts homes

Cause: shared parts read again are the largest price on every site.

Change: parts of 150 tokens and more have homes in the rendezvous order too, and the price of leaving them is in proportion to the part, up to that of a large one. TestBest, "the home of a small prefix, although it is busier", fails on the code before.

--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -20,10 +20,12 @@
 	// Homes is the least number of upstreams that a large prefix is kept at. Two are enough to even out the load between them;
 	// with more, the prefixes of all requests do not fit into the memory of the upstreams and drive each other out.
 	Homes = 2
-	// LargePrefix is the size from which a prefix has homes; smaller ones are read again in a few milliseconds.
+	// LargePrefix is the size from which the homes of a prefix are worth the whole of strayCost, and smallPrefix the size from which
+	// a prefix has homes. Reading fewer tokens takes less than the requests of an engine vary by.
 	LargePrefix = 1000
-	// rankCost leads all routers to send a new prefix to the same home. strayCost is the wait at the homes from which a
-	// prefix is read elsewhere.
+	smallPrefix = 150
+	// rankCost leads all routers to send a new prefix to the same home. strayCost is the wait at the homes from which a large
+	// prefix is read elsewhere; for a small one it is less in proportion.
 	rankCost  = 15 * time.Millisecond
 	strayCost = 3000 * time.Millisecond
 	// memoryShare is the part of an engine's memory that is filled; beyond it the engine preempts running requests.
@@ -148,10 +150,10 @@
 // extra is the cost that a placement causes to others, or may cause to the request itself.
 func extra(candidate Candidate, request Request) time.Duration {
 	cost := runningCost * time.Duration(candidate.Running)
-	if request.SharedTokens >= LargePrefix {
+	if request.SharedTokens >= smallPrefix {
 		cost += rankCost * time.Duration(min(candidate.Rank, request.Homes))
 		if candidate.Rank >= request.Homes {
-			cost += strayCost
+			cost += strayCost * time.Duration(min(request.SharedTokens, LargePrefix)) / LargePrefix
 		}
 	}
 	if reread := request.SharedTokens - candidate.CachedTokens; reread > 0 {
--- a/internal/load/pick/pick_test.go
+++ b/internal/load/pick/pick_test.go
@@ -42,11 +42,19 @@
 	crowded.Service = 4 * time.Second
 	far := engine(0, 1, 0, 0)
 	far.Zone = "far"
+	tag := pick.Request{Goal: 1500 * time.Millisecond, InputTokens: 1800, SharedTokens: 500, OutputTokens: 20, Homes: pick.Homes}
 	tests := map[string]struct {
 		candidates []pick.Candidate
 		request    pick.Request
 		want       int
 	}{
+		// Many requests with small shared parts, each read at almost every upstream, take a third of the reading time.
+		"the home of a small prefix, although it is busier": {
+			[]pick.Candidate{engine(2, 1, 0, 0), engine(0, 40, 0, 500)}, tag, 1,
+		},
+		"another upstream when the homes of a small prefix are far behind": {
+			[]pick.Candidate{engine(0, 20, 150_000, 500), engine(1, 20, 150_000, 500), engine(2, 1, 0, 0)}, tag, 2,
+		},
 		"the upstream that has the prefix, although it is busier": {
 			[]pick.Candidate{engine(1, 1, 0, 0), engine(0, 20, 10_000, 13_000)}, quote, 1,
 		},
