Price a second copy of a shared part by what it costs others

Cause: a request went to its second home, which had to read the shared part, when the wait at the first was longer than reading it and half of that, also where the first was well on time. Each such copy takes reading time from the other requests of that engine, and the memory of other parts.

Change: the weight is 2. The wait that is preferred is at most two thirds of the goal on the sites that are known. TestBest, "the home that has the prefix, not a second one that would be sooner", fails with the weight before.

--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// rereadWeight prices shared parts that are read again, on top of the time that the reading takes: it delays the other
-	// requests of that upstream too.
-	rereadWeight = 0.5
+	// rereadWeight prices shared parts that are read again, in reading times on top of the reading itself: it delays the other
+	// requests of that upstream, and the copy takes the place of other parts in its memory.
+	rereadWeight = 2.0
 	// zoneCost is the price of sending a request to another zone, against a millisecond on the way and paid traffic.
 	zoneCost = 15 * time.Millisecond
 	// runningCost is how much one more running request delays each of the others.
--- a/internal/load/pick/pick_test.go
+++ b/internal/load/pick/pick_test.go
@@ -58,6 +58,10 @@
 		"the upstream that has the prefix, although it is busier": {
 			[]pick.Candidate{engine(1, 1, 0, 0), engine(0, 20, 10_000, 13_000)}, quote, 1,
 		},
+		// A second copy takes memory and reading time from others, and the first home is on time.
+		"the home that has the prefix, not a second one that would be sooner": {
+			[]pick.Candidate{engine(0, 20, 30_000, 13_000), engine(1, 2, 0, 0)}, quote, 0,
+		},
 		"the second home when the first one is far behind": {
 			[]pick.Candidate{engine(0, 20, 60_000, 13_000), engine(1, 2, 0, 13_000)}, quote, 1,
 		},
