--- a/internal/edge/gate/whole.go
+++ b/internal/edge/gate/whole.go
@@ -13,12 +13,16 @@
 )
 
 // whole reports whether the bytes are exactly one request with a known length. It allocates nothing. It is false for anything in
-// doubt, such as a body in chunks, two lengths, or a second request behind the first.
+// doubt, such as a body in chunks, two lengths, other line ends, or a second request behind the first.
 func whole(received []byte) bool {
 	end := bytes.Index(received, headEnd)
 	if end < 0 {
 		return false
 	}
+	if bytes.Count(received[:end], []byte{'\n'}) != bytes.Count(received[:end], lineEnd) {
+		// net/http ends lines, and the head, at a line feed alone.
+		return false
+	}
 	length, known := 0, false
 	_, lines, _ := bytes.Cut(received[:end], lineEnd)
 	for len(lines) > 0 {
