Count refused requests whose rest is awaited, and answer callers that expect

Cause, found in review: a stop could end the process while refused requests were waited for, up to 62 ms mostly, and a caller with Expect: 100-continue, which sends no body before it is asked, was closed after 10 s without an answer.

Change: the drain counts such requests, and the body of an expecting caller is not waited for. TestAwaitedRequestsAreCounted and TestExpectingCallerIsRefused are new.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -310,7 +310,7 @@
 	callers.flushTime = part(flushShare)
 	leaving, quiet := false, 0
 	for ; ; time.Sleep(drainPoll) {
-		waited, idle := time.Since(started), entry.inFlight.Load() == 0
+		waited, idle := time.Since(started), entry.inFlight.Load() == 0 && callers.gate.Awaited() == 0
 		entry.refusingStreams.Store(waited >= part(streamShare))
 		if !leaving && (waited >= part(requestShare) || (waited >= part(streamShare) && idle)) {
 			leaving = true
--- a/internal/edge/gate/await.go
+++ b/internal/edge/gate/await.go
@@ -27,6 +27,9 @@
 	restBytes   = 16 << 20
 )
 
+// Awaited returns the number of refused requests that are not answered yet.
+func (listener *Listener) Awaited() int { return len(listener.awaited) }
+
 // await answers a connection when the rest of its request has arrived.
 func (listener *Listener) await(descriptor int, received []byte) {
 	select {
@@ -83,8 +86,11 @@
 	if err != nil {
 		return errors.Wrap(err, "read refused request")
 	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
-		return errors.Wrap(err, "read body of refused request")
+	// A caller that expects to be asked for the body sends none before.
+	if request.Header.Get("Expect") == "" {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return errors.Wrap(err, "read body of refused request")
+		}
 	}
 	_, err = conn.Write(listener.config.Refusal(head.bytes))
 	return err
--- a/internal/edge/gate/gate_test.go
+++ b/internal/edge/gate/gate_test.go
@@ -153,6 +153,39 @@
 	}
 }
 
+// Guards against a caller that is refused only when it gives up, because it waits to be asked for the body.
+func TestExpectingCallerIsRefused(t *testing.T) {
+	server := listen(t, 1000)
+	server.refusing.Store(true)
+	refused := server.dial(t)
+	fmt.Fprint(refused, "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+	began := time.Now()
+	server.start()
+	response, body := answer(t, refused)
+	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	quicktest.Check(t, body, quicktest.Equals, "busy id")
+	quicktest.Check(t, time.Since(began) < 2*time.Second, quicktest.IsTrue)
+}
+
+// Guards against a stop that ends the process while refused requests wait for their answers.
+func TestAwaitedRequestsAreCounted(t *testing.T) {
+	server := listen(t, 1000)
+	server.refusing.Store(true)
+	refused := server.dial(t)
+	fmt.Fprint(refused, "POST /x HTTP/1.1\r\nHost: h\r\nX-Request-Id: id\r\nContent-Length: 4\r\n\r\n")
+	server.start()
+	for end := time.Now().Add(20 * time.Second); server.gate.Awaited() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	quicktest.Check(t, server.gate.Awaited(), quicktest.Equals, 1)
+	fmt.Fprint(refused, "body")
+	answer(t, refused)
+	for end := time.Now().Add(20 * time.Second); server.gate.Awaited() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	quicktest.Check(t, server.gate.Awaited(), quicktest.Equals, 0)
+}
+
 // Guards against an unbounded number of callers that never send the rest of their requests.
 func TestAwaitedRequestsAreBounded(t *testing.T) {
 	const callers = 400
