--- /dev/null
+++ b/cmd/clementinewind/pause_test.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/platform"
+	"github.com/clementinewind/clementinewind/platform/stand"
+)
+
+const pausedSettings = `[Instance]
+Name = router-0
+Zone = a
+[Listen]
+Caller = %[1]s:21001
+Ready = %[1]s:21002
+Locate = %[1]s:21003
+Ports = 21004-21010
+[Store]
+Address = %[2]s
+[Times]
+Grace = 2s
+`
+
+// pausedSite is a store with two upstreams, and a router as a process of its own.
+type pausedSite struct {
+	store    *stand.Store
+	address  string
+	process  *os.Process
+	requests map[string]*atomic.Int64
+}
+
+func startPausedSite(t *testing.T) *pausedSite {
+	t.Helper()
+	site := &pausedSite{store: stand.NewStore(), requests: map[string]*atomic.Int64{"leaving": {}, "staying": {}}}
+	value, err := platform.EncodeConfiguration(table.Configuration{
+		Version: 1,
+		Routes: []table.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: table.RouteOnce, Timeout: 10 * time.Second, MaxAttempts: 1,
+			Shares: []table.Share{{Service: "s", Weight: 1}},
+		}},
+		Services: []table.ServiceSettings{{Name: "s", MaxConnections: 500}},
+	})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	site.store.Put(platform.TopicOperator, platform.ConfigurationKey, value)
+	for name, requests := range site.requests {
+		upstream := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			requests.Add(1)
+			stand.Echo(writer, request)
+			stand.Seal(writer)
+			time.Sleep(5 * time.Millisecond)
+			fmt.Fprint(writer, "answer")
+		}))
+		t.Cleanup(upstream.Close)
+		value, err := platform.EncodeUpstream(table.Entry{
+			Upstream: clementinewind.Upstream(name), Service: "s", Address: upstream.Listener.Addr().String(), Zone: "a", Slots: 64,
+			Sequence: 1, Incarnation: 1,
+		})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		site.store.Put(platform.TopicUpstreams, name, value)
+	}
+	served := httptest.NewServer(site.store)
+	t.Cleanup(served.Close)
+	folder := t.TempDir()
+	address := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()/250%250), byte(1 + os.Getpid()%250), 90}).String()
+	site.address = net.JoinHostPort(address, "21001")
+	file := filepath.Join(folder, "router.ini")
+	quicktest.Assert(t, os.WriteFile(file, fmt.Appendf(nil, pausedSettings, address, served.Listener.Addr()), 0o600), quicktest.IsNil)
+	command := exec.Command(filepath.Join(binaries, "clementinewind"), "entry", "--config", file)
+	command.Stdout, command.Stderr = t.Output(), t.Output()
+	quicktest.Assert(t, command.Start(), quicktest.IsNil)
+	site.process = command.Process
+	t.Cleanup(func() {
+		// A stopped process does not take the kill before it goes on.
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	return site
+}
+
+// ask sends one request on a connection of its own and returns the status, or 0 without an answer.
+func (site *pausedSite) ask(id string) int {
+	request, err := http.NewRequest(http.MethodPost, "http://"+site.address+"/x", bytes.NewReader([]byte("body")))
+	if err != nil {
+		return 0
+	}
+	request.Host = "h"
+	stand.Caller(request.Header, id, "", 5*time.Second)
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// Guards against a process that was stopped for some seconds and then acts on what it was allowed before: an upstream that left
+// meanwhile must not get the requests that were accepted, placed or under way to it when the process stopped.
+func TestPausedProcessSendsNothingToUpstreamThatLeft(t *testing.T) {
+	site := startPausedSite(t)
+	for end := time.Now().Add(patience); site.ask("first") != http.StatusOK; time.Sleep(conditionPoll) {
+		if time.Now().After(end) {
+			t.Fatal("the router is not ready")
+		}
+	}
+	var stop atomic.Bool
+	var callers sync.WaitGroup
+	for number := range 20 {
+		callers.Go(func() {
+			for count := 0; !stop.Load(); count++ {
+				site.ask(fmt.Sprintf("%d-%d", number, count))
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	quicktest.Check(t, site.requests["leaving"].Load() > 0, quicktest.IsTrue)
+	quicktest.Assert(t, site.process.Signal(syscall.SIGSTOP), quicktest.IsNil)
+	time.Sleep(200 * time.Millisecond)
+	site.store.Put(platform.TopicUpstreams, "leaving", nil)
+	// Upstreams that leave get no requests 2 s later.
+	time.Sleep(2300 * time.Millisecond)
+	before := site.requests["leaving"].Load()
+	staying := site.requests["staying"].Load()
+	quicktest.Assert(t, site.process.Signal(syscall.SIGCONT), quicktest.IsNil)
+	for end := time.Now().Add(patience); site.requests["staying"].Load() < staying+100; time.Sleep(conditionPoll) {
+		if time.Now().After(end) {
+			t.Fatal("no requests are served after the pause")
+		}
+	}
+	stop.Store(true)
+	callers.Wait()
+	quicktest.Check(t, site.requests["leaving"].Load(), quicktest.Equals, before)
+}
