Group routers by zone in one place, and only where all zones are needed

Ruled out: leaving the sort out of rank; heads must be ranked at each beat.

Change: byZone serves both, and only a head calls it; the others filter their zone. Member.SameButLoad and hasDigest with an age replace the twins. Behaviour is the same, no test is changed.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -234,7 +234,7 @@
 		}
 	}
 	// A digest already counts the routers of its zone.
-	if !gossip.received.hasDigest(member.Zone, now) {
+	if !gossip.received.hasDigest(member.Zone, digestAge, now) {
 		source := usage.Source{Instance: member.Instance, Zone: member.Zone}
 		gossip.apply(source, decodeWork(beat.Loads), beat.Placements, decodeReport(beat.Usages), now)
 	}
--- a/internal/fleet/gossip/hub.go
+++ b/internal/fleet/gossip/hub.go
@@ -25,13 +25,13 @@
 // beatInZone sends a beat to the head and the deputy of the zone, and the digests if this router is the head.
 func (gossip *Gossip) beatInZone(self roster.Member, beat *fleetv1.Beat, now time.Time) {
 	gossip.zone.collect(self, beat, now)
-	zones := gossip.zones(now)
-	ranked := gossip.rank(zones[self.Zone], self, now)
+	near := gossip.near(now)
+	ranked := gossip.rank(near, self, now)
 	// A head goes on until the one that takes its place is heard to act.
 	stays := gossip.leads && (gossip.actsAs != ranked[0].Instance || now.Sub(gossip.actedAt) > headSilence)
 	gossip.lead(stays || ranked[0].Instance == self.Instance, self.Zone, now)
 	gossip.head, gossip.deputy = ranked[0], len(ranked) > 1 && ranked[1].Instance == self.Instance
-	beat.Unserved = !gossip.leads && !gossip.received.hasFreshDigest(self.Zone, now)
+	beat.Unserved = !gossip.leads && !gossip.received.hasDigest(self.Zone, headSilence, now)
 	gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Beat{Beat: beat}}, recipients(ranked, self, beat.Unserved))
 	if !gossip.leads {
 		// The head passes the placements on.
@@ -39,8 +39,8 @@
 		clear(gossip.news)
 		return
 	}
-	if gossip.zone.covers(len(zones[self.Zone])) || now.Sub(gossip.leadsSince) >= headSilence {
-		gossip.passOn(self, zones, now)
+	if gossip.zone.covers(len(near)) || now.Sub(gossip.leadsSince) >= headSilence {
+		gossip.passOn(self, now)
 	}
 }
 
@@ -64,10 +64,16 @@
 	gossip.leads = false
 }
 
-// zones returns the routers that are heard, by zone.
-func (gossip *Gossip) zones(now time.Time) map[clementinewind.Zone][]roster.Member {
+// near returns the routers that are heard in the own zone.
+func (gossip *Gossip) near(now time.Time) []roster.Member {
+	zone := gossip.config.Roster.Self().Zone
+	return slices.DeleteFunc(gossip.config.Roster.Alive(now), func(member roster.Member) bool { return member.Zone != zone })
+}
+
+// byZone groups routers by their zones.
+func byZone(members []roster.Member) map[clementinewind.Zone][]roster.Member {
 	zones := map[clementinewind.Zone][]roster.Member{}
-	for _, member := range gossip.config.Roster.Alive(now) {
+	for _, member := range members {
 		zones[member.Zone] = append(zones[member.Zone], member)
 	}
 	return zones
@@ -122,30 +128,20 @@
 
 // passOn sends the digest of the zone to the heads and deputies of the others, and to the routers of the zone together with what
 // came from there.
-func (gossip *Gossip) passOn(self roster.Member, zones map[clementinewind.Zone][]roster.Member, now time.Time) {
+func (gossip *Gossip) passOn(self roster.Member, now time.Time) {
 	digest := gossip.zone.digest(now)
 	gossip.sign(digest, self)
 	gossip.zone.describe(digest, now)
-	near, far := split(gossip.config.Roster.Peers(), self.Zone)
-	gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Digest{Digest: digest}}, gossip.representatives(zones, far, now))
+	peers := byZone(gossip.config.Roster.Peers())
+	near := peers[self.Zone]
+	delete(peers, self.Zone)
+	alive := byZone(gossip.config.Roster.Alive(now))
+	gossip.send(&fleetv1.Datagram{Content: &fleetv1.Datagram_Digest{Digest: digest}}, gossip.representatives(alive, peers, now))
 	digest = proto.CloneOf(digest)
 	gossip.zone.include(digest)
 	gossip.sendBundle(append([]*fleetv1.Digest{digest}, gossip.takeNews()...), near)
 }
 
-// split separates the routers of a zone from the others, by zone.
-func split(peers []roster.Member, zone clementinewind.Zone) (near []roster.Member, far map[clementinewind.Zone][]roster.Member) {
-	far = map[clementinewind.Zone][]roster.Member{}
-	for _, peer := range peers {
-		if peer.Zone == zone {
-			near = append(near, peer)
-		} else {
-			far[peer.Zone] = append(far[peer.Zone], peer)
-		}
-	}
-	return near, far
-}
-
 // representatives returns who gets the digest in the other zones: their heads and deputies, and some others of a zone that is not
 // heard. The load it answers: the heads of all zones are lost at once, and those that take their places know no live router of
 // another zone.
@@ -154,7 +150,7 @@
 	for zone, members := range known {
 		ranked := order(alive[zone], head.Rank)
 		chosen = append(chosen, ranked[:min(heads, len(ranked))]...)
-		if gossip.received.hasFreshDigest(zone, now) {
+		if gossip.received.hasDigest(zone, headSilence, now) {
 			continue
 		}
 		for range askedInNeed {
@@ -204,16 +200,16 @@
 	self := gossip.config.Roster.Self()
 	var digests []*fleetv1.Digest
 	for zone, latest := range gossip.latest {
-		if gossip.received.hasFreshDigest(zone, now) {
+		if gossip.received.hasDigest(zone, headSilence, now) {
 			digest := proto.CloneOf(latest)
 			// Ages and placements in it have passed.
 			digest.Presences, digest.Placements = nil, nil
 			digests = append(digests, digest)
 		}
 	}
-	if !gossip.received.hasFreshDigest(self.Zone, now) {
+	if !gossip.received.hasDigest(self.Zone, headSilence, now) {
 		digest := gossip.zone.sum(now)
-		if !gossip.zone.covers(len(gossip.zones(now)[self.Zone])) {
+		if !gossip.zone.covers(len(gossip.near(now))) {
 			return
 		}
 		gossip.sign(digest, self)
@@ -260,7 +256,7 @@
 		gossip.news[zone] = digest
 	}
 	gossip.latest[zone] = digest
-	if !gossip.received.hasDigest(zone, now) {
+	if !gossip.received.hasDigest(zone, digestAge, now) {
 		gossip.config.Board.ForgetRouters(zone)
 		gossip.config.Shares.ForgetRouters(zone)
 	}
@@ -272,15 +268,15 @@
 func (gossip *Gossip) learnPresence(digest *fleetv1.Digest, now time.Time) {
 	var sightings []roster.Sighting
 	for _, presence := range digest.Presences {
-		heard := now.Add(-time.Duration(presence.AgeMillis) * time.Millisecond)
+		sighting := decodeSighting(presence, now)
 		if presence.Description.GetInstance() != "" {
 			member := MemberOf(presence.Description)
-			if gossip.config.Roster.Hear(member, heard) {
+			if gossip.config.Roster.Hear(member, sighting.Heard) {
 				gossip.config.Logger.Info("peer heard of", "Peer", member.Instance, "Address", member.PeerAddress, "From", digest.Instance)
 			}
 			continue
 		}
-		sightings = append(sightings, decodeSighting(presence, now))
+		sightings = append(sightings, sighting)
 	}
 	if len(sightings) > 0 {
 		gossip.config.Roster.Sight(sightings)
--- a/internal/fleet/gossip/zone.go
+++ b/internal/fleet/gossip/zone.go
@@ -53,9 +53,7 @@
 		offsets: Offsets{Operator: beat.OperatorOffset, Upstreams: beat.UpstreamOffset},
 	}
 	if ok {
-		before, after := old.member, member
-		before.Load, after.Load = 0, 0
-		added.changed = old.changed || before != after
+		added.changed = old.changed || !old.member.SameButLoad(member)
 		if len(beat.Usages) == 0 {
 			added.usages = old.usages
 		}
@@ -195,12 +193,8 @@
 
 func (received *received) dropDigest(zone clementinewind.Zone) { delete(received.digests, zone) }
 
-// hasDigest reports whether the last digest of a zone stands for its routers.
-func (received *received) hasDigest(zone clementinewind.Zone, now time.Time) bool {
-	return now.Sub(received.digests[zone]) <= digestAge
-}
-
-// hasFreshDigest reports whether digests of a zone arrive.
-func (received *received) hasFreshDigest(zone clementinewind.Zone, now time.Time) bool {
-	return now.Sub(received.digests[zone]) <= headSilence
+// hasDigest reports whether the last digest of a zone is of at most the given age: digestAge for one that stands for the routers
+// of its zone, headSilence for digests that go on to arrive.
+func (received *received) hasDigest(zone clementinewind.Zone, age time.Duration, now time.Time) bool {
+	return now.Sub(received.digests[zone]) <= age
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -64,6 +64,12 @@
 // Busy reports whether the processor of the router is not enough for what it gets.
 func (member Member) Busy() bool { return member.Load >= OverloadedLoad }
 
+// SameButLoad reports whether two states of a router differ in its load at most, which others may know a moment later.
+func (member Member) SameButLoad(other Member) bool {
+	member.Load = other.Load
+	return member == other
+}
+
 // Config configures a Roster.
 type Config struct {
 	Self Member
@@ -135,7 +141,7 @@
 		return false
 	}
 	fresh := !ok || old.Incarnation < member.Incarnation || heard.Sub(old.heard) > silence
-	if fresh || !sameButLoad(old.Member, member) {
+	if fresh || !old.SameButLoad(member) {
 		roster.current.Store(nil)
 	}
 	roster.names[usage.Hash(member.Instance)] = member.Instance
@@ -146,12 +152,6 @@
 	return fresh
 }
 
-// sameButLoad compares two states of a router. A snapshot that is a moment old may have an older load.
-func sameButLoad(a, b Member) bool {
-	a.Load = b.Load
-	return a == b
-}
-
 // Sighting is what the head of a zone says of a router there.
 type Sighting struct {
 	// Name is a hash of the router's name, Incarnation the lower half of its incarnation.
