Read a refused request in one place, and give servers that refuse nothing no buffer

Ruled out: a limit of log lines shared with the sink: that one is for all lines, this one keeps refusals from taking it.

Change: look() serves the first and the later reads, without a copy.

No test is changed.

--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -133,8 +133,7 @@
 
 func (readers readers) peer(topic *topic, member roster.Member) peerSource {
 	return peerSource{
-		Source: gossip.Source{Address: member.PeerAddress, Client: readers.client}, topic: topic, instance: member.Instance,
-		large: readers.large(),
+		Source: gossip.Source{Address: member.PeerAddress, Client: readers.client}, readers: readers, topic: topic, instance: member.Instance,
 	}
 }
 
@@ -252,10 +251,9 @@
 // peerSource reads from another router and has the next read go elsewhere when that fails.
 type peerSource struct {
 	gossip.Source
+	readers  readers
 	topic    *topic
 	instance clementinewind.Instance
-	// large is that of readers.
-	large bool
 }
 
 // Newest implements feed.Source.
@@ -267,7 +265,7 @@
 func (source peerSource) Read(ctx context.Context, topic string, from int64, wait time.Duration) (feed.Batch, error) {
 	batch, err := source.Source.Read(ctx, topic, from, wait)
 	if err != nil && ctx.Err() == nil {
-		source.topic.unanswered(source.instance, source.large, time.Now())
+		source.topic.unanswered(source.instance, source.readers.large(), time.Now())
 	}
 	return batch, err
 }
--- a/internal/edge/gate/await.go
+++ b/internal/edge/gate/await.go
@@ -38,24 +38,16 @@
 		_ = unix.Close(descriptor)
 		return
 	}
-	received = bytes.Clone(received)
+	// Accept uses its buffer again.
+	received = append(make([]byte, 0, requestBytes), received...)
 	go func() {
 		defer func() { <-listener.awaited }()
 		pause := firstPause
 		for range restLooks {
 			time.Sleep(pause)
 			pause *= 2
-			buffer := make([]byte, requestBytes)
-			count, err := unix.Read(descriptor, buffer)
-			switch {
-			case err == unix.EAGAIN, err == unix.EINTR:
-				continue
-			case err != nil || count == 0:
-				_ = unix.Close(descriptor)
-				return
-			}
-			if received = append(received, buffer[:count]...); whole(received) {
-				listener.answer(descriptor, received)
+			done := false
+			if received, done = listener.look(descriptor, received); done {
 				return
 			}
 		}
--- a/internal/edge/gate/gate.go
+++ b/internal/edge/gate/gate.go
@@ -41,7 +41,7 @@
 	// closed is closed by Close.
 	closed chan struct{}
 	once   sync.Once
-	// buffer is used by Accept only.
+	// buffer is used by Accept only. It is nil, as awaited is, if nothing is refused.
 	buffer []byte
 	// awaited has an element for each refused request whose rest is awaited.
 	awaited chan struct{}
@@ -49,9 +49,9 @@
 
 // New returns a listener. It fails if the bound of the kernel's queue cannot be set.
 func New(config Config) (*Listener, error) {
-	listener := &Listener{
-		TCPListener: config.Listener, config: config, closed: make(chan struct{}),
-		buffer: make([]byte, requestBytes), awaited: make(chan struct{}, mostAwaited),
+	listener := &Listener{TCPListener: config.Listener, config: config, closed: make(chan struct{})}
+	if config.Refuses != nil {
+		listener.buffer, listener.awaited = make([]byte, requestBytes), make(chan struct{}, mostAwaited)
 	}
 	if config.Connections > 0 {
 		listener.open = make(chan struct{}, config.Connections)
--- a/internal/edge/gate/refuse.go
+++ b/internal/edge/gate/refuse.go
@@ -56,20 +56,31 @@
 // turnAway answers the request of a connection and closes it. Where the request has not arrived as a whole, a goroutine reads the
 // rest first: closing the connection before would reset it, and its caller would not get the answer.
 func (listener *Listener) turnAway(descriptor int) {
-	count, err := unix.Read(descriptor, listener.buffer)
+	if received, done := listener.look(descriptor, listener.buffer[:0]); !done {
+		listener.await(descriptor, received)
+	}
+}
+
+// look reads what has arrived behind the bytes that were received, up to their capacity. It is done when the request was whole and
+// is answered, or the caller has left.
+func (listener *Listener) look(descriptor int, received []byte) ([]byte, bool) {
+	if len(received) == cap(received) {
+		return received, false
+	}
+	count, err := unix.Read(descriptor, received[len(received):cap(received)])
 	switch {
 	case err == unix.EAGAIN, err == unix.EINTR:
-		count = 0
+		return received, false
 	case err != nil || count == 0:
 		// The caller has left.
 		_ = unix.Close(descriptor)
-		return
+		return nil, true
 	}
-	if received := listener.buffer[:count]; whole(received) {
-		listener.answer(descriptor, received)
-		return
+	if received = received[:len(received)+count]; !whole(received) {
+		return received, false
 	}
-	listener.await(descriptor, listener.buffer[:count])
+	listener.answer(descriptor, received)
+	return nil, true
 }
 
 // answer sends the refusal and closes the connection. A caller that has left does not read it, and nothing else can be done for it.
