Share floods, accept loop and relay configuration among the tests

Change: stand.HeadFloods, stand.EachConn and calm() serve both places. Cases and assertions are the same.

--- a/internal/fleet/gossip/feed_test.go
+++ b/internal/fleet/gossip/feed_test.go
@@ -17,7 +17,7 @@
 // Guards against a router in trouble, or an address that is used again, that fills the memory of another router with bytes without
 // end while it reads a topic.
 func TestEndlessFeed(t *testing.T) {
-	for name, flood := range stand.Floods {
+	for name, flood := range stand.Floods() {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp4", "127.0.0.1:0")
 			quicktest.Assert(t, err, quicktest.IsNil)
--- a/internal/route/link/trouble_test.go
+++ b/internal/route/link/trouble_test.go
@@ -20,14 +20,8 @@
 // Guards against an upstream in trouble that sends bytes without end where the head of an answer is due: the router would
 // hold all of them in memory until the deadline of the request.
 func TestEndlessHead(t *testing.T) {
-	tests := map[string]struct{ start, piece string }{
-		"no line ends":                 {"", "x"},
-		"a status line without end":    {"HTTP/1.1 200 ", "O"},
-		"header lines without end":     {"HTTP/1.1 200 OK\r\n", "X-Noise: noise\r\n"},
-		"a header value without end":   {"HTTP/1.1 200 OK\r\nX-Noise: ", "n"},
-		"informational answers only":   {"", "HTTP/1.1 102 Processing\r\n\r\n"},
-		"an answer to another, no end": {"HTTP/1.1 200 OK\r\nX-Other: 1\r\n\r\n", "noise"},
-	}
+	tests := stand.HeadFloods()
+	tests["an answer to another, no end"] = stand.BytesWithoutEnd{Start: "HTTP/1.1 200 OK\r\nX-Other: 1\r\n\r\n", Piece: "noise"}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var written atomic.Int64
@@ -37,7 +31,7 @@
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 					return
 				}
-				stand.Flood(conn, test.start, test.piece, &written)
+				stand.Flood(conn, test.Start, test.Piece, &written)
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 			defer cancel()
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -106,20 +106,30 @@
 			Upstream: clementinewind.Upstream(name), Service: "service", Address: server.Listener.Addr().String(), Slots: 4,
 		}, time.Now())
 	}
-	started.relay = relay.New(relay.Config{
-		Board: started.board, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
-		Closing: func() bool { return false }, Refusing: func(table.RouteKind) bool { return false },
-		Stale: started.stale.Load, Left: func(context.Context) bool { return started.left.Load() },
-		Overloaded: func(context.Context) bool { return started.overloaded.Load() }, Gather: started.gather,
-		Dial:   new(net.Dialer).DialContext,
-		Budget: func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
-		Meter:  noMeter{}, Logger: hclog.NewNullLogger(),
-	})
+	config := calm(current, started.board)
+	config.Stale, config.Gather = started.stale.Load, started.gather
+	config.Left = func(context.Context) bool { return started.left.Load() }
+	config.Overloaded = func(context.Context) bool { return started.overloaded.Load() }
+	started.relay = relay.New(config)
 	started.server = httptest.NewServer(started.relay)
 	t.Cleanup(started.server.Close)
 	return started
 }
 
+// calm returns the configuration of a router alone, with time to spare, that neither stops nor was paused.
+func calm(current *table.Table, upstreams *board.Board) relay.Config {
+	never := func() bool { return false }
+	neither := func(context.Context) bool { return false }
+	return relay.Config{
+		Board: upstreams, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
+		Closing: never, Refusing: func(table.RouteKind) bool { return false }, Stale: never, Left: neither, Overloaded: neither,
+		Gather: func() time.Duration { return 0 },
+		Dial:   new(net.Dialer).DialContext,
+		Budget: func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
+		Meter:  noMeter{}, Logger: hclog.NewNullLogger(),
+	}
+}
+
 // ask sends a request and returns the status, the body and the error of reading it.
 func (fleet *fleet) ask(t *testing.T, method, body string) (*http.Response, string, error) {
 	t.Helper()
--- a/internal/route/relay/trouble_test.go
+++ b/internal/route/relay/trouble_test.go
@@ -12,12 +12,9 @@
 	"time"
 
 	"github.com/frankban/quicktest"
-	"github.com/hashicorp/go-hclog"
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
-	"github.com/clementinewind/clementinewind/internal/load/budget"
-	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/relay"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/internal/share/pause"
@@ -31,20 +28,11 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	quicktest.Assert(t, err, quicktest.IsNil)
 	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(conn, request)
-				}
-			}()
+	go stand.EachConn(listener, func(conn net.Conn) {
+		if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			answer(conn, request)
 		}
-	}()
+	})
 	fleet.board.Set(table.Entry{Upstream: "u", Service: "service", Address: listener.Addr().String()}, time.Now())
 }
 
@@ -177,16 +165,12 @@
 		Version: 1, Routes: []table.Route{route}, Services: []table.ServiceSettings{{Name: "service", MaxConnections: 100}},
 		Organisations: []table.OrganisationKeys{{Organisation: "Patel", Keys: []string{"key"}}},
 	})
-	never := func() bool { return false }
 	built := board.New(board.Config{Owns: func(clementinewind.Upstream) bool { return true }})
 	built.SetServices(current.Services())
 	built.Set(table.Entry{Upstream: clementinewind.Upstream(upstream), Service: "service", Address: upstream, Slots: 4}, time.Now())
-	return relay.New(relay.Config{
-		Board: built, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, Routers: func() int { return 1 },
-		Closing: never, Refusing: func(table.RouteKind) bool { return false }, Stale: never, Left: func(context.Context) bool { return false }, Overloaded: func(context.Context) bool { return false }, Gather: func() time.Duration { return 0 }, Dial: dial,
-		Budget: func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
-		Meter:  noMeter{}, Logger: hclog.NewNullLogger(),
-	})
+	config := calm(current, built)
+	config.Dial = dial
+	return relay.New(config)
 }
 
 // Guards against a process that was paused and sends requests by what it knew before: it waits until it knows more, and
