--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -16,7 +16,6 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/admin/conf"
 	"github.com/clementinewind/clementinewind/internal/edge/gate"
-	"github.com/clementinewind/clementinewind/internal/edge/spill"
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
@@ -75,9 +74,6 @@
 	relay   *relay.Relay
 	store   *platform.Store
 	readers readers
-	// sender and receiver hand requests to other routers and take theirs.
-	sender   *spill.Sender
-	receiver *spill.Receiver
 	// chatter is nil until Run.
 	chatter atomic.Pointer[gossip.Gossip]
 
@@ -122,8 +118,7 @@
 		Meter: config.Meter, Logger: config.Logger,
 	})
 	entry.readers = newReaders(entry)
-	entry.lag.shed, entry.lag.crowd = newShed(lagTarget, settings.MostRefused), newShed(crowdTarget, settings.MostRefused)
-	entry.sender, entry.receiver = entry.newSender(dialer), entry.newReceiver()
+	entry.lag.shed = newShed(settings.MostRefused)
 	entry.lag.watch = boot.NewWatch(boot.WatchConfig{
 		Clock: boot.Now, Limit: pauseLimit, Trust: pauseTrust, Refreshed: entry.readers.knownAt, Resumed: entry.resume,
 	})
@@ -222,7 +217,7 @@
 	}{
 		{"Ready", settings.ReadyListen, platform.ReadyHandler(entry.ready)},
 		{"Locate", settings.LocateListen, platform.LocateHandler(entry.locate, logger)},
-		{"Peer", entry.peerAddress(), entry.peerHandler()},
+		{"Peer", entry.peerAddress(), gossip.FeedHandler(entry.readers.mirrors(), logger)},
 		{"Metrics", settings.MetricsListen, entry.config.Meter.Handler()},
 	} {
 		if !other.address.IsValid() {
@@ -247,14 +242,11 @@
 	actor(entry.lag.run)
 	actor(chatter.Send)
 	group.Add(func() error { return chatter.Receive(ctx) }, func(error) { cancel(); conn.Close() })
-	servers = append(servers, entry.takingServer())
-	actor(entry.sender.Run)
 	for _, server := range servers {
 		group.Add(server.serve, func(error) { server.close() })
 	}
 	group.Add(func() error { return entry.drain(ctx, callers) }, func(error) { cancel() })
 	err = group.Run()
-	entry.receiver.Flush(callers.flushTime)
 	logger.Info("stopped", "Instance", settings.Name, "InFlight", entry.inFlight.Load())
 	if errors.Is(err, errDrained) {
 		return nil
@@ -318,7 +310,7 @@
 	callers.flushTime = part(flushShare)
 	leaving, quiet := false, 0
 	for ; ; time.Sleep(drainPoll) {
-		waited, idle := time.Since(started), entry.inFlight.Load() == 0 && callers.gate.Awaited() == 0 && entry.sender.Len() == 0
+		waited, idle := time.Since(started), entry.inFlight.Load() == 0 && callers.gate.Awaited() == 0
 		entry.refusingStreams.Store(waited >= part(streamShare))
 		if !leaving && (waited >= part(requestShare) || (waited >= part(streamShare) && idle)) {
 			leaving = true
--- a/internal/edge/entry/lag.go
+++ b/internal/edge/entry/lag.go
@@ -18,8 +18,6 @@
 	// lagTarget is the lag that the refusals hold; an idle processor is late by less than 3 ms. A request passes the scheduler
 	// about ten times.
 	lagTarget = 15 * time.Millisecond
-	// crowdTarget is the lag from which requests are refused that other routers would take: handing over all of them is not enough.
-	crowdTarget = 2 * lagTarget
 	// lagGain, lagDamping and lagWorst are those of shed.Config.
 	lagGain    = 0.4
 	lagDamping = 0.25
@@ -43,9 +41,7 @@
 // lag measures how long the process waits for the processor.
 type lag struct {
 	nanoseconds atomic.Int64
-	// shed decides which requests are not served here, and crowd which of these are not handed over.
-	shed  *shed.Controller
-	crowd *shed.Controller
+	shed        *shed.Controller
 	// watch notices pauses of the process.
 	watch *boot.Watch
 }
@@ -67,7 +63,6 @@
 		now := time.Now()
 		late := now.Sub(began) - lagProbe
 		lag.shed.Observe(late, now.Sub(began))
-		lag.crowd.Observe(late, now.Sub(began))
 		if int64(late) >= lag.nanoseconds.Load() || now.Sub(largestAt) > lagHold {
 			lag.nanoseconds.Store(int64(late))
 			largestAt = now
@@ -93,9 +88,6 @@
 // refuses decides for one request whether it is refused because the processor is not enough. The choice needs no secrecy.
 func (lag *lag) refuses() bool { return rand.Float64() < lag.shed.Part() }
 
-// handsOver decides for one request that is not served here whether it is handed over.
-func (lag *lag) handsOver() bool { return rand.Float64() >= lag.crowd.Part() }
-
-func newShed(target time.Duration, most float64) *shed.Controller {
-	return shed.New(shed.Config{Target: target, Gain: lagGain, Damping: lagDamping, Worst: lagWorst, Most: most})
+func newShed(most float64) *shed.Controller {
+	return shed.New(shed.Config{Target: lagTarget, Gain: lagGain, Damping: lagDamping, Worst: lagWorst, Most: most})
 }
--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -14,7 +14,6 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/clementinewind/clementinewind/internal/edge/gate"
-	"github.com/clementinewind/clementinewind/internal/edge/spill"
 	"github.com/clementinewind/clementinewind/internal/route/link"
 )
 
@@ -65,10 +64,8 @@
 // server is an http.Server with its listener.
 type server struct {
 	*http.Server
-	// listener is where connections come from. gate is the same, or nil if they come from other routers.
-	listener net.Listener
-	gate     *gate.Listener
-	once     sync.Once
+	gate *gate.Listener
+	once sync.Once
 	// ended is closed by close.
 	ended chan struct{}
 	// flushTime is how long close waits for the last answers.
@@ -92,20 +89,14 @@
 	if err != nil {
 		return nil, err
 	}
-	built := newServer(accepting, handler, logger)
-	built.gate = accepting
-	return built, nil
-}
-
-func newServer(listener net.Listener, handler http.Handler, logger hclog.Logger) *server {
 	return &server{
 		Server: &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes,
 			ErrorLog:    logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 			ConnContext: withConn,
 		},
-		listener: listener, ended: make(chan struct{}), flushTime: defaultFlushTime,
-	}
+		gate: accepting, ended: make(chan struct{}), flushTime: defaultFlushTime,
+	}, nil
 }
 
 // connKey is the key of a caller's connection in the context of its requests.
@@ -118,13 +109,8 @@
 // callerLeft reports whether the caller of the request with this context has closed its connection. The server notices that too,
 // but late while the processor is short, and after a connection has waited in the kernel's queue.
 func callerLeft(ctx context.Context) bool {
-	switch conn := ctx.Value(connKey{}).(type) {
-	case *spill.Conn:
-		return conn.Left()
-	case net.Conn:
-		return link.Closed(conn)
-	}
-	return false
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && link.Closed(conn)
 }
 
 // callerServer listens for callers.
@@ -133,14 +119,14 @@
 	connections := int((1 - upstreamShare) * float64(settings.Connections()))
 	opened, err := listen(settings.CallerListen, entry.serving(entry.relay), gate.Config{
 		Connections: connections, Backlog: callerBacklog,
-		Refuses: entry.lag.refuses, Refusal: entry.refusal, HandOver: entry.handOver, Logger: entry.config.Logger,
+		Refuses: entry.lag.refuses, Refusal: entry.refusal, Logger: entry.config.Logger,
 	}, entry.config.Logger)
 	return opened, errors.Wrap(err, "listen at [Listen] Caller")
 }
 
 // serve serves until close is called, also after the listener was closed.
 func (server *server) serve() error {
-	err := server.Serve(server.listener)
+	err := server.Serve(server.gate)
 	select {
 	case <-server.ended:
 		return nil
--- a/internal/edge/gate/gate.go
+++ b/internal/edge/gate/gate.go
@@ -28,9 +28,6 @@
 	// Refusal returns the answer to a refused request, with its status line, as it is sent, from the head of the request. It must
 	// announce the end of the connection. Bytes of the body may follow the head.
 	Refusal func(head []byte) []byte
-	// HandOver is offered a refused request that arrived as a whole, on a connection that does not block. If it returns true, it
-	// answers and closes the descriptor, and then calls done once. nil takes none.
-	HandOver func(descriptor int, request []byte, done func()) bool
 	// Logger tells of connections that are lost; it is needed with Refuses.
 	Logger hclog.Logger
 }
@@ -113,19 +110,6 @@
 	}
 }
 
-// tryEnter reports whether one more connection may be open now.
-func (listener *Listener) tryEnter() bool {
-	if listener.open == nil {
-		return true
-	}
-	select {
-	case listener.open <- struct{}{}:
-		return true
-	default:
-		return false
-	}
-}
-
 func (listener *Listener) leave() {
 	if listener.open != nil {
 		<-listener.open
--- a/internal/edge/gate/refuse.go
+++ b/internal/edge/gate/refuse.go
@@ -62,7 +62,7 @@
 }
 
 // look reads what has arrived behind the bytes that were received, up to their capacity. It is done when the request was whole and
-// is answered or handed over, or the caller has left.
+// is answered, or the caller has left.
 func (listener *Listener) look(descriptor int, received []byte) ([]byte, bool) {
 	if len(received) == cap(received) {
 		return received, false
@@ -79,24 +79,10 @@
 	if received = received[:len(received)+count]; !whole(received) {
 		return received, false
 	}
-	if !listener.handOver(descriptor, received) {
-		listener.answer(descriptor, received)
-	}
+	listener.answer(descriptor, received)
 	return nil, true
 }
 
-// handOver offers a request to other routers.
-func (listener *Listener) handOver(descriptor int, received []byte) bool {
-	if listener.config.HandOver == nil || !listener.tryEnter() {
-		return false
-	}
-	if !listener.config.HandOver(descriptor, received, listener.leave) {
-		listener.leave()
-		return false
-	}
-	return true
-}
-
 // answer sends the refusal and closes the connection. A caller that has left does not read it, and nothing else can be done for it.
 func (listener *Listener) answer(descriptor int, received []byte) {
 	_, _ = unix.Write(descriptor, listener.config.Refusal(received))
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -34,8 +34,8 @@
 	// answerSize is the number of routers that one caller is told. Callers of one organisation may all prefer the same
 	// router of those they know, so that each caller gets other ones; with 4 it rarely happens that all of them are gone.
 	answerSize = 4
-	// LeastCores stands for routers that do not tell how much processor time they have.
-	LeastCores = 0.01
+	// leastCores stands for routers that do not tell how much processor time they have.
+	leastCores = 0.01
 	// weightExponent names routers in proportion to their processor time when callers are told of a quarter of them.
 	weightExponent = 1.5
 	// isolation is the share of the other routers whose silence means that this router is cut off.
@@ -339,21 +339,6 @@
 	return quiet
 }
 
-// Helpers returns routers of the own zone that may take requests from this one, count at most. Each router prefers others, and those
-// whose processor is not enough are left out.
-func (roster *Roster) Helpers(count int, now time.Time) []Member {
-	self := roster.Self()
-	helpers := slices.DeleteFunc(serving(roster.view(now).alive), func(member Member) bool {
-		return member.Instance == self.Instance || member.Zone != self.Zone || member.Busy()
-	})
-	return place.New(place.Config[Member]{Members: helpers, ID: memberID, Weight: memberWeight}).Top(string(self.Instance), count)
-}
-
-// Hears reports whether the router at an address for other routers is alive.
-func (roster *Roster) Hears(peerAddress string, now time.Time) bool {
-	return slices.ContainsFunc(roster.view(now).alive, func(member Member) bool { return member.PeerAddress == peerAddress })
-}
-
 // Owns reports whether this router is the owner of a key. While routers disagree on the members, several may be.
 func (roster *Roster) Owns(key string, now time.Time) bool {
 	owner, ok := roster.view(now).owners().Owner(key)
@@ -417,5 +402,5 @@
 // memberWeight is how often a router is named to callers against the others. No caller is told of a router twice, which
 // favours small ones; the exponent makes up for it.
 func memberWeight(member Member) float64 {
-	return math.Pow(max(member.Cores, LeastCores), weightExponent)
+	return math.Pow(max(member.Cores, leastCores), weightExponent)
 }
--- a/internal/route/relay/unread.go
+++ b/internal/route/relay/unread.go
@@ -15,7 +15,6 @@
 	unreadLogged = 20
 	// refusalBytes is above the size of a refusal with the id of its request.
 	refusalBytes = 256
-	lostDetail   = "the router that took the request cannot be reached"
 )
 
 // unread counts the refusals of unread requests that are not logged one by one.
@@ -51,27 +50,10 @@
 			"Detail", overloadDetail, "RetryAfter", overloadRetry, "NotLogged", left)
 	}
 	relay.config.Meter.Ended("", clementinewind.ReasonBusy.String(), 0)
-	return unreadAnswer(http.StatusServiceUnavailable, clementinewind.ReasonBusy, overloadDetail, id, overloadRetry)
-}
-
-// Lost returns the answer to a request that was handed to another router, which cannot be reached any more, from the bytes of the
-// request's head. It does not say whether the request has run.
-func (relay *Relay) Lost(head []byte) []byte {
-	id := platform.ScanRequestID(head)
-	relay.config.Logger.Warn("rejected", "Request", id, "Status", http.StatusBadGateway, "Reason", clementinewind.ReasonUpstreamFailed,
-		"Detail", lostDetail)
-	relay.config.Meter.Ended("", clementinewind.ReasonUpstreamFailed.String(), 0)
-	return unreadAnswer(http.StatusBadGateway, clementinewind.ReasonUpstreamFailed, lostDetail, id, 0)
-}
-
-// unreadAnswer returns a failure as it is sent to a caller whose request the server has not read.
-func unreadAnswer(status int, reason clementinewind.Reason, detail, id string, retryAfter time.Duration) []byte {
-	body := reason.String() + ": " + detail + "\n"
+	body := clementinewind.ReasonBusy.String() + ": " + overloadDetail + "\n"
 	answer := make([]byte, 0, refusalBytes)
-	answer = append(strconv.AppendInt(append(answer, "HTTP/1.1 "...), int64(status), 10), ' ')
-	answer = append(answer, http.StatusText(status)...)
-	answer = append(answer, "\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "...)
+	answer = append(answer, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "...)
 	answer = append(strconv.AppendInt(answer, int64(len(body)), 10), "\r\n"...)
-	answer = platform.AppendRefusal(answer, id, retryAfter)
+	answer = platform.AppendRefusal(answer, id, overloadRetry)
 	return append(append(answer, "\r\n"...), body...)
 }
