--- a/cmd/clementinewind/entry.go
+++ b/cmd/clementinewind/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	urfave "github.com/urfave/cli/v3"
 
 	"github.com/clementinewind/clementinewind/internal/admin/cli"
@@ -38,9 +40,13 @@
 				Name: "config", Usage: "INI `FILE` with the process settings", Required: true,
 				Sources: urfave.EnvVars(platform.SettingsVariable),
 			},
+			&urfave.BoolFlag{Name: "print-settings", Usage: "print the settings in force, with where each is from, and exit"},
 		},
 		Action: func(ctx context.Context, command *urfave.Command) error {
 			path := command.String("config")
+			if command.Bool("print-settings") {
+				return printSettings(command.Root().Writer, path)
+			}
 			settings, err := conf.LoadEntry(path)
 			if err != nil {
 				return &cli.Error{Code: cli.ExitUsage, Err: err}
@@ -50,6 +56,19 @@
 	}
 }
 
+func printSettings(writer io.Writer, path string) error {
+	text, err := conf.ReadEntry(path)
+	if err != nil {
+		return err
+	}
+	shown, err := conf.ShowEntry(path, text)
+	if err != nil {
+		return &cli.Error{Code: cli.ExitUsage, Err: err}
+	}
+	_, err = io.WriteString(writer, shown)
+	return errors.Wrap(err, "print settings")
+}
+
 func runEntry(ctx context.Context, path string, settings conf.Entry) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	lines := sink.New(os.Stdout)
--- a/cmd/clementinewind/entry_test.go
+++ b/cmd/clementinewind/entry_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -32,12 +33,30 @@
 func TestEntrySettings(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "entry.ini")
 	quicktest.Assert(t, os.WriteFile(file, []byte("[Instance]\nName = a b\n[Store]\nAddress = nowhere\n"), 0o600), quicktest.IsNil)
-	command := exec.Command(filepath.Join(binaries, "clementinewind"), "entry", "--config", file)
-	text, err := command.CombinedOutput()
-	quicktest.Check(t, err, quicktest.IsNotNil)
-	quicktest.Check(t, command.ProcessState.ExitCode(), quicktest.Equals, 2)
-	for _, fault := range []string{"[Instance] Name", "[Instance] Zone", "[Store] Address", "[Listen] Caller"} {
-		quicktest.Check(t, strings.Contains(string(text), fault), quicktest.IsTrue, quicktest.Commentf("%s in %s", fault, text))
+	for _, args := range [][]string{{"entry", "--config", file}, {"entry", "--print-settings", "--config", file}, {"check", "--entry", file}} {
+		command := exec.Command(filepath.Join(binaries, "clementinewind"), args...)
+		text, err := command.CombinedOutput()
+		quicktest.Check(t, err, quicktest.IsNotNil)
+		quicktest.Check(t, command.ProcessState.ExitCode(), quicktest.Equals, 2)
+		for _, fault := range []string{"[Instance] Name", "[Instance] Zone", "[Store] Address", "[Listen] Caller"} {
+			quicktest.Check(t, strings.Contains(string(text), fault), quicktest.IsTrue, quicktest.Commentf("%v: %s in %s", args, fault, text))
+		}
+	}
+}
+
+// Guards against a check that differs from what the process itself accepts, and against settings that are printed and not read.
+func TestPrintSettings(t *testing.T) {
+	folder := t.TempDir()
+	file, shown := filepath.Join(folder, "entry.ini"), filepath.Join(folder, "shown.ini")
+	quicktest.Assert(t, os.WriteFile(file, fmt.Appendf(nil, pausedSettings, "127.0.0.1", "127.0.0.1:9"), 0o600), quicktest.IsNil)
+	program := filepath.Join(binaries, "clementinewind")
+	text, err := exec.Command(program, "entry", "--print-settings", "--config", file).Output()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, strings.Contains(string(text), "Grace = 2s ; "+file), quicktest.IsTrue, quicktest.Commentf("%s", text))
+	quicktest.Assert(t, os.WriteFile(shown, text, 0o600), quicktest.IsNil)
+	for _, name := range []string{file, shown} {
+		text, err := exec.Command(program, "check", "--entry", name).CombinedOutput()
+		quicktest.Check(t, err, quicktest.IsNil, quicktest.Commentf("%s", text))
 	}
 }
 
--- a/internal/admin/cli/local.go
+++ b/internal/admin/cli/local.go
@@ -15,7 +15,10 @@
 	command := &urfave.Command{
 		Name: "check", Usage: "check a file with the process settings of a router", ArgsUsage: "FILE", Category: "Operators",
 		Description: "Prints every fault and exits with 2 if there is one.",
-		Action:      cli.check,
+		Flags: []urfave.Flag{&urfave.BoolFlag{
+			Name: "entry", Usage: "the file holds the settings of a router behind the platform's HTTP entry",
+		}},
+		Action: cli.check,
 	}
 	if cli.config.CheckSettings != nil {
 		command.Flags = append(command.Flags, &urfave.BoolFlag{Name: "settings", Usage: "the file holds a settings tree instead"})
@@ -32,6 +35,12 @@
 		_, err := conf.Load(file)
 		return err
 	}
+	if command.Bool("entry") {
+		check = func(file string) error {
+			_, err := conf.LoadEntry(file)
+			return err
+		}
+	}
 	if command.Bool("settings") {
 		check = func(file string) error {
 			text, err := os.ReadFile(file)
--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -146,7 +146,7 @@
 
 // LoadEntry reads and checks the file of an entry. The error is a *FaultsError if the file could be read but is not valid.
 func LoadEntry(path string) (Entry, error) {
-	text, err := readFile(path, "read entry settings")
+	text, err := ReadEntry(path)
 	if err != nil {
 		return Entry{}, err
 	}
@@ -154,7 +154,9 @@
 }
 
 // ParseEntry checks the text of the file of an entry as a whole. The error is a *FaultsError that names file in each fault.
-func ParseEntry(file string, text []byte) (Entry, error) {
+func ParseEntry(file string, text []byte) (Entry, error) { return parseEntry(file, text).result() }
+
+func parseEntry(file string, text []byte) *parser[Entry] {
 	parser := newParser(file, DefaultEntry())
 	parser.parse(text, entryFields())
 	listens := []struct {
@@ -174,9 +176,12 @@
 			}
 		}
 	}
-	return parser.result()
+	return parser
 }
 
+// ReadEntry reads the file of an entry without checking it.
+func ReadEntry(path string) ([]byte, error) { return readFile(path, "read entry settings") }
+
 // setPorts reads a range of ports such as 7400-7415.
 func setPorts(text string, first, last *int) *problem {
 	low, high, found := strings.Cut(text, "-")
--- a/internal/admin/conf/entry_test.go
+++ b/internal/admin/conf/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"reflect"
 	"regexp"
 	"strings"
 	"testing"
@@ -97,3 +98,24 @@
 	quicktest.Assert(t, errors.As(err, &faults), quicktest.IsTrue)
 	quicktest.Check(t, len(faults.Faults) > 5, quicktest.IsTrue, quicktest.Commentf("%v", err))
 }
+
+// Guards against printed settings that differ from those in force, or that leave out a key: they are read again and must be the same.
+func TestShowEntry(t *testing.T) {
+	text := strings.Replace(rendered(t), "Descriptors = 4100", "Descriptors = 4100.5", 1)
+	settings, err := conf.ParseEntry("entry.ini", []byte(text))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	shown, err := conf.ShowEntry("entry.ini", []byte(text))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	again, err := conf.ParseEntry("shown.ini", []byte(shown))
+	quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("%s", shown))
+	quicktest.Check(t, reflect.DeepEqual(again, settings), quicktest.IsTrue, quicktest.Commentf("%s", shown))
+	for _, line := range []string{"Name = front-1 ; entry.ini", "Descriptors = 4100 ; entry.ini", "MostRefused = 0.95 ; default"} {
+		quicktest.Check(t, strings.Contains(shown, line+"\n"), quicktest.IsTrue, quicktest.Commentf("%s in\n%s", line, shown))
+	}
+	all, err := conf.ShowEntry("shown.ini", []byte(shown))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, strings.Contains(all, "default"), quicktest.IsFalse, quicktest.Commentf("%s", all))
+	_, err = conf.ShowEntry("entry.ini", []byte("[Instance]\nName = a b\n"))
+	var faults *conf.FaultsError
+	quicktest.Check(t, errors.As(err, &faults), quicktest.IsTrue)
+}
