Explain a request from logs of any size, folders and compressed files

Change: cause.Search reads logs as streams.

Read is gone, since nothing reads whole logs any more; its tests go through Search.

--- a/cmd/clementinewind/explain.go
+++ b/cmd/clementinewind/explain.go
@@ -17,18 +17,25 @@
 	return &urfave.Command{
 		Name:        "explain",
 		Usage:       "tell from logs why a request ended as it did",
-		ArgsUsage:   "REQUEST-ID [FILE ...]",
-		Description: "Reads the logs of any number of routers, or standard input without a file.",
+		ArgsUsage:   "REQUEST-ID [FILE | DIRECTORY ...]",
+		Description: "Reads the logs of any number of routers, plain or compressed with gzip, or standard input without a file.",
 		Action: func(_ context.Context, command *urfave.Command) error {
 			args := command.Args().Slice()
 			if len(args) == 0 {
 				return &cli.Error{Code: cli.ExitUsage, Err: errors.New("an argument is missing: want " + command.ArgsUsage)}
 			}
-			lines, err := readLogs(args[1:])
-			if err != nil {
-				return err
+			search := cause.Search{Request: args[0]}
+			if len(args) == 1 {
+				if err := search.Reader(os.Stdin); err != nil {
+					return err
+				}
 			}
-			report, found := cause.Explain(lines, args[0])
+			for _, name := range args[1:] {
+				if err := search.Path(name); err != nil {
+					return err
+				}
+			}
+			report, found := cause.Explain(search.Lines(), args[0])
 			if !found {
 				return errors.Errorf("no line names request %s", args[0])
 			}
@@ -40,25 +47,3 @@
 		},
 	}
 }
-
-func readLogs(files []string) ([]cause.Line, error) {
-	if len(files) == 0 {
-		return cause.Read(os.Stdin)
-	}
-	var lines []cause.Line
-	for _, name := range files {
-		file, err := os.Open(name)
-		if err != nil {
-			return nil, errors.Wrap(err, "open log")
-		}
-		read, err := cause.Read(file)
-		if closeErr := file.Close(); err == nil {
-			err = errors.Wrap(closeErr, "close log")
-		}
-		if err != nil {
-			return nil, err
-		}
-		lines = append(lines, read...)
-	}
-	return lines, nil
-}
--- a/internal/admin/cause/cause_test.go
+++ b/internal/admin/cause/cause_test.go
@@ -15,11 +15,11 @@
 func log(write func(logger hclog.Logger)) []cause.Line {
 	var out bytes.Buffer
 	write(hclog.New(&hclog.LoggerOptions{Output: &out, TimeFormat: "15:04:05.000"}).With("Instance", "router-1"))
-	lines, err := cause.Read(strings.NewReader("not a line\n" + out.String()))
-	if err != nil {
+	search := cause.Search{Request: "id"}
+	if err := search.Reader(strings.NewReader("not a line\n" + out.String())); err != nil {
 		panic(err)
 	}
-	return lines
+	return search.Lines()
 }
 
 func TestExplain(t *testing.T) {
--- a/internal/admin/cause/line.go
+++ b/internal/admin/cause/line.go
@@ -1,14 +1,10 @@
 package cause
 
 import (
-	"bufio"
-	"io"
 	"regexp"
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // maxLineBytes bounds one log line.
@@ -35,19 +31,7 @@
 // Instance returns the router that wrote the line.
 func (line Line) Instance() string { return line.Fields["Instance"] }
 
-// Read reads the lines of a log and leaves out what is none.
-func Read(reader io.Reader) ([]Line, error) {
-	var lines []Line
-	scanner := bufio.NewScanner(reader)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		if line, ok := parse(scanner.Text()); ok {
-			lines = append(lines, line)
-		}
-	}
-	return lines, errors.Wrap(scanner.Err(), "read log")
-}
-
+// parse reads one line of a log. It is false for what is none.
 func parse(text string) (Line, bool) {
 	parts := linePattern.FindStringSubmatch(text)
 	if parts == nil {
