--- a/internal/edge/gate/await.go
+++ b/internal/edge/gate/await.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
-	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,8 +44,12 @@
 		for range restLooks {
 			time.Sleep(pause)
 			pause *= 2
-			done := false
-			if received, done = listener.look(descriptor, received); done {
+			var state lookState
+			switch received, state = look(descriptor, received); state {
+			case lookClosed:
+				return
+			case lookWhole:
+				listener.answer(descriptor, received)
 				return
 			}
 		}
@@ -59,14 +61,9 @@
 
 // drainRequest reads the rest of a request with its body, answers it, and closes the connection.
 func (listener *Listener) drainRequest(descriptor int, received []byte) error {
-	file := os.NewFile(uintptr(descriptor), "caller")
-	conn, err := net.FileConn(file)
-	// The connection has a descriptor of its own.
-	if closeErr := file.Close(); err == nil {
-		err = closeErr
-	}
+	conn, err := tcpConn(descriptor)
 	if err != nil {
-		return errors.Wrap(err, "connection of a caller")
+		return err
 	}
 	defer conn.Close()
 	if err := conn.SetDeadline(time.Now().Add(restTimeout)); err != nil {
