--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -266,16 +266,6 @@
 	return entry.closing.Load() || entry.lag.overloaded() || rand.Float64() < entry.roster.Excess(time.Now())
 }
 
-// refusesFirst decides whether the first request of a connection is refused because the processor is not enough. The bytes are those
-// of the request, or nil if it has not arrived yet.
-func (entry *Entry) refusesFirst(request []byte) bool {
-	size := 0.0
-	if input, output, ok := platform.ScanTokens(request); ok {
-		size = usage.Tokens(input, output)
-	}
-	return entry.lag.picker.Refuses(entry.lag.shed.Part(), size)
-}
-
 // refusal answers a request that is refused before it is read by the server.
 func (entry *Entry) refusal(head []byte) []byte {
 	entry.load.count.Add(1)
--- a/internal/edge/entry/lag.go
+++ b/internal/edge/entry/lag.go
@@ -42,7 +42,6 @@
 type lag struct {
 	nanoseconds atomic.Int64
 	shed        *shed.Controller
-	picker      shed.Picker
 	// watch notices pauses of the process.
 	watch *boot.Watch
 }
@@ -86,9 +85,6 @@
 // overloaded reports whether the processor is not enough for the requests.
 func (lag *lag) overloaded() bool { return lag.shed.Part() > overloadedPart }
 
-// refusing reports whether requests are refused because the processor is not enough.
-func (lag *lag) refusing() bool { return lag.shed.Part() > 0 }
-
 // refuses decides for one request whether it is refused because the processor is not enough. The choice needs no secrecy.
 func (lag *lag) refuses() bool { return rand.Float64() < lag.shed.Part() }
 
--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -119,7 +119,7 @@
 	connections := int((1 - upstreamShare) * float64(settings.Connections()))
 	opened, err := listen(settings.CallerListen, entry.serving(entry.relay), gate.Config{
 		Connections: connections, Backlog: callerBacklog,
-		Refusing: entry.lag.refusing, Refuses: entry.refusesFirst, Refusal: entry.refusal, Logger: entry.config.Logger,
+		Refuses: entry.lag.refuses, Refusal: entry.refusal, Logger: entry.config.Logger,
 	}, entry.config.Logger)
 	return opened, errors.Wrap(err, "listen at [Listen] Caller")
 }
--- a/internal/edge/gate/await.go
+++ b/internal/edge/gate/await.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,12 +46,8 @@
 		for range restLooks {
 			time.Sleep(pause)
 			pause *= 2
-			var state lookState
-			switch received, state = look(descriptor, received); state {
-			case lookClosed:
-				return
-			case lookWhole:
-				listener.answer(descriptor, received)
+			done := false
+			if received, done = listener.look(descriptor, received); done {
 				return
 			}
 		}
@@ -61,9 +59,14 @@
 
 // drainRequest reads the rest of a request with its body, answers it, and closes the connection.
 func (listener *Listener) drainRequest(descriptor int, received []byte) error {
-	conn, err := tcpConn(descriptor)
+	file := os.NewFile(uintptr(descriptor), "caller")
+	conn, err := net.FileConn(file)
+	// The connection has a descriptor of its own.
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
 	if err != nil {
-		return err
+		return errors.Wrap(err, "connection of a caller")
 	}
 	defer conn.Close()
 	if err := conn.SetDeadline(time.Now().Add(restTimeout)); err != nil {
--- a/internal/edge/gate/conn.go
+++ b/internal/edge/gate/conn.go
@@ -13,8 +13,6 @@
 	listener *Listener
 	once     sync.Once
 	served   atomic.Bool
-	// received are bytes that were read before the connection was returned by Accept. Only Read uses them.
-	received []byte
 }
 
 var _ syscall.Conn = (*Conn)(nil)
@@ -25,18 +23,6 @@
 	return conn
 }
 
-// Read implements net.Conn.
-func (conn *Conn) Read(buffer []byte) (int, error) {
-	if len(conn.received) > 0 {
-		count := copy(buffer, conn.received)
-		if conn.received = conn.received[count:]; len(conn.received) == 0 {
-			conn.received = nil
-		}
-		return count, nil
-	}
-	return conn.TCPConn.Read(buffer)
-}
-
 // Served reports, for the first request of the connection only, whether it was decided that the request is served when the
 // connection was accepted.
 func (conn *Conn) Served() bool { return conn.served.Swap(false) }
--- a/internal/edge/gate/gate.go
+++ b/internal/edge/gate/gate.go
@@ -23,15 +23,12 @@
 	// Backlog bounds the connections that wait in the queue of the kernel. Those beyond it fail, so that their callers try
 	// another router. 0 leaves the kernel's own bound.
 	Backlog int
-	// Refusing reports whether first requests of connections are refused now; nil never does.
-	Refusing func() bool
-	// Refuses decides for the first request of a connection while Refusing does. The bytes are those of a whole request, or nil if
-	// it has not arrived yet.
-	Refuses func(request []byte) bool
+	// Refuses decides for a new connection whether its first request is refused; nil never does.
+	Refuses func() bool
 	// Refusal returns the answer to a refused request, with its status line, as it is sent, from the head of the request. It must
 	// announce the end of the connection. Bytes of the body may follow the head.
 	Refusal func(head []byte) []byte
-	// Logger tells of connections that are lost; it is needed with Refusing.
+	// Logger tells of connections that are lost; it is needed with Refuses.
 	Logger hclog.Logger
 }
 
@@ -53,7 +50,7 @@
 // New returns a listener. It fails if the bound of the kernel's queue cannot be set.
 func New(config Config) (*Listener, error) {
 	listener := &Listener{TCPListener: config.Listener, config: config, closed: make(chan struct{})}
-	if config.Refusing != nil {
+	if config.Refuses != nil {
 		listener.buffer, listener.awaited = make([]byte, requestBytes), make(chan struct{}, mostAwaited)
 	}
 	if config.Connections > 0 {
@@ -84,14 +81,11 @@
 	if !listener.enter() {
 		return nil, net.ErrClosed
 	}
-	conn, decided, err := listener.refuse()
+	served, err := listener.refuse()
 	if err != nil {
 		listener.leave()
 		return nil, err
 	}
-	if conn != nil {
-		return conn, nil
-	}
 	accepted, err := listener.AcceptTCP()
 	if err != nil {
 		listener.leave()
@@ -100,7 +94,7 @@
 		}
 		return nil, err
 	}
-	return newConn(accepted, listener, decided), nil
+	return newConn(accepted, listener, served), nil
 }
 
 // enter waits until one more connection may be open. It returns false once the listener is closed.
--- a/internal/edge/gate/gate_test.go
+++ b/internal/edge/gate/gate_test.go
@@ -19,9 +19,6 @@
 	"github.com/clementinewind/clementinewind/internal/edge/gate"
 )
 
-// servedPath is the path of requests that are served while others are refused.
-const servedPath = "/served"
-
 // server answers with the body of each request, and counts the requests that reach it. Connections wait until it starts.
 type server struct {
 	serving  *http.Server
@@ -37,7 +34,7 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	server := &server{}
 	server.gate, err = gate.New(gate.Config{
-		Listener: listener, Connections: connections, Refusing: server.refusing.Load, Refuses: server.refuses, Logger: hclog.NewNullLogger(),
+		Listener: listener, Connections: connections, Refuses: server.refusing.Load, Logger: hclog.NewNullLogger(),
 		Refusal: func(head []byte) []byte {
 			server.refused.Add(1)
 			request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
@@ -67,11 +64,6 @@
 	return server
 }
 
-// refuses refuses all but the requests that name servedPath.
-func (server *server) refuses(request []byte) bool {
-	return !bytes.Contains(request, []byte(servedPath))
-}
-
 func (server *server) start() { go func() { _ = server.serving.Serve(server.gate) }() }
 
 func (server *server) dial(t *testing.T) net.Conn {
@@ -291,9 +283,7 @@
 func TestDecisionCountsOnce(t *testing.T) {
 	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	quicktest.Assert(t, err, quicktest.IsNil)
-	deciding, err := gate.New(gate.Config{
-		Listener: listener, Refusing: func() bool { return true }, Refuses: func([]byte) bool { return false },
-	})
+	deciding, err := gate.New(gate.Config{Listener: listener, Refuses: func() bool { return false }})
 	quicktest.Assert(t, err, quicktest.IsNil)
 	defer deciding.Close()
 	conn, err := net.Dial("tcp4", listener.Addr().String())
@@ -307,32 +297,3 @@
 	quicktest.Check(t, decided.Served(), quicktest.IsTrue)
 	quicktest.Check(t, decided.Served(), quicktest.IsFalse)
 }
-
-// Guards against requests that are damaged on their way to the server when they are picked among refused ones: what was read of them
-// to decide is read again, and the connection is kept for the next request.
-func TestPickedRequestsAreServed(t *testing.T) {
-	server := listen(t, 1000)
-	server.refusing.Store(true)
-	body := strings.Repeat("b", 9000)
-	var refused, served []net.Conn
-	for range 20 {
-		conn := server.dial(t)
-		fmt.Fprint(conn, post("id", "body"))
-		refused = append(refused, conn)
-		conn = server.dial(t)
-		fmt.Fprint(conn, strings.Replace(post("id", body), "/x", servedPath, 1))
-		served = append(served, conn)
-	}
-	server.start()
-	for number := range refused {
-		response, _ := answer(t, refused[number])
-		quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
-		for range 2 {
-			response, got := answer(t, served[number])
-			quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusOK)
-			quicktest.Check(t, got == body, quicktest.IsTrue, quicktest.Commentf("%d bytes", len(got)))
-			fmt.Fprint(served[number], post("id", body))
-		}
-	}
-	quicktest.Check(t, server.refused.Load(), quicktest.Equals, int64(20))
-}
