Read from the first router of the zone while a large fleet starts

Ruled out: retries (every call was answered 200), and the announcements (one append and one look-up each).

Change: a router waits until it has looked the others up. In a large fleet it then reads, also the first time, from the router that is first in its zone as far as it knows, until one is heard that reaches the store, for 3 s at most; a router that is not read yet lets the other wait a moment instead of turning it away. If the first two do not answer it turns to the store, as before.

--- a/internal/edge/entry/announce.go
+++ b/internal/edge/entry/announce.go
@@ -44,6 +44,7 @@
 			} else {
 				listed = true
 			}
+			entry.lookedUp.Store(true)
 		}
 		if err := pause.For(ctx, wait); err != nil {
 			return err
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -77,6 +77,10 @@
 	// chatter is nil until Run.
 	chatter atomic.Pointer[gossip.Gossip]
 
+	// started is when the process started, and lookedUp is set after the first try to learn of other routers.
+	started  time.Time
+	lookedUp atomic.Bool
+
 	inFlight atomic.Int64
 	load     *load
 	lag      lag
@@ -90,7 +94,7 @@
 
 // New returns an entry that has not started.
 func New(config Config) *Entry {
-	entry := &Entry{config: config, stop: make(chan struct{}), load: newLoad(config.Settings.CoreShare)}
+	entry := &Entry{config: config, started: time.Now(), stop: make(chan struct{}), load: newLoad(config.Settings.CoreShare)}
 	entry.settings.Store(&config.Settings)
 	settings := config.Settings
 	self := roster.Member{
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -11,16 +11,20 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/admin/conf"
 	"github.com/clementinewind/clementinewind/internal/admin/telem"
 	"github.com/clementinewind/clementinewind/internal/edge/entry"
+	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
+	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/platform"
 	"github.com/clementinewind/clementinewind/platform/stand"
@@ -133,8 +137,8 @@
 	fleet.away[number] = true
 }
 
-func (fleet *fleet) start(number int) *router {
-	fleet.t.Helper()
+// settings returns the settings of a router, without the address of the store.
+func (fleet *fleet) settings(number int) conf.Entry {
 	// Each test process has addresses of its own, so that packages can be tested side by side.
 	address := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()/250%250), byte(1 + os.Getpid()%250), byte(number)})
 	settings := conf.DefaultEntry()
@@ -144,6 +148,24 @@
 	settings.ReadyListen = netip.AddrPortFrom(address, 20002)
 	settings.LocateListen = netip.AddrPortFrom(address, 20003)
 	settings.FirstPort, settings.LastPort = 20004, 20010
+	return settings
+}
+
+// list writes the entry of a router that has lost power since.
+func (fleet *fleet) list(number int) {
+	fleet.t.Helper()
+	settings := fleet.settings(number)
+	value, err := proto.Marshal(gossip.Describe(roster.Member{
+		Instance: settings.Name, Zone: settings.Zone, Incarnation: 1, CallerAddress: settings.CallerListen.String(),
+		PeerAddress: netip.AddrPortFrom(settings.CallerListen.Addr(), uint16(settings.FirstPort)).String(),
+	}))
+	quicktest.Assert(fleet.t, err, quicktest.IsNil)
+	fleet.store.Put(platform.TopicInstances, string(settings.Name), value)
+}
+
+func (fleet *fleet) start(number int) *router {
+	fleet.t.Helper()
+	settings := fleet.settings(number)
 	settings.StoreAddress = netip.MustParseAddrPort(fleet.storeFor(number))
 	settings.Grace = 2 * time.Second
 	// The processor is shared with the tests of other packages.
@@ -315,6 +337,29 @@
 	fleet.until("the new key in force", func() bool { status, _ := second.ask("other"); return status == http.StatusOK })
 }
 
+// Replays a large fleet whose routers all lose power and start again at once. Guards against routers that each load all topics from
+// the store: a few of each zone do, and the others read from them. Each router still lists itself and looks the others up.
+func TestFleetStartsTogether(t *testing.T) {
+	const size, zones, topics, readers = 24, 3, 2, 4
+	fleet := newFleet(t)
+	for number := range size {
+		fleet.list(number + 1)
+	}
+	var reads atomic.Int64
+	fleet.store.SetFault(func(_ http.ResponseWriter, request *http.Request) bool {
+		if topic := request.URL.Query().Get("topic"); topic == platform.TopicOperator || topic == platform.TopicUpstreams {
+			reads.Add(1)
+		}
+		return false
+	})
+	var started []*router
+	for number := range size {
+		started = append(started, fleet.start(number+1))
+	}
+	fleet.ready(started...)
+	quicktest.Check(t, reads.Load() <= zones*topics*readers, quicktest.IsTrue, quicktest.Commentf("%d reads", reads.Load()))
+}
+
 // Guards against callers that keep an address for long and are turned away by each router of a rolling restart: plain requests are
 // served while streams keep the process.
 func TestStopServesLateCallers(t *testing.T) {
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -39,6 +39,10 @@
 	// which the router that reads the store may need one.
 	busyWait   = 300 * time.Millisecond
 	behindTime = 1500 * time.Millisecond
+	// startTime is how long a router of a large fleet that has just started reads from the others before any of them was heard to
+	// reach the store, and startPoll how often it looks whether others are known. The state of all routers is heard within it.
+	startTime = 3 * time.Second
+	startPoll = 10 * time.Millisecond
 	// storeRetry is the pause between tries of a store that does not answer this router while it reads from another one.
 	storeRetry = time.Second
 )
@@ -104,7 +108,7 @@
 
 // plan returns how to read a topic next. One router of each zone reads the store and the others read from it, so that the
 // calls to the store do not grow with the fleet. The load it answers: many routers, and many upstreams whose heartbeats
-// each of them would read.
+// each of them would read; and a large fleet that starts as a whole, when nobody knows yet who reaches the store.
 func (readers readers) plan(topic *topic, atStore feed.Plan, now time.Time) feed.Plan {
 	topic.begin()
 	wait := followWait
@@ -118,10 +122,17 @@
 			return feed.Plan{Source: readers.peer(topic, informed)}
 		}
 	}
-	passed := topic.passedOver(now)
+	starting := now.Sub(readers.entry.started) < startTime
+	if starting && !readers.entry.lookedUp.Load() {
+		return feed.Plan{Interval: startPoll}
+	}
+	passed, large := topic.passedOver(now), readers.large()
 	reader, ok := readers.entry.roster.Reader(now, passed)
+	if !ok && starting && large {
+		reader, ok = readers.entry.roster.Leader(now, passed)
+	}
 	switch _, loaded := topic.mirror.Next(); {
-	case !ok, !loaded, topic.direct(now), readers.store.retry(now):
+	case !ok, !loaded && !large, topic.direct(now), readers.store.retry(now):
 		return atStore
 	}
 	if passed != "" {
@@ -258,7 +269,7 @@
 
 // Newest implements feed.Source.
 func (source peerSource) Newest(ctx context.Context, topic string) (feed.Batch, error) {
-	return source.Read(ctx, topic, 0, 0)
+	return source.Read(ctx, topic, 0, busyWait)
 }
 
 // Read implements feed.Source.
--- a/internal/edge/entry/readers_test.go
+++ b/internal/edge/entry/readers_test.go
@@ -31,6 +31,8 @@
 		}, time.Now())
 	}
 	entry.roster.Update(true, false, true, 0)
+	entry.lookedUp.Store(true)
+	entry.started = entry.started.Add(-startTime)
 	for _, topic := range []*topic{entry.readers.operator, entry.readers.upstreams} {
 		topic.mirror.Replace(feed.Batch{Next: 1})
 	}
@@ -68,3 +70,27 @@
 	quicktest.Check(t, small.sourceAt(now), quicktest.Equals, "store")
 	quicktest.Check(t, small.readers.upstreams.direct(now.Add(directTime)), quicktest.IsFalse)
 }
+
+// Replays the first moments of a router of a large fleet that starts as a whole: the others are listed, and none was heard yet. Guards
+// against three hundred routers that each load all topics from the store, and against one that waits for routers that are not there.
+func TestStartingRouterReadsFromOthers(t *testing.T) {
+	entry, now := zoned(t, 0), time.Now()
+	entry.started, entry.readers.upstreams.mirror = now, feed.NewMirror(feed.MirrorConfig{})
+	entry.lookedUp.Store(false)
+	plan := entry.readers.plan(entry.readers.upstreams, feed.Plan{Source: entry.readers.store}, now)
+	quicktest.Check(t, plan.Source, quicktest.IsNil)
+	quicktest.Check(t, entry.sourceAt(now.Add(startTime)), quicktest.Equals, "store")
+	entry.lookedUp.Store(true)
+	quicktest.Check(t, entry.sourceAt(now), quicktest.Equals, "store")
+	for number := range largeFleet {
+		entry.roster.List(roster.Member{
+			Instance: clementinewind.Instance(fmt.Sprintf("router-%02d", number)), Zone: clementinewind.Zone([]string{"b", "a"}[number%2]),
+			Incarnation: 1, PeerAddress: fmt.Sprintf("10.0.0.%d:1", number),
+		}, now)
+	}
+	quicktest.Check(t, entry.sourceAt(now), quicktest.Equals, "router-01")
+	entry.readers.upstreams.unanswered("router-01", true, now)
+	quicktest.Check(t, entry.sourceAt(now), quicktest.Equals, "router-03")
+	entry.readers.upstreams.unanswered("router-03", true, now)
+	quicktest.Check(t, entry.sourceAt(now), quicktest.Equals, "store")
+}
--- a/internal/fleet/gossip/feed.go
+++ b/internal/fleet/gossip/feed.go
@@ -71,23 +71,24 @@
 	return mux
 }
 
-// await returns the records from an offset, after waiting for the first one.
+// await returns the records from an offset, after waiting for the topic to be read and for the first record. It is false if the topic
+// is not read in time.
 func await(ctx context.Context, mirror *feed.Mirror, from int64, wait time.Duration) (feed.Batch, bool) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		changed := mirror.Changed()
-		if _, loaded := mirror.Next(); !loaded {
-			return feed.Batch{}, false
-		}
-		batch := mirror.Since(from)
-		if len(batch.Records) > 0 {
-			return batch, true
+		var batch feed.Batch
+		_, loaded := mirror.Next()
+		if loaded {
+			if batch = mirror.Since(from); len(batch.Records) > 0 {
+				return batch, true
+			}
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return batch, true
+			return batch, loaded
 		}
 	}
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -349,10 +349,20 @@
 // reaches the store, or the first of all zones. Busy ones come last, because what they pass on is late, and the one with the
 // name in passed does not count; "" passes over none. It is false if this router is to read the store itself.
 func (roster *Roster) Reader(now time.Time, passed clementinewind.Instance) (Member, bool) {
+	return roster.first(now, passed, func(member Member) bool { return member.StoreReachable })
+}
+
+// Leader returns the router that Reader would return if all routers reached the store.
+func (roster *Roster) Leader(now time.Time, passed clementinewind.Instance) (Member, bool) {
+	return roster.first(now, passed, func(Member) bool { return true })
+}
+
+// first returns the router that is first to read among those that may. It is false if that is the router itself, or none.
+func (roster *Roster) first(now time.Time, passed clementinewind.Instance, may func(Member) bool) (Member, bool) {
 	self := roster.Self()
 	var reader *Member
 	for _, member := range roster.view(now).alive {
-		if !member.StoreReachable || member.Leaving || member.Instance == passed {
+		if !may(member) || member.Leaving || member.Instance == passed {
 			continue
 		}
 		if reader == nil || readsBefore(member, *reader, self.Zone) {
--- a/internal/store/feed/follower.go
+++ b/internal/store/feed/follower.go
@@ -24,6 +24,7 @@
 
 // Plan is how a topic is read.
 type Plan struct {
+	// Source is where to read; nil reads nothing yet.
 	Source Source
 	// Wait is how long the read waits for new records, Interval the pause after it.
 	Wait     time.Duration
@@ -78,6 +79,10 @@
 	for ctx.Err() == nil {
 		plan := follower.config.Plan()
 		pause := plan.Interval
+		if plan.Source == nil {
+			follower.sleep(ctx, pause)
+			continue
+		}
 		if err := follower.read(ctx, plan); err != nil && ctx.Err() == nil {
 			follower.fail(err)
 			pause = delay
