Tell the state of an entry by metrics, with alerts on them

TestAlertRules parses the file, finds each metric among those that an entry serves and each alert in the table; TestState compares the state with a router that runs, loses the store and stops.

--- a/internal/admin/telem/entry.go
+++ b/internal/admin/telem/entry.go
@@ -29,7 +29,8 @@
 
 // EntryMeter counts what a router on the users' platform does. Its methods may be called by many goroutines.
 type EntryMeter struct {
-	handler http.Handler
+	handler  http.Handler
+	provider *sdk.MeterProvider
 
 	requests    metric.Int64Counter
 	duration    metric.Float64Histogram
@@ -48,9 +49,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create metrics exporter")
 	}
-	meter := &EntryMeter{handler: exposition(registry, hclog.NewNullLogger())}
-	provider := sdk.NewMeterProvider(sdk.WithReader(reader), sdk.WithCardinalityLimit(seriesLimit))
-	builder := &builder{meter: provider.Meter("clementinewind")}
+	meter := &EntryMeter{
+		handler:  exposition(registry, hclog.NewNullLogger()),
+		provider: sdk.NewMeterProvider(sdk.WithReader(reader), sdk.WithCardinalityLimit(seriesLimit)),
+	}
+	builder := &builder{meter: meter.provider.Meter("clementinewind")}
 	meter.requests = builder.counter("clementinewind.entry.requests", "", "Requests that ended, by service and outcome.")
 	meter.duration = builder.seconds("clementinewind.entry.duration", "Time from the arrival of a request to its end.")
 	meter.firstEvent = builder.seconds("clementinewind.entry.first.event", "Time from the arrival of a request to its first event.")
@@ -73,6 +76,53 @@
 	return meter, nil
 }
 
+// EntryState is what a router on the users' platform knows of itself and of the fleet.
+type EntryState struct {
+	Ready bool
+	// Version is that of the configuration in force, 0 if there is none.
+	Version int64
+	// KnownAge is how long ago the topics of the platform's store were known to be read to their end.
+	KnownAge time.Duration
+	// Routers are those that are heard, with the router itself, and Upstreams those that are known.
+	Routers, Upstreams int
+	// InFlight are the requests that are being served.
+	InFlight int64
+	// RefusedPart is the part of the requests that is refused because the processor is not enough.
+	RefusedPart float64
+}
+
+// Watch has the metrics tell a state, which is asked for whenever they are read. It is called once.
+func (meter *EntryMeter) Watch(state func() EntryState) error {
+	builder := &builder{meter: meter.provider.Meter("clementinewind")}
+	ready := builder.gauge("clementinewind.entry.ready", "", "1 while the router takes requests.")
+	version := builder.gauge("clementinewind.entry.version", "", "Version of the configuration in force.")
+	age := builder.gauge("clementinewind.entry.known.age", "s", "Time since the topics of the platform's store were read to their end.")
+	routers := builder.gauge("clementinewind.entry.routers", "", "Routers that are heard, with the router itself.")
+	upstreams := builder.gauge("clementinewind.entry.upstreams", "", "Upstreams that are known.")
+	inFlight := builder.gauge("clementinewind.entry.in.flight", "", "Requests that are being served.")
+	refused := builder.gauge("clementinewind.entry.refused.part", "",
+		"Part of the requests that is refused because the processor is not enough.")
+	if builder.err != nil {
+		return errors.Wrap(builder.err, "create instruments")
+	}
+	_, err := builder.meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
+		current := state()
+		isReady := 0.0
+		if current.Ready {
+			isReady = 1
+		}
+		observer.ObserveFloat64(ready, isReady)
+		observer.ObserveFloat64(version, float64(current.Version))
+		observer.ObserveFloat64(age, current.KnownAge.Seconds())
+		observer.ObserveFloat64(routers, float64(current.Routers))
+		observer.ObserveFloat64(upstreams, float64(current.Upstreams))
+		observer.ObserveFloat64(inFlight, float64(current.InFlight))
+		observer.ObserveFloat64(refused, current.RefusedPart)
+		return nil
+	}, ready, version, age, routers, upstreams, inFlight, refused)
+	return errors.Wrap(err, "watch the router")
+}
+
 // Handler serves the metrics.
 func (meter *EntryMeter) Handler() http.Handler { return meter.handler }
 
--- a/internal/admin/telem/telem_test.go
+++ b/internal/admin/telem/telem_test.go
@@ -1,6 +1,7 @@
 package telem_test
 
 import (
+	"bytes"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -11,6 +12,7 @@
 
 	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
+	"gopkg.in/yaml.v3"
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/admin/telem"
@@ -100,6 +102,11 @@
 	t.Helper()
 	meter, err := telem.NewEntry(telem.EntryConfig{LeftOut: func() int64 { return 3 }})
 	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, meter.Watch(func() telem.EntryState {
+		return telem.EntryState{
+			Ready: true, Version: 7, KnownAge: 1500 * time.Millisecond, Routers: 295, Upstreams: 160, InFlight: 12, RefusedPart: 0.25,
+		}
+	}), quicktest.IsNil)
 	meter.Ended("service", "Answered", time.Second)
 	meter.FirstEvent("service", time.Second, time.Millisecond)
 	meter.Connected("service")
@@ -107,9 +114,60 @@
 	recorder := httptest.NewRecorder()
 	meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	quicktest.Assert(t, recorder.Body.String(), quicktest.Contains, `clementinewind_entry_requests_total{outcome="Answered",service="service"} 1`)
+	for _, line := range []string{
+		"ready 1", "version 7", "known_age_seconds 1.5", "routers 295", "upstreams 160", "in_flight 12", "refused_part 0.25",
+	} {
+		quicktest.Assert(t, recorder.Body.String(), quicktest.Contains, "clementinewind_entry_"+line+"\n")
+	}
 	return recorder.Body.Bytes()
 }
 
+// alertRules are the groups of a rules file of Prometheus.
+type alertRules struct {
+	Groups []struct {
+		Name  string
+		Rules []struct {
+			Alert       string
+			Expr        string
+			For         string
+			Labels      map[string]string
+			Annotations map[string]string
+		}
+	}
+}
+
+// Guards against alerts that never fire because of a metric or a label value that does not exist, that cannot be loaded, or that the
+// operators' page does not explain.
+func TestAlertRules(t *testing.T) {
+	text, err := os.ReadFile("../../../deploy/alerts.yml")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	decoder.KnownFields(true)
+	var rules alertRules
+	quicktest.Assert(t, decoder.Decode(&rules), quicktest.IsNil)
+	metrics := string(entryMetrics(t))
+	alerts := 0
+	for _, group := range rules.Groups {
+		for _, rule := range group.Rules {
+			alerts++
+			names := regexp.MustCompile(`clementinewind_[a-z_]+`).FindAllString(rule.Expr, -1)
+			quicktest.Check(t, len(names) > 0, quicktest.IsTrue, quicktest.Commentf("%s", rule.Alert))
+			for _, name := range names {
+				quicktest.Check(t, strings.Contains(metrics, "# TYPE "+strings.TrimSuffix(name, "_bucket")+" "), quicktest.IsTrue,
+					quicktest.Commentf("%s: metric %s", rule.Alert, name))
+			}
+			_, err := time.ParseDuration(rule.For)
+			quicktest.Check(t, err, quicktest.IsNil, quicktest.Commentf("%s", rule.Alert))
+			quicktest.Check(t, rule.Annotations["summary"] != "" && rule.Labels["severity"] != "", quicktest.IsTrue,
+				quicktest.Commentf("%s", rule.Alert))
+			quicktest.Check(t, strings.Contains(string(page), "| "+rule.Alert+" |"), quicktest.IsTrue, quicktest.Commentf("%s", rule.Alert))
+		}
+	}
+	quicktest.Check(t, alerts >= 8, quicktest.IsTrue)
+}
+
 // Guards against a router that takes no work and reports ready, against one that is restarted because it is not ready,
 // and against profiles that are served without being configured.
 func TestAdmin(t *testing.T) {
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -258,6 +258,28 @@
 	return err
 }
 
+// State is what the router knows of itself and of the fleet, for its metrics.
+type State struct {
+	Ready              bool
+	Version            int64
+	KnownAge           time.Duration
+	Routers, Upstreams int
+	InFlight           int64
+	RefusedPart        float64
+}
+
+// State returns the state at this moment.
+func (entry *Entry) State() State {
+	state := State{
+		Ready: entry.ready(), Version: entry.version(), Routers: len(entry.roster.Alive(time.Now())), Upstreams: entry.board.Count(),
+		InFlight: entry.inFlight.Load(), RefusedPart: entry.lag.shed.Part(), KnownAge: boot.Now(),
+	}
+	if known := entry.readers.knownAt(); known > 0 {
+		state.KnownAge -= known
+	}
+	return state
+}
+
 func (entry *Entry) version() int64 {
 	if current := entry.view.Table(); current != nil {
 		return int64(current.Version())
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -422,3 +422,23 @@
 			strings.Contains(body, "reset"), quicktest.IsTrue, quicktest.Commentf("%d %s", status, body))
 	}
 }
+
+// Guards against metrics that tell another state than the router is in.
+func TestState(t *testing.T) {
+	fleet := newFleet(t)
+	first, second := fleet.start(1), fleet.start(2)
+	fleet.ready(first, second)
+	fleet.until("both heard", func() bool { return first.entry.State().Routers == 2 })
+	state := first.entry.State()
+	quicktest.Check(t, state.Ready, quicktest.IsTrue)
+	quicktest.Check(t, state.Version, quicktest.Equals, int64(1))
+	quicktest.Check(t, state.Upstreams, quicktest.Equals, 1)
+	quicktest.Check(t, state.KnownAge < waitTime, quicktest.IsTrue, quicktest.Commentf("%v", state.KnownAge))
+	fleet.store.SetFault(func(writer http.ResponseWriter, _ *http.Request) bool {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	fleet.until("the store not known any more", func() bool { return first.entry.State().KnownAge > 2*time.Second })
+	first.entry.Stop()
+	fleet.until("not ready", func() bool { return !first.entry.State().Ready })
+}
