Count refused requests as asked in the organisations' shares

The shares of all routers count only what was read, so that the organisation seems to ask for what it gets and the max-min level of the others is too high by its part.

Change: the key and the size of a refused request are read with its id, and count as asked, at the gate and on kept connections. platform.ScanHead reads the three headers in one pass.

--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -150,6 +150,9 @@
 	if relay.config.Overloaded(request.Context()) {
 		// Another router serves the request sooner; the caller opens a new connection.
 		exchange.call.RequestID = platform.RequestID(request.Header)
+		if call, err := platform.DecodeCall(request.Header); err == nil {
+			relay.ask(call.Key, call.Prompt.InputTokens, call.Prompt.OutputTokens)
+		}
 		exchange.refuse(clementinewind.ReasonBusy, overloadRetry, overloadDetail)
 		return
 	}
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -463,3 +463,46 @@
 		})
 	}
 }
+
+// Replays an organisation whose callers stay with a router that serves a tenth of them, beside one that gets eight times as much at
+// other routers. Guards against shares that take the first for one that asks for little: refused requests count as asked, whether
+// they were read or not, and the second is above its share then.
+func TestRefusedRequestsAreAsked(t *testing.T) {
+	head := "POST /p/x HTTP/1.1\r\nHost: host.example\r\nAuthorization: Bearer %s\r\nX-Token-Count: 1000, 100\r\nContent-Length: 0\r\n\r\n"
+	current := table.New(table.Configuration{
+		Version: 1, Services: []table.ServiceSettings{{Name: "service", MaxConnections: 100}},
+		Organisations: []table.OrganisationKeys{
+			{Organisation: "Crowded", Keys: []string{"crowded"}}, {Organisation: "Other", Keys: []string{"other"}},
+		},
+	})
+	for name, refuse := range map[string]func(t *testing.T, relay *relay.Relay, key string){
+		"unread": func(_ *testing.T, relay *relay.Relay, key string) { relay.Refusal(fmt.Appendf(nil, head, key)) },
+		"read": func(t *testing.T, relay *relay.Relay, key string) {
+			request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(fmt.Sprintf(head, key))))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			recorder := httptest.NewRecorder()
+			relay.ServeHTTP(recorder, request)
+			quicktest.Check(t, recorder.Code, quicktest.Equals, http.StatusServiceUnavailable)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			config := calm(current, board.New(board.Config{}))
+			config.Overloaded = func(context.Context) bool { return true }
+			refusing := relay.New(config)
+			now := time.Now()
+			config.Shares.Ask("Other", 100_000, now)
+			config.Shares.Serve("Other", 80_000, now)
+			config.Shares.Ask("Crowded", 10_000, now)
+			config.Shares.Serve("Crowded", 10_000, now)
+			ratio, scarce := config.Shares.Ratio("Other", now)
+			quicktest.Check(t, scarce, quicktest.IsTrue)
+			quicktest.Check(t, ratio > 0.95 && ratio < 1.05, quicktest.IsTrue, quicktest.Commentf("%v", ratio))
+			for range 100 {
+				refuse(t, refusing, "crowded")
+				refuse(t, refusing, "unknown")
+			}
+			ratio, _ = config.Shares.Ratio("Other", now.Add(time.Second/2))
+			quicktest.Check(t, ratio > 1.7, quicktest.IsTrue, quicktest.Commentf("%v", ratio))
+		})
+	}
+}
--- a/internal/route/relay/unread.go
+++ b/internal/route/relay/unread.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/platform"
 )
 
@@ -41,10 +42,25 @@
 	return left, true
 }
 
+// ask counts what a caller asked for with a request that is refused before its route is known. The load it answers: an organisation
+// whose callers stay with a router that can serve a tenth of them seems to ask for little, and the others get its share.
+func (relay *Relay) ask(key string, inputTokens, outputTokens int) {
+	current := relay.config.Table()
+	tokens := usage.Tokens(inputTokens, outputTokens)
+	if current == nil || tokens == 0 {
+		return
+	}
+	if organisation, known := current.Organisation(key); known {
+		relay.config.Shares.Ask(organisation, tokens, time.Now())
+	}
+}
+
 // Refusal returns the answer to a request that is refused because the processor is not enough, as it is sent, from the bytes of the
 // request's head. It is the refusal of ServeHTTP at a small part of the cost.
 func (relay *Relay) Refusal(head []byte) []byte {
-	id := platform.ScanRequestID(head)
+	scanned := platform.ScanHead(head)
+	id := scanned.RequestID
+	relay.ask(scanned.Key, scanned.InputTokens, scanned.OutputTokens)
 	if left, logged := relay.unread.count(time.Now()); logged {
 		relay.config.Logger.Warn("rejected", "Request", id, "Status", http.StatusServiceUnavailable, "Reason", clementinewind.ReasonBusy,
 			"Detail", overloadDetail, "RetryAfter", overloadRetry, "NotLogged", left)
