--- a/cmd/clementinewind/entry_test.go
+++ b/cmd/clementinewind/entry_test.go
@@ -70,3 +70,26 @@
 	quicktest.Check(t, strings.Contains(string(text), "refused and has not run"), quicktest.IsTrue, quicktest.Commentf("%s", text))
 	quicktest.Check(t, exec.Command(program, "explain", "unknown", file).Run(), quicktest.IsNotNil)
 }
+
+// Guards against an incident whose logs cannot be put together: a folder of them, a page, and bounds that are no times.
+func TestIncidentCommand(t *testing.T) {
+	folder := t.TempDir()
+	for _, router := range []string{"r1", "r2"} {
+		lines := "18:11:41.090 [INFO]  configuration in force: Instance=" + router + " Version=7\n" +
+			"18:11:42.090 [WARN]  rejected: Instance=" + router + " Request=8c Status=503 Reason=NoCapacity\n"
+		quicktest.Assert(t, os.WriteFile(filepath.Join(folder, router+".log"), []byte(lines), 0o600), quicktest.IsNil)
+	}
+	program, page := filepath.Join(binaries, "clementinewind"), filepath.Join(t.TempDir(), "page.html")
+	text, err := exec.Command(program, "incident", "--from", "18:11", "--html", page, folder).CombinedOutput()
+	quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("%s", text))
+	quicktest.Check(t, strings.Contains(string(text), "2 routers, 2 lines"), quicktest.IsTrue, quicktest.Commentf("%s", text))
+	quicktest.Check(t, strings.Contains(string(text), "NoCapacity 2"), quicktest.IsTrue, quicktest.Commentf("%s", text))
+	written, err := os.ReadFile(page)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, strings.Contains(string(written), "<svg"), quicktest.IsTrue)
+	for _, args := range [][]string{{"incident"}, {"incident", "--from", "noon", folder}} {
+		command := exec.Command(program, args...)
+		quicktest.Check(t, command.Run(), quicktest.IsNotNil)
+		quicktest.Check(t, command.ProcessState.ExitCode(), quicktest.Equals, 2, quicktest.Commentf("%v", args))
+	}
+}
--- /dev/null
+++ b/cmd/clementinewind/incident.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/clementinewind/clementinewind/internal/admin/cause"
+	"github.com/clementinewind/clementinewind/internal/admin/cli"
+)
+
+// incidentCommand returns the command that puts the logs of all routers into one time line.
+func incidentCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:      "incident",
+		Usage:     "print what all routers wrote in a span of time, and how requests ended meanwhile",
+		ArgsUsage: "FILE | DIRECTORY ...",
+		Description: "Reads the logs of any number of routers, plain or compressed with gzip. Equal events of one second are one line, with the\n" +
+			"number of routers that wrote them.",
+		Flags: []urfave.Flag{
+			&urfave.StringFlag{Name: "from", Usage: "first `TIME` of day, such as 18:11:41"},
+			&urfave.StringFlag{Name: "to", Usage: "`TIME` of day at which it ends"},
+			&urfave.StringFlag{Name: "html", Usage: "also write a page with a plot to `FILE`, for the report that is disclosed"},
+			&urfave.StringFlag{Name: "title", Usage: "`TITLE` of the page", Value: "Incident"},
+		},
+		Action: func(_ context.Context, command *urfave.Command) error {
+			usage := func(err error) error { return &cli.Error{Code: cli.ExitUsage, Err: err} }
+			if command.Args().Len() == 0 {
+				return usage(errors.New("an argument is missing: want " + command.ArgsUsage))
+			}
+			var span cause.Span
+			for flag, bound := range map[string]*time.Time{"from": &span.From, "to": &span.To} {
+				if !command.IsSet(flag) {
+					continue
+				}
+				at, err := cause.ParseTime(command.String(flag))
+				if err != nil {
+					return usage(errors.Wrap(err, "--"+flag))
+				}
+				*bound = at
+			}
+			for _, name := range command.Args().Slice() {
+				if err := span.Path(name); err != nil {
+					return err
+				}
+			}
+			if err := span.Write(command.Root().Writer); err != nil {
+				return err
+			}
+			if !command.IsSet("html") {
+				return nil
+			}
+			return writeFile(command.String("html"), func(out io.Writer) error { return span.WriteHTML(out, command.String("title")) })
+		},
+	}
+}
+
+// writeFile writes a new file, or replaces one.
+func writeFile(name string, write func(out io.Writer) error) (err error) {
+	file, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	defer func() {
+		if closeErr := file.Close(); err == nil {
+			err = errors.Wrap(closeErr, "write report")
+		}
+	}()
+	return write(file)
+}
--- a/cmd/clementinewind/main.go
+++ b/cmd/clementinewind/main.go
@@ -17,7 +17,7 @@
 			_, err := tree.Parse(string(text))
 			return err
 		},
-		Extra: []*urfave.Command{routerCommand(), entryCommand(), explainCommand(), soakCommand(), experimentCommand(), demoCommand()},
+		Extra: []*urfave.Command{routerCommand(), entryCommand(), explainCommand(), incidentCommand(), soakCommand(), experimentCommand(), demoCommand()},
 	})
 	os.Exit(program.Run(context.Background(), os.Args))
 }
--- /dev/null
+++ b/internal/admin/cause/report.go
@@ -0,0 +1,117 @@
+package cause
+
+import (
+	"fmt"
+	"html/template"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	clockFormat = "15:04:05"
+	plotWidth   = 24 * vg.Centimeter
+	plotHeight  = 10 * vg.Centimeter
+	// plotted is the number of outcomes that have a line of their own, the most frequent ones.
+	plotted = 7
+)
+
+// Write prints the events and, behind the last event of each second, how requests ended within it.
+func (span *Span) Write(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	events := span.Events()
+	write := func(event Event) {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d routers, %d lines\n", event.At.Format(clockFormat), event.Message, event.Detail, event.Routers, event.Lines)
+	}
+	for _, second := range span.Seconds() {
+		for len(events) > 0 && !events[0].At.After(second.At) {
+			write(events[0])
+			events = events[1:]
+		}
+		var counts []string
+		for _, outcome := range span.Outcomes() {
+			if count := second.Outcomes[outcome]; count > 0 {
+				counts = append(counts, fmt.Sprintf("%s %d", outcome, count))
+			}
+		}
+		if len(counts) > 0 {
+			fmt.Fprintf(table, "%s\trequests\t%s\t\n", second.At.Format(clockFormat), strings.Join(counts, ", "))
+		}
+	}
+	for _, event := range events {
+		write(event)
+	}
+	if span.leftOut > 0 {
+		fmt.Fprintf(table, "\t%d lines left out: more than %d distinct events\t\t\n", span.leftOut, maxEvents)
+	}
+	return errors.Wrap(table.Flush(), "write time line")
+}
+
+var page = template.Must(template.New("incident").Parse(`<!DOCTYPE html>
+<html lang="en">
+<head><meta charset="utf-8"><title>{{.Title}}</title>
+<style>body{font-family:sans-serif;margin:2em}table{border-collapse:collapse}td,th{padding:2px 10px;text-align:left;border-bottom:1px solid #ccc}svg{max-width:100%}</style></head>
+<body><h1>{{.Title}}</h1>
+<p>Times are those of the routers' clocks, which may differ.{{if .LeftOut}} {{.LeftOut}} lines were left out.{{end}}</p>
+{{.Plot}}
+<table><tr><th>Time</th><th>Event</th><th>What</th><th>Routers</th><th>Lines</th></tr>
+{{range .Events}}<tr><td>{{.At.Format "15:04:05"}}</td><td>{{.Message}}</td><td>{{.Detail}}</td><td>{{.Routers}}</td><td>{{.Lines}}</td></tr>
+{{end}}</table></body></html>
+`))
+
+// WriteHTML writes a page with a plot of how requests ended in each second and a table of the events.
+func (span *Span) WriteHTML(out io.Writer, title string) error {
+	var drawing strings.Builder
+	if len(span.seconds) > 0 {
+		if err := span.plot(&drawing); err != nil {
+			return err
+		}
+	}
+	return errors.Wrap(page.Execute(out, struct {
+		Title   string
+		Plot    template.HTML
+		Events  []Event
+		LeftOut int
+	}{title, template.HTML(drawing.String()), span.Events(), span.leftOut}), "write page")
+}
+
+func (span *Span) plot(out io.Writer) error {
+	drawing := plot.New()
+	drawing.X.Label.Text, drawing.Y.Label.Text = "Time", "Requests a second"
+	drawing.X.Tick.Marker = plot.TimeTicks{Format: clockFormat}
+	drawing.Legend.Top = true
+	seconds := span.Seconds()
+	var lines []any
+	outcomes := span.Outcomes()
+	for _, outcome := range outcomes[:min(len(outcomes), plotted)] {
+		points := make(plotter.XYs, len(seconds))
+		for i, second := range seconds {
+			points[i] = plotter.XY{X: float64(second.At.Unix()), Y: float64(second.Outcomes[outcome])}
+		}
+		lines = append(lines, outcome, points)
+	}
+	if err := plotutil.AddLines(drawing, lines...); err != nil {
+		return errors.Wrap(err, "draw requests")
+	}
+	writer, err := drawing.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return errors.Wrap(err, "draw requests")
+	}
+	var svg strings.Builder
+	if _, err := writer.WriteTo(&svg); err != nil {
+		return errors.Wrap(err, "write plot")
+	}
+	// The declaration of the file has no place within a page.
+	text := svg.String()
+	if at := strings.Index(text, "<svg"); at > 0 {
+		text = text[at:]
+	}
+	_, err = io.WriteString(out, text)
+	return errors.Wrap(err, "write plot")
+}
--- a/internal/admin/cause/search.go
+++ b/internal/admin/cause/search.go
@@ -36,7 +36,10 @@
 func (search *Search) Lines() []Line { return search.lines }
 
 // Path reads a file, or all files of a directory and those below it. Compressed files are recognised by their content.
-func (search *Search) Path(name string) error {
+func (search *Search) Path(name string) error { return walk(name, search.Reader) }
+
+// walk reads a file, or all files below a directory.
+func walk(name string, read func(reader io.Reader) error) error {
 	return filepath.WalkDir(name, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return errors.Wrap(err, "find logs")
@@ -44,11 +47,11 @@
 		if entry.IsDir() {
 			return nil
 		}
-		return search.file(path)
+		return readFile(path, read)
 	})
 }
 
-func (search *Search) file(name string) (err error) {
+func readFile(name string, read func(reader io.Reader) error) (err error) {
 	file, err := os.Open(name)
 	if err != nil {
 		return errors.Wrap(err, "open log")
@@ -58,30 +61,29 @@
 			err = errors.Wrap(closeErr, "close log")
 		}
 	}()
-	return errors.Wrapf(search.Reader(file), "log %s", name)
+	return errors.Wrapf(read(file), "log %s", name)
+}
+
+// unpacked returns the text of a log that may be compressed with gzip.
+func unpacked(buffered *bufio.Reader) (io.Reader, error) {
+	magic, err := buffered.Peek(len(gzipMagic))
+	if err != nil || !bytes.Equal(magic, gzipMagic) {
+		// A log that is too short for the magic, or cannot be read, is read as it is.
+		return buffered, nil
+	}
+	unpacked, err := gzip.NewReader(buffered)
+	return unpacked, errors.Wrap(err, "read compressed log")
 }
 
 // Reader reads one log, plain or compressed with gzip. A line above 1 MiB is an error.
 func (search *Search) Reader(reader io.Reader) error {
-	buffered := bufio.NewReader(reader)
-	var source io.Reader = buffered
-	if magic, err := buffered.Peek(len(gzipMagic)); err == nil && bytes.Equal(magic, gzipMagic) {
-		unpacked, err := gzip.NewReader(buffered)
-		if err != nil {
-			return errors.Wrap(err, "read compressed log")
-		}
-		source = unpacked
-	}
 	kept := &recent{size: beliefsKept}
 	named, after := false, 0
 	id := []byte(search.Request)
-	scanner := bufio.NewScanner(source)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		text := scanner.Bytes()
+	return scan(reader, func(text []byte) {
 		if bytes.Contains(text, requestField) {
 			if !bytes.Contains(text, id) {
-				continue
+				return
 			}
 			if line, ok := parse(string(text)); ok && line.Fields["Request"] == search.Request {
 				if !named {
@@ -90,7 +92,7 @@
 				}
 				search.lines = append(search.lines, line)
 			}
-			continue
+			return
 		}
 		switch {
 		case !named:
@@ -101,8 +103,7 @@
 				search.lines = append(search.lines, line)
 			}
 		}
-	}
-	return errors.Wrap(scanner.Err(), "read log")
+	})
 }
 
 // recent keeps the latest lines.
