Start a large fleet down a tree, and look it up before the write

The first router of a zone also had to pass two topics on to sixty others with a fifth of a core.

Change: a router looks the others up first, which after a loss of power finds the entries of the last time, and waits 0.2 s at most for it. Only where that finds no large fleet does it look again after its write, so that of two that start together one learns of the other. Topics are loaded from the router above in a tree by names, four below each; one that does not answer yet is tried again at once for 0.5 s, then the first of the zone, then the store.

--- a/internal/edge/entry/announce.go
+++ b/internal/edge/entry/announce.go
@@ -19,14 +19,19 @@
 	lonelyInterval = 3 * time.Second
 )
 
-// announce lists this router in the store and learns of the others. Each router writes before it reads, so that of two that
-// start at the same time at least one learns of the other, and its beats tell the other one.
+// announce lists this router in the store and learns of the others. It reads first, because in a large fleet the writes of all routers
+// that start wait for each other. Unless it finds a large fleet, in which its beats tell the others, it reads again after its write, so
+// that of two routers that start at the same time at least one learns of the other.
 func (entry *Entry) announce(ctx context.Context) error {
 	value, err := proto.Marshal(gossip.Describe(entry.roster.Self()))
 	if err != nil {
 		return err
 	}
-	written, listed := false, false
+	if err := entry.list(ctx); err != nil {
+		entry.config.Logger.Warn("routers not looked up", "Error", err)
+	}
+	entry.lookedUp.Store(true)
+	written, listed := false, entry.readers.large()
 	for {
 		wait := lonelyInterval
 		if !written {
@@ -44,7 +49,6 @@
 			} else {
 				listed = true
 			}
-			entry.lookedUp.Store(true)
 		}
 		if err := pause.For(ctx, wait); err != nil {
 			return err
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -360,6 +360,32 @@
 	quicktest.Check(t, reads.Load() <= zones*topics*readers, quicktest.IsTrue, quicktest.Commentf("%d reads", reads.Load()))
 }
 
+// Replays the same while the store takes one write at a time, and each takes long. Guards against callers of a fleet that lost power who
+// wait for the writes of all routers.
+func TestStartDoesNotWaitForWrites(t *testing.T) {
+	const size, write = 24, 100 * time.Millisecond
+	fleet := newFleet(t)
+	for number := range size {
+		fleet.list(number + 1)
+	}
+	var writing sync.Mutex
+	fleet.store.SetFault(func(_ http.ResponseWriter, request *http.Request) bool {
+		if request.Method == http.MethodPost {
+			writing.Lock()
+			defer writing.Unlock()
+			time.Sleep(write)
+		}
+		return false
+	})
+	began := time.Now()
+	var started []*router
+	for number := range size {
+		started = append(started, fleet.start(number+1))
+	}
+	fleet.ready(started...)
+	quicktest.Check(t, time.Since(began) < size*write/2, quicktest.IsTrue, quicktest.Commentf("%v", time.Since(began)))
+}
+
 // Guards against callers that keep an address for long and are turned away by each router of a rolling restart: plain requests are
 // served while streams keep the process.
 func TestStopServesLateCallers(t *testing.T) {
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -39,10 +39,15 @@
 	// which the router that reads the store may need one.
 	busyWait   = 300 * time.Millisecond
 	behindTime = 1500 * time.Millisecond
-	// startTime is how long a router of a large fleet that has just started reads from the others before any of them was heard to
-	// reach the store, and startPoll how often it looks whether others are known. The state of all routers is heard within it.
+	// startTime is how long a router of a large fleet that has just started loads the topics from the others, before any of
+	// them was heard to reach the store, and startPoll how often it looks whether others are known. The state of all routers is heard within it.
 	startTime = 3 * time.Second
 	startPoll = 10 * time.Millisecond
+	// lookUpTime is how long a router that starts waits until the others are looked up, which takes one call to the store.
+	lookUpTime = 200 * time.Millisecond
+	// parentTime is how long after the start the router above that does not answer yet is tried again, because it starts too. All
+	// start within 0.3 s of each other.
+	parentTime = 500 * time.Millisecond
 	// storeRetry is the pause between tries of a store that does not answer this router while it reads from another one.
 	storeRetry = time.Second
 )
@@ -122,16 +127,18 @@
 			return feed.Plan{Source: readers.peer(topic, informed)}
 		}
 	}
-	starting := now.Sub(readers.entry.started) < startTime
-	if starting && !readers.entry.lookedUp.Load() {
+	running := now.Sub(readers.entry.started)
+	starting := running < startTime
+	if running < lookUpTime && !readers.entry.lookedUp.Load() {
 		return feed.Plan{Interval: startPoll}
 	}
 	passed, large := topic.passedOver(now), readers.large()
 	reader, ok := readers.entry.roster.Reader(now, passed)
-	if !ok && starting && large {
-		reader, ok = readers.entry.roster.Leader(now, passed)
+	_, loaded := topic.mirror.Next()
+	if starting && large && !(loaded && ok) {
+		reader, ok = readers.entry.roster.Parent(now, passed)
 	}
-	switch _, loaded := topic.mirror.Next(); {
+	switch {
 	case !ok, !loaded && !large, topic.direct(now), readers.store.retry(now):
 		return atStore
 	}
@@ -139,7 +146,17 @@
 		// If this one is silent too, little time is left.
 		wait = busyWait
 	}
-	return feed.Plan{Source: readers.peer(topic, reader), Wait: wait}
+	plan := feed.Plan{Source: readers.peer(topic, reader), Wait: wait}
+	if starting && !loaded {
+		plan.Retry = startPoll
+	}
+	return plan
+}
+
+// mayStart reports whether a router that does not answer may have to start first, as this one did.
+func (readers readers) mayStart(topic *topic) bool {
+	_, loaded := topic.mirror.Next()
+	return !loaded && time.Since(readers.entry.started) < parentTime
 }
 
 func (readers readers) peer(topic *topic, member roster.Member) peerSource {
@@ -275,7 +292,7 @@
 // Read implements feed.Source.
 func (source peerSource) Read(ctx context.Context, topic string, from int64, wait time.Duration) (feed.Batch, error) {
 	batch, err := source.Source.Read(ctx, topic, from, wait)
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !source.readers.mayStart(source.topic) {
 		source.topic.unanswered(source.instance, source.readers.large(), time.Now())
 	}
 	return batch, err
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -38,6 +38,9 @@
 	leastCores = 0.01
 	// weightExponent names routers in proportion to their processor time when callers are told of a quarter of them.
 	weightExponent = 1.5
+	// startFanout is the number of routers to which one passes the topics on while a fleet starts. With 4 the last of sixty in a zone
+	// is three steps from the store.
+	startFanout = 4
 	// isolation is the share of the other routers whose silence means that this router is cut off.
 	isolation = 0.5
 )
@@ -349,20 +352,10 @@
 // reaches the store, or the first of all zones. Busy ones come last, because what they pass on is late, and the one with the
 // name in passed does not count; "" passes over none. It is false if this router is to read the store itself.
 func (roster *Roster) Reader(now time.Time, passed clementinewind.Instance) (Member, bool) {
-	return roster.first(now, passed, func(member Member) bool { return member.StoreReachable })
-}
-
-// Leader returns the router that Reader would return if all routers reached the store.
-func (roster *Roster) Leader(now time.Time, passed clementinewind.Instance) (Member, bool) {
-	return roster.first(now, passed, func(Member) bool { return true })
-}
-
-// first returns the router that is first to read among those that may. It is false if that is the router itself, or none.
-func (roster *Roster) first(now time.Time, passed clementinewind.Instance, may func(Member) bool) (Member, bool) {
 	self := roster.Self()
 	var reader *Member
 	for _, member := range roster.view(now).alive {
-		if !may(member) || member.Leaving || member.Instance == passed {
+		if !member.StoreReachable || member.Leaving || member.Instance == passed {
 			continue
 		}
 		if reader == nil || readsBefore(member, *reader, self.Zone) {
@@ -383,6 +376,28 @@
 	return first.Zone == zone && second.Zone != zone
 }
 
+// Parent returns the router from which this one loads the topics while a fleet starts: the routers of a zone form a tree by their names,
+// in which each has startFanout below it, so that none has to pass everything on to all. The one with the name in passed does not
+// count. It is false if this router is the first of its zone, or the one above it and the first do not count.
+func (roster *Roster) Parent(now time.Time, passed clementinewind.Instance) (Member, bool) {
+	self := roster.Self()
+	var above []Member
+	for _, member := range roster.view(now).alive {
+		if member.Zone == self.Zone && member.Instance < self.Instance {
+			above = append(above, member)
+		}
+	}
+	if len(above) == 0 {
+		return Member{}, false
+	}
+	for _, candidate := range []Member{above[(len(above)-1)/startFanout], above[0]} {
+		if candidate.Instance != passed && !candidate.Leaving {
+			return candidate, true
+		}
+	}
+	return Member{}, false
+}
+
 // Informed returns any other router that serves requests, in the own zone if there is one, and so knows the configuration. It
 // is false if none is heard.
 func (roster *Roster) Informed(now time.Time) (Member, bool) {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -200,3 +200,34 @@
 	ratio := 3 * float64(told[0.8]) / float64(told[0.2])
 	quicktest.Check(t, ratio > 3 && ratio < 5, quicktest.IsTrue, quicktest.Commentf("large routers are named %.1f times as often", ratio))
 }
+
+// Replays a zone of sixty routers that starts as a whole. Guards against one router that passes the topics on to all others, which takes
+// it seconds with a fifth of a core, against a long way from the store to the last one, and against routers that wait for each other.
+func TestParentsFormTree(t *testing.T) {
+	const size, fanout, steps = 60, 4, 3
+	now := time.Now()
+	name := func(number int) clementinewind.Instance { return clementinewind.Instance(fmt.Sprintf("r%02d", number)) }
+	children, depth := map[clementinewind.Instance]int{}, map[clementinewind.Instance]int{}
+	for number := range size {
+		own := roster.New(roster.Config{Self: roster.Member{Instance: name(number), Zone: "a"}})
+		for other := range size {
+			own.List(roster.Member{Instance: name(other), Zone: "a", Incarnation: 1}, now)
+			own.List(roster.Member{Instance: "b" + name(other), Zone: "b", Incarnation: 1}, now)
+		}
+		parent, ok := own.Parent(now, "")
+		quicktest.Assert(t, ok, quicktest.Equals, number > 0)
+		if !ok {
+			continue
+		}
+		quicktest.Check(t, parent.Instance < name(number), quicktest.IsTrue, quicktest.Commentf("%s below %s", name(number), parent.Instance))
+		children[parent.Instance]++
+		depth[name(number)] = depth[parent.Instance] + 1
+		quicktest.Check(t, depth[name(number)] <= steps, quicktest.IsTrue, quicktest.Commentf("%s is %d steps away", name(number), depth[name(number)]))
+		other, ok := own.Parent(now, parent.Instance)
+		quicktest.Check(t, ok, quicktest.Equals, parent.Instance != name(0))
+		quicktest.Check(t, !ok || other.Instance == name(0), quicktest.IsTrue)
+	}
+	for parent, count := range children {
+		quicktest.Check(t, count <= fanout, quicktest.IsTrue, quicktest.Commentf("%d below %s", count, parent))
+	}
+}
--- a/internal/store/feed/follower.go
+++ b/internal/store/feed/follower.go
@@ -29,6 +29,8 @@
 	// Wait is how long the read waits for new records, Interval the pause after it.
 	Wait     time.Duration
 	Interval time.Duration
+	// Retry is the pause after a failed read; 0 takes one that grows with each failure.
+	Retry time.Duration
 }
 
 // FollowerConfig configures a Follower.
@@ -85,8 +87,10 @@
 		}
 		if err := follower.read(ctx, plan); err != nil && ctx.Err() == nil {
 			follower.fail(err)
-			pause = delay
-			delay = min(delay*2, maxRetryDelay)
+			if pause = plan.Retry; pause == 0 {
+				pause = delay
+				delay = min(delay*2, maxRetryDelay)
+			}
 		} else {
 			delay = retryDelay
 		}
