Use one type for the state of an entry

Cause: duplicates names two equal structs, telem.EntryState and entry.State, added with the gauges.

Change: the entry returns the type of the metrics. Also a comment reflowed. No change of behaviour; TestState and TestAlertRules pass.

--- a/cmd/clementinewind/entry.go
+++ b/cmd/clementinewind/entry.go
@@ -80,7 +80,7 @@
 		return err
 	}
 	router := entry.New(entry.Config{Settings: settings, Meter: meter, Logger: logger})
-	if err := meter.Watch(func() telem.EntryState { return telem.EntryState(router.State()) }); err != nil {
+	if err := meter.Watch(router.State); err != nil {
 		return err
 	}
 	signals := make(chan os.Signal, 4)
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/admin/conf"
+	"github.com/clementinewind/clementinewind/internal/admin/telem"
 	"github.com/clementinewind/clementinewind/internal/edge/gate"
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
@@ -258,19 +259,9 @@
 	return err
 }
 
-// State is what the router knows of itself and of the fleet, for its metrics.
-type State struct {
-	Ready              bool
-	Version            int64
-	KnownAge           time.Duration
-	Routers, Upstreams int
-	InFlight           int64
-	RefusedPart        float64
-}
-
-// State returns the state at this moment.
-func (entry *Entry) State() State {
-	state := State{
+// State returns the state at this moment, for the metrics.
+func (entry *Entry) State() telem.EntryState {
+	state := telem.EntryState{
 		Ready: entry.ready(), Version: entry.version(), Routers: len(entry.roster.Alive(time.Now())), Upstreams: entry.board.Count(),
 		InFlight: entry.inFlight.Load(), RefusedPart: entry.lag.shed.Part(), KnownAge: boot.Now(),
 	}
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -39,8 +39,8 @@
 	// which the router that reads the store may need one.
 	busyWait   = 300 * time.Millisecond
 	behindTime = 1500 * time.Millisecond
-	// startTime is how long a router of a large fleet that has just started loads the topics from the others, before any of
-	// them was heard to reach the store, and startPoll how often it looks whether others are known. The state of all routers is heard within it.
+	// startTime is how long a router of a large fleet that has just started loads the topics from the others, before any of them was
+	// heard to reach the store; the state of all routers is heard within it. startPoll is how often it looks whether others are known.
 	startTime = 3 * time.Second
 	startPoll = 10 * time.Millisecond
 	// lookUpTime is how long a router that starts waits until the others are looked up, which takes one call to the store.
