--- a/internal/admin/cause/report.go
+++ b/internal/admin/cause/report.go
@@ -27,7 +27,11 @@
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	events := span.Events()
 	write := func(event Event) {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d routers, %d lines\n", event.At.Format(clockFormat), event.Message, event.Detail, event.Routers, event.Lines)
+		lines := ""
+		if event.Lines != event.Routers {
+			lines = fmt.Sprintf(", %d lines", event.Lines)
+		}
+		fmt.Fprintf(table, "%s\t%d routers%s\t%s\t%s\n", event.At.Format(clockFormat), event.Routers, lines, event.Message, event.Detail)
 	}
 	for _, second := range span.Seconds() {
 		for len(events) > 0 && !events[0].At.After(second.At) {
@@ -41,14 +45,14 @@
 			}
 		}
 		if len(counts) > 0 {
-			fmt.Fprintf(table, "%s\trequests\t%s\t\n", second.At.Format(clockFormat), strings.Join(counts, ", "))
+			fmt.Fprintf(table, "%s\t\trequests\t%s\n", second.At.Format(clockFormat), strings.Join(counts, ", "))
 		}
 	}
 	for _, event := range events {
 		write(event)
 	}
 	if span.leftOut > 0 {
-		fmt.Fprintf(table, "\t%d lines left out: more than %d distinct events\t\t\n", span.leftOut, maxEvents)
+		fmt.Fprintf(table, "\t\tlines left out\t%d, because there are more than %d distinct events\n", span.leftOut, maxEvents)
 	}
 	return errors.Wrap(table.Flush(), "write time line")
 }
