Set the flush time of a server without a race

A drain sets how long the callers' server waits for its last answers, while the run group may close that server because the process ends for another reason.

Ruled out: the state itself; the trace names server.close and Entry.drain.

Change: the time is atomic.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -324,7 +324,7 @@
 	entry.refresh()
 	entry.config.Logger.Info("stopping", "Grace", grace, "InFlight", entry.inFlight.Load())
 	part := func(share float64) time.Duration { return time.Duration(share * float64(grace)) }
-	callers.flushTime = part(flushShare)
+	callers.flushTime.Store(int64(part(flushShare)))
 	leaving, quiet := false, 0
 	for ; ; time.Sleep(drainPoll) {
 		waited, idle := time.Since(started), entry.inFlight.Load() == 0 && callers.gate.Awaited() == 0
--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -68,8 +69,8 @@
 	once sync.Once
 	// ended is closed by close.
 	ended chan struct{}
-	// flushTime is how long close waits for the last answers.
-	flushTime time.Duration
+	// flushTime is how long close waits for the last answers, in nanoseconds. A drain sets it, beside which the process may end.
+	flushTime atomic.Int64
 }
 
 // listen opens a server at an address; config is for its connections, without the listener.
@@ -89,14 +90,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &server{
+	serving := &server{
 		Server: &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes,
 			ErrorLog:    logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 			ConnContext: withConn,
 		},
-		gate: accepting, ended: make(chan struct{}), flushTime: defaultFlushTime,
-	}, nil
+		gate: accepting, ended: make(chan struct{}),
+	}
+	serving.flushTime.Store(int64(defaultFlushTime))
+	return serving, nil
 }
 
 // connKey is the key of a caller's connection in the context of its requests.
@@ -151,7 +154,7 @@
 
 func (server *server) close() {
 	close(server.ended)
-	ctx, cancel := context.WithTimeout(context.Background(), server.flushTime)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(server.flushTime.Load()))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		// What still runs is cut at the end of the grace period.
