Write reports and plots of commands by one function

Cause: `incident` created, wrote and closed a file as `experiment` did, and `experiment` dropped the error of a close after a failed plot.

Change: writeFile serves both and names what it writes in its errors.

--- a/cmd/clementinewind/experiment.go
+++ b/cmd/clementinewind/experiment.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"os"
 
-	"github.com/pkg/errors"
 	urfave "github.com/urfave/cli/v3"
 
 	"github.com/clementinewind/clementinewind/internal/tools/trial"
@@ -41,13 +39,5 @@
 	if path == "" {
 		return nil
 	}
-	file, err := os.Create(path)
-	if err != nil {
-		return errors.Wrap(err, "create plot")
-	}
-	if err := report.Plot(file); err != nil {
-		file.Close()
-		return err
-	}
-	return errors.Wrap(file.Close(), "write plot")
+	return writeFile("plot", path, report.Plot)
 }
--- a/cmd/clementinewind/incident.go
+++ b/cmd/clementinewind/incident.go
@@ -54,20 +54,20 @@
 			if !command.IsSet("html") {
 				return nil
 			}
-			return writeFile(command.String("html"), func(out io.Writer) error { return span.WriteHTML(out, command.String("title")) })
+			return writeFile("report", command.String("html"), func(out io.Writer) error { return span.WriteHTML(out, command.String("title")) })
 		},
 	}
 }
 
-// writeFile writes a new file, or replaces one.
-func writeFile(name string, write func(out io.Writer) error) (err error) {
+// writeFile writes a new file, or replaces one; what names its content in errors.
+func writeFile(what, name string, write func(out io.Writer) error) (err error) {
 	file, err := os.Create(name)
 	if err != nil {
-		return errors.Wrap(err, "write report")
+		return errors.Wrap(err, "create "+what)
 	}
 	defer func() {
 		if closeErr := file.Close(); err == nil {
-			err = errors.Wrap(closeErr, "write report")
+			err = errors.Wrap(closeErr, "write "+what)
 		}
 	}()
 	return write(file)
