Sort the outcomes of a time line once, and copy its plot once

Cause: Span.Write summed and sorted all outcomes again for each second, and the plot went through two builders. A test named a topic of the platform, which only platform/ may.

Change: the outcomes are taken before the loop; plot returns the element that the page holds; the test has a name of our own, which no assertion reads.

--- a/internal/admin/cause/report.go
+++ b/internal/admin/cause/report.go
@@ -33,13 +33,14 @@
 		}
 		fmt.Fprintf(table, "%s\t%d routers%s\t%s\t%s\n", event.At.Format(clockFormat), event.Routers, lines, event.Message, event.Detail)
 	}
+	outcomes := span.Outcomes()
 	for _, second := range span.Seconds() {
 		for len(events) > 0 && !events[0].At.After(second.At) {
 			write(events[0])
 			events = events[1:]
 		}
 		var counts []string
-		for _, outcome := range span.Outcomes() {
+		for _, outcome := range outcomes {
 			if count := second.Outcomes[outcome]; count > 0 {
 				counts = append(counts, fmt.Sprintf("%s %d", outcome, count))
 			}
@@ -71,21 +72,23 @@
 
 // WriteHTML writes a page with a plot of how requests ended in each second and a table of the events.
 func (span *Span) WriteHTML(out io.Writer, title string) error {
-	var drawing strings.Builder
-	if len(span.seconds) > 0 {
-		if err := span.plot(&drawing); err != nil {
-			return err
-		}
+	drawing, err := span.plot()
+	if err != nil {
+		return err
 	}
 	return errors.Wrap(page.Execute(out, struct {
 		Title   string
 		Plot    template.HTML
 		Events  []Event
 		LeftOut int
-	}{title, template.HTML(drawing.String()), span.Events(), span.leftOut}), "write page")
+	}{title, drawing, span.Events(), span.leftOut}), "write page")
 }
 
-func (span *Span) plot(out io.Writer) error {
+// plot returns an SVG element, or nothing if no request ended.
+func (span *Span) plot() (template.HTML, error) {
+	if len(span.seconds) == 0 {
+		return "", nil
+	}
 	drawing := plot.New()
 	drawing.X.Label.Text, drawing.Y.Label.Text = "Time", "Requests a second"
 	drawing.X.Tick.Marker = plot.TimeTicks{Format: clockFormat}
@@ -101,21 +104,20 @@
 		lines = append(lines, outcome, points)
 	}
 	if err := plotutil.AddLines(drawing, lines...); err != nil {
-		return errors.Wrap(err, "draw requests")
+		return "", errors.Wrap(err, "draw requests")
 	}
 	writer, err := drawing.WriterTo(plotWidth, plotHeight, "svg")
 	if err != nil {
-		return errors.Wrap(err, "draw requests")
+		return "", errors.Wrap(err, "draw requests")
 	}
 	var svg strings.Builder
 	if _, err := writer.WriteTo(&svg); err != nil {
-		return errors.Wrap(err, "write plot")
+		return "", errors.Wrap(err, "write plot")
 	}
 	// The declaration of the file has no place within a page.
 	text := svg.String()
 	if at := strings.Index(text, "<svg"); at > 0 {
 		text = text[at:]
 	}
-	_, err = io.WriteString(out, text)
-	return errors.Wrap(err, "write plot")
+	return template.HTML(text), nil
 }
--- a/internal/admin/cause/span_test.go
+++ b/internal/admin/cause/span_test.go
@@ -34,7 +34,7 @@
 			write(second, "answer broken off", `Request=c Events=7 Detail="<script>"`)
 		}
 	}
-	write(31, "dependency lost", `Dependency=keyed.op Error="<b>no answer</b>"`)
+	write(31, "dependency lost", `Dependency=operators Error="<b>no answer</b>"`)
 	return text.String()
 }
 
