--- a/internal/admin/telem/entry.go
+++ b/internal/admin/telem/entry.go
@@ -107,11 +107,7 @@
 	}
 	_, err := builder.meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
 		current := state()
-		isReady := 0.0
-		if current.Ready {
-			isReady = 1
-		}
-		observer.ObserveFloat64(ready, isReady)
+		observer.ObserveFloat64(ready, number(current.Ready))
 		observer.ObserveFloat64(version, float64(current.Version))
 		observer.ObserveFloat64(age, current.KnownAge.Seconds())
 		observer.ObserveFloat64(routers, float64(current.Routers))
--- a/internal/edge/entry/announce.go
+++ b/internal/edge/entry/announce.go
@@ -27,9 +27,7 @@
 	if err != nil {
 		return err
 	}
-	if err := entry.list(ctx); err != nil {
-		entry.config.Logger.Warn("routers not looked up", "Error", err)
-	}
+	entry.lookUp(ctx)
 	entry.lookedUp.Store(true)
 	written, listed := false, entry.readers.large()
 	for {
@@ -43,11 +41,10 @@
 			}
 		}
 		if !listed || len(entry.roster.Alive(time.Now())) == 1 {
-			if err := entry.list(ctx); err != nil {
-				entry.config.Logger.Warn("routers not looked up", "Error", err)
-				wait = announceRetry
-			} else {
+			if entry.lookUp(ctx) {
 				listed = true
+			} else {
+				wait = announceRetry
 			}
 		}
 		if err := pause.For(ctx, wait); err != nil {
@@ -56,10 +53,12 @@
 	}
 }
 
-func (entry *Entry) list(ctx context.Context) error {
+// lookUp learns of the routers that are listed in the store. It reports whether the store answered.
+func (entry *Entry) lookUp(ctx context.Context) bool {
 	batch, err := entry.store.Newest(ctx, platform.TopicInstances)
 	if err != nil {
-		return err
+		entry.config.Logger.Warn("routers not looked up", "Error", err)
+		return false
 	}
 	for _, record := range batch.Records {
 		var beat fleetv1.Beat
@@ -69,5 +68,5 @@
 		}
 		entry.roster.List(gossip.MemberOf(&beat), time.Now())
 	}
-	return nil
+	return true
 }
