Share the restart of a fleet among tests, and check that settings are complete

Cause: two tests listed and started 24 routers by the same loops. TestShowEntry claims to guard against a key that is left out, but one without a value prints as not set, which reads back the same.

Change: listAll and restart; TestShowEntry also refuses "is not set" where the file gives everything. All other assertions stay.

--- a/internal/admin/conf/entry_test.go
+++ b/internal/admin/conf/entry_test.go
@@ -112,6 +112,7 @@
 	for _, line := range []string{"Name = front-1 ; entry.ini", "Descriptors = 4100 ; entry.ini", "MostRefused = 0.95 ; default"} {
 		quicktest.Check(t, strings.Contains(shown, line+"\n"), quicktest.IsTrue, quicktest.Commentf("%s in\n%s", line, shown))
 	}
+	quicktest.Check(t, strings.Contains(shown, "is not set"), quicktest.IsFalse, quicktest.Commentf("%s", shown))
 	all, err := conf.ShowEntry("shown.ini", []byte(shown))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, strings.Contains(all, "default"), quicktest.IsFalse, quicktest.Commentf("%s", all))
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -163,6 +163,23 @@
 	fleet.store.Put(platform.TopicInstances, string(settings.Name), value)
 }
 
+func (fleet *fleet) listAll(size int) {
+	fleet.t.Helper()
+	for number := range size {
+		fleet.list(number + 1)
+	}
+}
+
+// restart starts all routers and waits until they are ready.
+func (fleet *fleet) restart(size int) {
+	fleet.t.Helper()
+	var started []*router
+	for number := range size {
+		started = append(started, fleet.start(number+1))
+	}
+	fleet.ready(started...)
+}
+
 func (fleet *fleet) start(number int) *router {
 	fleet.t.Helper()
 	settings := fleet.settings(number)
@@ -342,9 +359,7 @@
 func TestFleetStartsTogether(t *testing.T) {
 	const size, zones, topics, readers = 24, 3, 2, 4
 	fleet := newFleet(t)
-	for number := range size {
-		fleet.list(number + 1)
-	}
+	fleet.listAll(size)
 	var reads atomic.Int64
 	fleet.store.SetFault(func(_ http.ResponseWriter, request *http.Request) bool {
 		if topic := request.URL.Query().Get("topic"); topic == platform.TopicOperator || topic == platform.TopicUpstreams {
@@ -352,11 +367,7 @@
 		}
 		return false
 	})
-	var started []*router
-	for number := range size {
-		started = append(started, fleet.start(number+1))
-	}
-	fleet.ready(started...)
+	fleet.restart(size)
 	quicktest.Check(t, reads.Load() <= zones*topics*readers, quicktest.IsTrue, quicktest.Commentf("%d reads", reads.Load()))
 }
 
@@ -365,9 +376,7 @@
 func TestStartDoesNotWaitForWrites(t *testing.T) {
 	const size, write = 24, 100 * time.Millisecond
 	fleet := newFleet(t)
-	for number := range size {
-		fleet.list(number + 1)
-	}
+	fleet.listAll(size)
 	var writing sync.Mutex
 	fleet.store.SetFault(func(_ http.ResponseWriter, request *http.Request) bool {
 		if request.Method == http.MethodPost {
@@ -378,11 +387,7 @@
 		return false
 	})
 	began := time.Now()
-	var started []*router
-	for number := range size {
-		started = append(started, fleet.start(number+1))
-	}
-	fleet.ready(started...)
+	fleet.restart(size)
 	quicktest.Check(t, time.Since(began) < size*write/2, quicktest.IsTrue, quicktest.Commentf("%v", time.Since(began)))
 }
 
