Log each second what became of the tokens of an organisation

Cause: FAIR breaks for an organisation whose callers use one router. The logs could not tell whether its tokens are refused for the processor, for its share or for the queue: a refusal at the gate names no organisation, and 400 lines a second do not hold all refusals.

Change: usage.Ledger sums the tokens of each organisation by what became of them; each router logs those of the four that ask for most, once a second, while there is not enough for all.

--- /dev/null
+++ b/internal/route/relay/account.go
@@ -0,0 +1,37 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/clementinewind/clementinewind/internal/load/usage"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
+)
+
+const (
+	// accountInterval is how often the ledger is logged.
+	accountInterval = time.Second
+	// mostAccounts bounds the lines of one interval; organisations that ask for most come first.
+	mostAccounts = 4
+)
+
+// Account logs each second what became of the tokens of the organisations that ask this router for most, while some are refused or there
+// is not enough for all, until the context ends.
+func (relay *Relay) Account(ctx context.Context) error {
+	for {
+		if err := pause.For(ctx, accountInterval); err != nil {
+			return err
+		}
+		now := time.Now()
+		for _, account := range relay.ledger.Take(mostAccounts) {
+			share, scarce := relay.config.Shares.Ratio(account.Organisation, now)
+			if account.Refused() == 0 && !scarce {
+				continue
+			}
+			relay.config.Logger.Warn("organisation load", "Organisation", account.Organisation,
+				"Asked", int(account.Tokens[usage.PartAsked]), "Begun", int(account.Tokens[usage.PartBegun]),
+				"Overloaded", int(account.Tokens[usage.PartOverloaded]), "Queued", int(account.Tokens[usage.PartQueued]),
+				"Late", int(account.Tokens[usage.PartLate]), "Share", share)
+		}
+	}
+}
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -99,15 +99,28 @@
 	return exchange.route.Kind == table.RouteIdempotent || (exchange.route.Kind == table.RouteStream && exchange.route.Resumable)
 }
 
+// tokens returns what the request counts in the shares of the organisations.
+func (exchange *exchange) tokens() float64 {
+	return usage.Tokens(exchange.call.Prompt.InputTokens, exchange.call.Prompt.OutputTokens)
+}
+
+// account counts the request in the ledger of the organisations.
+func (exchange *exchange) account(part usage.Part) {
+	if exchange.service.Engine != nil {
+		exchange.relay.ledger.Add(exchange.organisation, part, exchange.tokens())
+	}
+}
+
 func (exchange *exchange) left() time.Duration { return time.Until(exchange.deadline) }
 
 // run places the request until it has a final answer.
 func (exchange *exchange) run() {
 	budget := exchange.relay.budget(exchange.service.Name)
 	budget.Request(exchange.arrived)
-	tokens := usage.Tokens(exchange.call.Prompt.InputTokens, exchange.call.Prompt.OutputTokens)
+	tokens := exchange.tokens()
 	if exchange.service.Engine != nil {
 		exchange.relay.config.Shares.Ask(exchange.organisation, tokens, exchange.arrived)
+		exchange.account(usage.PartAsked)
 	}
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.deadline)
 	defer cancel()
@@ -122,6 +135,7 @@
 		}
 		if exchange.service.Engine != nil && exchange.sends == 0 {
 			exchange.relay.config.Shares.Serve(exchange.organisation, tokens, time.Now())
+			exchange.account(usage.PartBegun)
 		}
 		switch exchange.attempt(ctx, ticket) {
 		case verdictDone:
@@ -302,10 +316,13 @@
 		exchange.write(exchange.fallback.status, exchange.fallback.header, exchange.fallback.body)
 		exchange.ended("Failed", fmt.Sprintf("upstream answered %d", exchange.fallback.status))
 	case exchange.runs == 0 && ctx.Err() == nil:
+		exchange.account(usage.PartQueued)
 		exchange.refuse(clementinewind.ReasonNoCapacity, max(busyRetry, exchange.late), "no upstream took the request")
 	case exchange.runs == 0:
+		exchange.account(usage.PartLate)
 		exchange.refuse(clementinewind.ReasonDeadline, 0, "no upstream took the request before the deadline")
 	case ctx.Err() != nil:
+		exchange.account(usage.PartLate)
 		exchange.reject(http.StatusGatewayTimeout, clementinewind.ReasonDeadline, 0, "no answer before the deadline")
 	default:
 		exchange.reject(http.StatusBadGateway, clementinewind.ReasonUpstreamFailed, 0, "upstream failed")
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -86,6 +86,7 @@
 	config Config
 
 	unread unread
+	ledger *usage.Ledger
 
 	mutex   sync.Mutex
 	pools   map[clementinewind.Upstream]*link.Pool
@@ -94,7 +95,7 @@
 
 // New returns a relay.
 func New(config Config) *Relay {
-	return &Relay{config: config, pools: map[clementinewind.Upstream]*link.Pool{}, budgets: map[table.Service]*budget.Budget{}}
+	return &Relay{config: config, ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*link.Pool{}, budgets: map[table.Service]*budget.Budget{}}
 }
 
 // Retire closes the connections to an upstream that is gone.
--- a/internal/route/relay/unread.go
+++ b/internal/route/relay/unread.go
@@ -52,6 +52,8 @@
 	}
 	if organisation, known := current.Organisation(key); known {
 		relay.config.Shares.Ask(organisation, tokens, time.Now())
+		relay.ledger.Add(organisation, usage.PartAsked, tokens)
+		relay.ledger.Add(organisation, usage.PartOverloaded, tokens)
 	}
 }
 
