Refuse by the wait of goroutines, not by the lateness of a timer

What callers saw: at the onset of a flood the router of the organisation answered nobody for seconds; its requests were refused after 100 ms without an upstream or timed out, while other organisations were served.

Cause: the part of the requests that a busy router refuses follows the lateness of a timer every 20 ms. The runtime lets the goroutine of a timer run before all others that could, so that it is on time while they wait. The class of fault: a probe that does not go the way of what it stands for.

Ruled out: pauses of the process (no such line in the log), the store (no dependency lost at that time), the engines (140 candidates).

Change: runq takes the waits from the runtime's histogram every 100 ms, at a cost of 20 us; the mean of at least 16 samples counts as lag where it is larger than the lateness of the timer. Target and gains of the refusals stay.

Test: runq.TestMeterSeesTheQueue.

--- a/internal/edge/entry/lag.go
+++ b/internal/edge/entry/lag.go
@@ -8,11 +8,16 @@
 
 	"github.com/clementinewind/clementinewind/internal/load/shed"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
+	"github.com/clementinewind/clementinewind/internal/share/runq"
 )
 
 const (
 	// lagProbe is the pause after which the process should run again; what it takes longer is the lag.
 	lagProbe = 20 * time.Millisecond
+	// waitProbes is the number of probes after which the waits of goroutines are taken, which costs 20 us, and leastWaits the number of
+	// samples from which they count: a router that passes on a few hundred streams has twice as many.
+	waitProbes = 5
+	leastWaits = 16
 	// lagHold is how long the largest lag counts, so that a burst is not taken for over between two probes.
 	lagHold = 300 * time.Millisecond
 	// lagTarget is the lag that the refusals hold; an idle processor is late by less than 3 ms. A request passes the scheduler
@@ -41,17 +46,25 @@
 // lag measures how long the process waits for the processor.
 type lag struct {
 	nanoseconds atomic.Int64
-	shed        *shed.Controller
+	// longest is the longest delay in the last delayWindows times that waits were taken, and since.
+	longest atomic.Int64
+	// due is when the current probe ends, on the clock that counts pauses.
+	due  atomic.Int64
+	shed *shed.Controller
 	// watch notices pauses of the process.
 	watch *boot.Watch
 }
 
-// run measures until the context ends.
+// run measures until the context ends. The goroutine of a timer goes before all others that could run, so that its own lateness tells
+// only that the process as a whole does not run; what the others wait is asked of the runtime.
 func (lag *lag) run(ctx context.Context) error {
 	var largestAt time.Time
+	var wait time.Duration
+	meter := runq.New()
+	meter.Take()
 	ticker := time.NewTimer(lagProbe)
 	defer ticker.Stop()
-	for {
+	for probe := 1; ; probe++ {
 		began := time.Now()
 		ticker.Reset(lagProbe)
 		select {
@@ -61,7 +74,13 @@
 		}
 		lag.watch.Tick()
 		now := time.Now()
-		late := now.Sub(began) - lagProbe
+		if probe%waitProbes == 0 {
+			waits := meter.Take()
+			if wait = 0; waits.Count() >= leastWaits {
+				wait = waits.Mean()
+			}
+		}
+		late := max(now.Sub(began)-lagProbe, wait)
 		lag.shed.Observe(late, now.Sub(began))
 		if int64(late) >= lag.nanoseconds.Load() || now.Sub(largestAt) > lagHold {
 			lag.nanoseconds.Store(int64(late))
--- /dev/null
+++ b/internal/share/runq/runq_test.go
@@ -0,0 +1,43 @@
+package runq
+
+import (
+	"math"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestWaits(t *testing.T) {
+	waits := Waits{counts: []uint64{1, 2, 1, 0}, bounds: []float64{math.Inf(-1), 0.010, 0.050, 1, math.Inf(1)}}
+	quicktest.Check(t, waits.Count(), quicktest.Equals, 4)
+	quicktest.Check(t, waits.Mean(), quicktest.Equals, 17500*time.Microsecond)
+	quicktest.Check(t, waits.Longest(), quicktest.Equals, 50*time.Millisecond)
+	quicktest.Check(t, Waits{}.Mean(), quicktest.Equals, time.Duration(0))
+	quicktest.Check(t, Waits{}.Longest(), quicktest.Equals, time.Duration(0))
+}
+
+// Guards against a measure that sees nothing of goroutines that wait behind each other, as the lateness of a timer does: the runtime
+// lets the goroutine of a timer go first.
+func TestMeterSeesTheQueue(t *testing.T) {
+	const workers, turns, work = 40, 20, time.Millisecond
+	meter := New()
+	meter.Take()
+	var group sync.WaitGroup
+	for range workers * runtime.GOMAXPROCS(0) {
+		group.Go(func() {
+			for range turns {
+				for began := time.Now(); time.Since(began) < work; {
+				}
+				runtime.Gosched()
+			}
+		})
+	}
+	group.Wait()
+	waits := meter.Take()
+	quicktest.Check(t, waits.Count() > 0, quicktest.IsTrue)
+	quicktest.Check(t, waits.Mean() > workers*work/4, quicktest.IsTrue, quicktest.Commentf("mean %s", waits.Mean()))
+	quicktest.Check(t, waits.Longest() >= waits.Mean(), quicktest.IsTrue)
+}
