Blame no upstream for a connection that timed out while the router did not run

Cause: a connection that is not open after 300 ms makes its upstream unreachable: it gets no request for up to 2 s, counts as cold for 3 s, in which only one router of the fleet may send to it, and loses the prompts that it is believed to keep. A router that does not run in time misses that bound for sound upstreams, many at once. The class of fault: own delay taken for a fault of others.

Change: a time-out while a goroutine waited for the processor for 100 ms or more in the last 300 ms ends the attempt as one that says nothing of the upstream; the request goes to another one. Refused connections count as before.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -119,7 +119,7 @@
 	entry.relay = relay.New(relay.Config{
 		Zone: settings.Zone, Board: entry.board, Shares: entry.shares, Table: entry.view.Table, Routers: entry.roster.Known,
 		Closing: entry.sendsAway, Refusing: entry.refuses, Stale: entry.stale, Left: callerLeft, Overloaded: entry.overloaded, Gather: entry.gather,
-		Dial: dialer.DialContext, Budget: entry.budget,
+		Dial: dialer.DialContext, Delayed: entry.lag.delayed, Budget: entry.budget,
 		Meter: config.Meter, Logger: config.Logger,
 	})
 	entry.readers = newReaders(entry)
--- a/internal/edge/entry/lag.go
+++ b/internal/edge/entry/lag.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/clementinewind/clementinewind/internal/load/shed"
+	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
 	"github.com/clementinewind/clementinewind/internal/share/runq"
 )
@@ -35,6 +37,11 @@
 	// for the processor.
 	busyGather = 0.4
 	mostGather = 0.6
+	// delayWindows times waitProbes probes last as long as link.DialTimeout.
+	delayWindows = 3 + 1
+	// delayLimit is the delay from which a connection that was not opened in time says nothing of the other side. A connection takes a few
+	// milliseconds, so that the rest of link.DialTimeout is enough for one unless most of it was lost.
+	delayLimit = link.DialTimeout / 3
 	// pauseLimit is the time without running from which the process counts as paused: what it was allowed to do may have ended
 	// since. The shortest of the users' bounds on such permissions is 2 s.
 	pauseLimit = time.Second
@@ -60,6 +67,7 @@
 func (lag *lag) run(ctx context.Context) error {
 	var largestAt time.Time
 	var wait time.Duration
+	var longest [delayWindows]time.Duration
 	meter := runq.New()
 	meter.Take()
 	ticker := time.NewTimer(lagProbe)
@@ -67,6 +75,7 @@
 	for probe := 1; ; probe++ {
 		began := time.Now()
 		ticker.Reset(lagProbe)
+		lag.due.Store(int64(boot.Now() + lagProbe))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -74,12 +83,17 @@
 		}
 		lag.watch.Tick()
 		now := time.Now()
+		longest[0] = max(longest[0], now.Sub(began)-lagProbe)
 		if probe%waitProbes == 0 {
 			waits := meter.Take()
 			if wait = 0; waits.Count() >= leastWaits {
 				wait = waits.Mean()
 			}
+			longest[0] = max(longest[0], waits.Longest())
+			copy(longest[1:], longest[:])
+			longest[0] = 0
 		}
+		lag.longest.Store(int64(slices.Max(longest[:])))
 		late := max(now.Sub(began)-lagProbe, wait)
 		lag.shed.Observe(late, now.Sub(began))
 		if int64(late) >= lag.nanoseconds.Load() || now.Sub(largestAt) > lagHold {
@@ -101,6 +115,15 @@
 	return 0
 }
 
+// delayed reports whether a goroutine waited for the processor for delayLimit or more at a time in the last link.DialTimeout.
+func (lag *lag) delayed() bool {
+	current := time.Duration(0)
+	if due := time.Duration(lag.due.Load()); due > 0 {
+		current = boot.Now() - due
+	}
+	return max(current, time.Duration(lag.longest.Load())) >= delayLimit
+}
+
 // overloaded reports whether the processor is not enough for the requests.
 func (lag *lag) overloaded() bool { return lag.shed.Part() > overloadedPart }
 
--- a/internal/route/link/error.go
+++ b/internal/route/link/error.go
@@ -16,7 +16,12 @@
 )
 
 // UnreachableError is a connection that could not be opened. Nothing was sent.
-type UnreachableError struct{ Cause error }
+type UnreachableError struct {
+	Cause error
+	// Delayed is set if the connection was not opened in time while this process itself did not run, so that the error says nothing
+	// of the upstream.
+	Delayed bool
+}
 
 // Error names the cause.
 func (unreachable *UnreachableError) Error() string {
--- a/internal/route/link/pool.go
+++ b/internal/route/link/pool.go
@@ -16,8 +16,8 @@
 	// OnceIdle is how long a connection may have been idle for a request that must not run twice: the end of an older one
 	// may be on its way, and such a request cannot be sent again.
 	OnceIdle = time.Second
-	// dialTimeout is far above a round trip in a region; an upstream that needs longer does not serve in time anyway.
-	dialTimeout = 300 * time.Millisecond
+	// DialTimeout is far above a round trip in a region; an upstream that needs longer does not serve in time anyway.
+	DialTimeout = 300 * time.Millisecond
 )
 
 // Config configures a Pool.
@@ -29,6 +29,9 @@
 	Connections int
 	// Opened is called for each new connection; nil is not called.
 	Opened func()
+	// Delayed reports whether the process did not run for so much of the last DialTimeout that a connection which was not opened in
+	// time says nothing of the upstream; nil never does.
+	Delayed func() bool
 }
 
 // Pool holds the connections to one upstream. Its methods may be called by many goroutines.
@@ -173,17 +176,18 @@
 }
 
 func (pool *Pool) dial(ctx context.Context) (*conn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	raw, err := pool.config.Dial(dialCtx, "tcp", pool.config.Address)
 	if err != nil {
 		pool.mutex.Lock()
 		pool.open--
 		pool.mutex.Unlock()
+		delayed := isTimeout(err) && pool.config.Delayed != nil && pool.config.Delayed()
 		if ctx.Err() != nil {
 			err = errors.Wrap(ctx.Err(), err.Error())
 		}
-		return nil, &UnreachableError{Cause: err}
+		return nil, &UnreachableError{Cause: err, Delayed: delayed}
 	}
 	if pool.config.Opened != nil {
 		pool.config.Opened()
@@ -191,6 +195,11 @@
 	return newConn(raw, pool), nil
 }
 
+func isTimeout(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
+
 func (pool *Pool) drop(conn *conn) {
 	conn.close()
 	pool.mutex.Lock()
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -279,9 +279,12 @@
 func (exchange *exchange) unanswered(ctx context.Context, ticket *board.Ticket, pool *link.Pool, err error) verdict {
 	now := time.Now()
 	result := board.ResultFailed
+	var unreachable *link.UnreachableError
 	switch {
 	case exchange.request.Context().Err() != nil:
 		result = board.ResultAbandoned
+	case errors.As(err, &unreachable) && unreachable.Delayed:
+		result = board.ResultAbandoned
 	case errors.Is(err, link.ErrBusy), errors.Is(err, link.ErrRetired):
 		result = board.ResultDeclined
 	case errors.Is(err, link.ErrExpired):
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -65,6 +65,8 @@
 	// short.
 	Gather func() time.Duration
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// Delayed is that of link.Config.
+	Delayed func() bool
 	// Budget returns the bound of repeated requests for all routers together.
 	Budget func() budget.Config
 	Meter  Meter
@@ -120,7 +122,7 @@
 	}
 	pool := link.New(link.Config{
 		Address: entry.Address, Dial: relay.config.Dial, Connections: connections,
-		Opened: func() { relay.config.Meter.Connected(entry.Service) },
+		Opened: func() { relay.config.Meter.Connected(entry.Service) }, Delayed: relay.config.Delayed,
 	})
 	relay.pools[entry.Upstream] = pool
 	return pool
--- a/internal/route/relay/trouble_test.go
+++ b/internal/route/relay/trouble_test.go
@@ -7,6 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -160,6 +164,13 @@
 
 // newRelay returns a relay with one route to one upstream, whose name is its address.
 func newRelay(dial func(ctx context.Context, network, address string) (net.Conn, error), route table.Route, upstream string) *relay.Relay {
+	config := configFor(route, upstream)
+	config.Dial = dial
+	return relay.New(config)
+}
+
+// configFor returns the configuration of a relay with one route to one upstream, whose name is its address.
+func configFor(route table.Route, upstream string) relay.Config {
 	route.Host, route.PathPrefix, route.Shares = "host.example", "/p/", []table.Share{{Service: "service", Weight: 1}}
 	current := table.New(table.Configuration{
 		Version: 1, Routes: []table.Route{route}, Services: []table.ServiceSettings{{Name: "service", MaxConnections: 100}},
@@ -168,9 +179,7 @@
 	built := board.New(board.Config{Owns: func(clementinewind.Upstream) bool { return true }})
 	built.SetServices(current.Services())
 	built.Set(table.Entry{Upstream: clementinewind.Upstream(upstream), Service: "service", Address: upstream, Slots: 4}, time.Now())
-	config := calm(current, built)
-	config.Dial = dial
-	return relay.New(config)
+	return calm(current, built)
 }
 
 // Guards against a process that was paused and sends requests by what it knew before: it waits until it knows more, and
@@ -190,6 +199,53 @@
 	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusOK)
 }
 
+// Guards against a router that did not run while it connected and takes its upstreams for unreachable: they would get no requests,
+// count as cold and lose the prompts that they are believed to keep.
+func TestOwnDelayIsNoFaultOfUpstreams(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		delayed bool
+		err     error
+		served  bool
+	}{
+		{"time-out while the process did not run", true, os.ErrDeadlineExceeded, true},
+		{"time-out while the process ran", false, os.ErrDeadlineExceeded, false},
+		{"connection refused while the process did not run", true, syscall.ECONNREFUSED, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			upstream := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				stand.Echo(writer, request)
+				sealed(writer, http.StatusOK, "answer")
+			}))
+			defer upstream.Close()
+			address := upstream.Listener.Addr().String()
+			var dials atomic.Int64
+			config := configFor(table.Route{Kind: table.RouteIdempotent, MaxAttempts: 2, LatencyGoal: 200 * time.Millisecond}, address)
+			config.Delayed = func() bool { return test.delayed }
+			config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				if dials.Add(1) == 1 {
+					return nil, &net.OpError{Op: "dial", Err: test.err}
+				}
+				return new(net.Dialer).DialContext(ctx, network, address)
+			}
+			router := httptest.NewServer(relay.New(config))
+			defer router.Close()
+			ask := func() int {
+				request, err := http.NewRequest(http.MethodGet, router.URL+"/p/", nil)
+				quicktest.Assert(t, err, quicktest.IsNil)
+				request.Host = "host.example"
+				request.Header.Set("Authorization", "Bearer key")
+				response, err := http.DefaultClient.Do(request)
+				quicktest.Assert(t, err, quicktest.IsNil)
+				quicktest.Check(t, response.Body.Close(), quicktest.IsNil)
+				return response.StatusCode
+			}
+			quicktest.Check(t, ask(), quicktest.Equals, http.StatusServiceUnavailable)
+			quicktest.Check(t, ask() == http.StatusOK, quicktest.Equals, test.served)
+		})
+	}
+}
+
 // Guards against requests that are sent on after their callers left, at a router whose processor is too short to notice it in
 // time.
 func TestCallerThatLeftIsDropped(t *testing.T) {
