Do not take the age of a quiet topic for delay

Cause: a busy router sends nothing while what it knows of the store is older than 1.5 s, because it may not come to reading that an upstream leaves. The age counts from the beginning of the last read that ended. Reads wait up to 1 s for news, so that without news the age goes from 1 to 2 s at any router, also an idle one, and half of those that become busy stop at once. The class of fault: an interval of polling taken for a delay.

Ruled out: reads that failed (no dependency lost), pauses of the process (none logged).

Change: a read in which the source had nothing new says so up to the end of its wait. The follower tells that time, at most the wait that it asked for, so that an answer which is read late counts no more than that.

Test: entry.TestQuietTopicIsNotBehind failed before, feed.TestHeldReadsAreAsNewAsTheirEnd.

--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -72,8 +72,8 @@
 	// passed is the router whose last answer failed; it is passed over until passedUntil.
 	passed      clementinewind.Instance
 	passedUntil time.Time
-	// began is when the current read was sent, and known the moment at which the last successful one was, both on the clock
-	// that counts pauses.
+	// began is when the current read was sent, and known the moment up to which the topic was read, both on the clock that counts
+	// pauses.
 	began, known time.Duration
 	// failing is set while reads fail, so that nobody tells the router anything.
 	failing bool
@@ -175,13 +175,14 @@
 	topic.began = boot.Now()
 }
 
-// reached records the result of a read. What it brought is as old as its beginning, at most.
-func (topic *topic) reached(err error) {
+// reached records the result of a read. What it brought is as old as its beginning, at most, and as the end of the time for which the
+// source had nothing new: the reads of a quiet topic last longer than behindTime allows for one that is not read.
+func (topic *topic) reached(held time.Duration, err error) {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
 	topic.failing = err != nil
 	if err == nil {
-		topic.known = topic.began
+		topic.known = topic.began + held
 	}
 }
 
--- a/internal/edge/entry/readers_test.go
+++ b/internal/edge/entry/readers_test.go
@@ -94,3 +94,24 @@
 	entry.readers.upstreams.unanswered("router-01", true, now)
 	quicktest.Check(t, entry.sourceAt(now), quicktest.Equals, "store")
 }
+
+// Replays a router that becomes overloaded in the middle of a read which waits for news. Guards against one that takes the usual age of a
+// quiet topic for its own delay and refuses all requests until the read ends.
+func TestQuietTopicIsNotBehind(t *testing.T) {
+	entry := zoned(t, largeFleet)
+	read := func(topic *topic, held time.Duration, err error) time.Duration {
+		topic.begin()
+		topic.reached(held, err)
+		return topic.began
+	}
+	topic := entry.readers.operator
+	began := read(topic, followWait, nil)
+	middle := began + followWait + 9*followWait/10
+	quicktest.Check(t, topic.behind(middle), quicktest.IsFalse)
+	quicktest.Check(t, topic.behind(began+followWait+behindTime), quicktest.IsFalse)
+	// The read that is under way should have ended by then.
+	quicktest.Check(t, topic.behind(began+followWait+behindTime+time.Millisecond), quicktest.IsTrue)
+	// News end a read before its wait does, so that the topic is known up to the beginning of the read only.
+	began = read(topic, 0, nil)
+	quicktest.Check(t, topic.behind(began+behindTime+time.Millisecond), quicktest.IsTrue)
+}
--- a/internal/store/feed/follower.go
+++ b/internal/store/feed/follower.go
@@ -44,8 +44,9 @@
 	// ReachedElsewhere returns when another router last reached the source; nil knows of none. Failed reads during which
 	// another router reached the source are no outage of the source.
 	ReachedElsewhere func() time.Time
-	// Reached is told whether the last read succeeded; nil is not called.
-	Reached func(err error)
+	// Reached is told whether the last read succeeded, and for how much of its wait the source had no records: what was read is as new
+	// as that, counted from the beginning of the read. Nil is not called.
+	Reached func(held time.Duration, err error)
 	Logger  hclog.Logger
 }
 
@@ -140,9 +141,14 @@
 func (follower *Follower) readFrom(ctx context.Context, source Source, wait time.Duration) error {
 	from, loaded := follower.config.Mirror.Next()
 	if loaded {
+		began := time.Now()
 		batch, err := source.Read(ctx, follower.config.Topic, from, wait)
 		if err == nil {
-			follower.recover()
+			held := time.Duration(0)
+			if len(batch.Records) == 0 {
+				held = min(wait, time.Since(began))
+			}
+			follower.recover(held)
 			follower.config.Apply(follower.config.Mirror.Extend(batch), follower.outageEnd)
 			return nil
 		}
@@ -155,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	follower.recover()
+	follower.recover(0)
 	follower.config.Apply(follower.config.Mirror.Replace(batch), follower.outageEnd)
 	return nil
 }
@@ -167,18 +173,18 @@
 	}
 	follower.healthy = false
 	if follower.config.Reached != nil {
-		follower.config.Reached(err)
+		follower.config.Reached(0, err)
 	}
 }
 
-func (follower *Follower) recover() {
+func (follower *Follower) recover(held time.Duration) {
 	if !follower.healthy {
 		follower.endOutage(time.Now())
 		follower.config.Logger.Info("dependency regained", "Dependency", follower.config.Topic)
 	}
 	follower.healthy = true
 	if follower.config.Reached != nil {
-		follower.config.Reached(nil)
+		follower.config.Reached(held, nil)
 	}
 }
 
--- a/internal/store/feed/follower_test.go
+++ b/internal/store/feed/follower_test.go
@@ -161,3 +161,42 @@
 	}
 	return feed.Batch{}, nil
 }
+
+// Guards against a topic without news that counts as read up to the beginning of a long read only, and against one that counts as read up
+// to a moment after the source answered, because the process was late to read the answer.
+func TestHeldReadsAreAsNewAsTheirEnd(t *testing.T) {
+	const wait = time.Second
+	for _, test := range []struct {
+		name    string
+		records []feed.Record
+		took    time.Duration
+		held    time.Duration
+	}{
+		{"nothing new", nil, 0, wait},
+		{"nothing new, answer read late", nil, 3 * time.Second, wait},
+		{"news", []feed.Record{{Key: "key", Offset: 1}}, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				source := &source{took: test.took}
+				source.set(feed.Batch{Records: test.records, Next: 2})
+				mirror := feed.NewMirror(feed.MirrorConfig{})
+				mirror.Replace(feed.Batch{Next: 1})
+				var reached []time.Duration
+				follower := feed.NewFollower(feed.FollowerConfig{
+					Topic: "topic", Mirror: mirror, Logger: hclog.NewNullLogger(),
+					Plan:    func() feed.Plan { return feed.Plan{Source: source, Interval: time.Hour, Wait: wait} },
+					Apply:   func([]feed.Record, time.Time) {},
+					Reached: func(held time.Duration, _ error) { reached = append(reached, held) },
+				})
+				ended := make(chan error, 1)
+				go func() { ended <- follower.Run(ctx) }()
+				time.Sleep(time.Minute)
+				cancel()
+				quicktest.Check(t, <-ended, quicktest.ErrorIs, context.Canceled)
+				quicktest.Check(t, reached, quicktest.DeepEquals, []time.Duration{test.held})
+			})
+		})
+	}
+}
