Count requests as served only while an upstream takes them

An organisation whose requests were handed to upstreams that could not be reached seemed to have its share, and its next requests were refused sooner than those of organisations that were served.

Cause: a request counts as served when it is placed, again at each placement before it was sent, and for good, whatever became of it.

Change: a request counts once, from its first placement on, and is taken back if no upstream began to answer it. The ledger's Begun is what upstreams began.

--- a/internal/load/usage/ledger.go
+++ b/internal/load/usage/ledger.go
@@ -16,7 +16,7 @@
 const (
 	// PartAsked are the tokens of all requests that arrived.
 	PartAsked Part = iota
-	// PartBegun are the tokens of requests that were handed to an upstream.
+	// PartBegun are the tokens of requests that an upstream began to answer.
 	PartBegun
 	// PartOverloaded are the tokens of requests that were refused because the processor is not enough.
 	PartOverloaded
--- a/internal/load/usage/share.go
+++ b/internal/load/usage/share.go
@@ -83,6 +83,13 @@
 	shares.served.Add(Hash(organisation), tokens, now)
 }
 
+// Return takes back a request that was handed to an upstream at the given time and that no upstream began.
+func (shares *Shares) Return(organisation clementinewind.Organisation, tokens float64, handed, now time.Time) {
+	shares.mutex.Lock()
+	defer shares.mutex.Unlock()
+	shares.served.Remove(Hash(organisation), tokens, handed, now)
+}
+
 // SetPeer replaces the usage of another router or zone.
 func (shares *Shares) SetPeer(source Source, report Report, now time.Time) {
 	shares.mutex.Lock()
--- a/internal/load/usage/usage.go
+++ b/internal/load/usage/usage.go
@@ -53,6 +53,15 @@
 	meter.sums[key] = sum
 }
 
+// Remove takes back what is left of tokens that were added at the given time.
+func (meter *Meter[K]) Remove(key K, tokens float64, added, now time.Time) {
+	if sum, ok := meter.sums[key]; ok {
+		left := Sliding{window: meter.window, tokens: tokens, at: added}
+		sum.tokens, sum.at = max(sum.Tokens(now)-left.Tokens(now), 0), now
+		meter.sums[key] = sum
+	}
+}
+
 // Tokens returns the decayed sum, which is the rate times the window for a steady load.
 func (meter *Meter[K]) Tokens(key K, now time.Time) float64 {
 	sum, ok := meter.sums[key]
--- a/internal/load/usage/usage_test.go
+++ b/internal/load/usage/usage_test.go
@@ -65,3 +65,20 @@
 	shares.Serve("a", 1000, later)
 	quicktest.Check(t, ratio(shares, "a", later) <= 1, quicktest.IsTrue)
 }
+
+// Guards against requests that count as served although no upstream began them: the organisation seems to have got its share.
+func TestReturnedRequestsAreNotServed(t *testing.T) {
+	now := time.Now()
+	shares := usage.NewShares(4 * time.Second)
+	for _, organisation := range []clementinewind.Organisation{"a", "b"} {
+		shares.Ask(organisation, 10_000, now)
+		shares.Serve(organisation, 1000, now)
+	}
+	shares.Serve("a", 3000, now)
+	later := now.Add(time.Second)
+	shares.Return("a", 3000, now, later)
+	quicktest.Check(t, math.Abs(ratio(shares, "a", later)-1) < 1e-6, quicktest.IsTrue, quicktest.Commentf("%v", ratio(shares, "a", later)))
+	// What decayed meanwhile is not taken back twice.
+	shares.Return("a", 3000, now, later.Add(time.Minute))
+	quicktest.Check(t, ratio(shares, "a", later.Add(time.Minute)) >= 0, quicktest.IsTrue)
+}
--- a/internal/route/relay/answer.go
+++ b/internal/route/relay/answer.go
@@ -24,7 +24,7 @@
 
 // whole passes on an answer that is not a stream.
 func (exchange *exchange) whole(ctx context.Context, ticket *board.Ticket, answer *link.Answer) verdict {
-	ticket.First(time.Now())
+	exchange.begin(ticket, time.Now())
 	body, err := io.ReadAll(io.LimitReader(answer, heldBytes))
 	status := answer.Response.StatusCode
 	switch {
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -69,6 +69,9 @@
 	// share.
 	late  time.Duration
 	share float64
+	// handed is when the request was first handed to an upstream, and begun is set when one began to answer it.
+	handed time.Time
+	begun  bool
 	// gone is set when the caller was found to have left.
 	gone bool
 }
@@ -104,6 +107,22 @@
 	return usage.Tokens(exchange.call.Prompt.InputTokens, exchange.call.Prompt.OutputTokens)
 }
 
+// begin records that an upstream began to answer the request.
+func (exchange *exchange) begin(ticket *board.Ticket, now time.Time) {
+	ticket.First(now)
+	if !exchange.begun {
+		exchange.begun = true
+		exchange.account(usage.PartBegun)
+	}
+}
+
+// takeBack no longer counts a request as served that no upstream began to answer.
+func (exchange *exchange) takeBack() {
+	if !exchange.handed.IsZero() && !exchange.begun {
+		exchange.relay.config.Shares.Return(exchange.organisation, exchange.tokens(), exchange.handed, time.Now())
+	}
+}
+
 // account counts the request in the ledger of the organisations.
 func (exchange *exchange) account(part usage.Part) {
 	if exchange.service.Engine != nil {
@@ -124,6 +143,7 @@
 	}
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.deadline)
 	defer cancel()
+	defer exchange.takeBack()
 	for range maxPlacements {
 		if exchange.sends > 0 && !budget.Repeat(time.Now()) {
 			exchange.logger.Info("not sent again", "Request", exchange.call.RequestID, "Cause", "retry budget is used up")
@@ -133,9 +153,9 @@
 		if ticket == nil {
 			break
 		}
-		if exchange.service.Engine != nil && exchange.sends == 0 {
-			exchange.relay.config.Shares.Serve(exchange.organisation, tokens, time.Now())
-			exchange.account(usage.PartBegun)
+		if exchange.service.Engine != nil && exchange.handed.IsZero() {
+			exchange.handed = time.Now()
+			exchange.relay.config.Shares.Serve(exchange.organisation, tokens, exchange.handed)
 		}
 		switch exchange.attempt(ctx, ticket) {
 		case verdictDone:
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -81,7 +81,7 @@
 		if count > 0 && first {
 			first = false
 			now := time.Now()
-			ticket.First(now)
+			exchange.begin(ticket, now)
 			exchange.relay.config.Meter.FirstEvent(exchange.service.Name, now.Sub(exchange.arrived), ticket.Expected)
 		}
 		pending = append(pending, buffer[:count]...)
--- a/internal/route/relay/trouble_test.go
+++ b/internal/route/relay/trouble_test.go
@@ -164,16 +164,17 @@
 
 // newRelay returns a relay with one route to one upstream, whose name is its address.
 func newRelay(dial func(ctx context.Context, network, address string) (net.Conn, error), route table.Route, upstream string) *relay.Relay {
-	config := configFor(route, upstream)
+	config := configFor(route, upstream, nil)
 	config.Dial = dial
 	return relay.New(config)
 }
 
-// configFor returns the configuration of a relay with one route to one upstream, whose name is its address.
-func configFor(route table.Route, upstream string) relay.Config {
+// configFor returns the configuration of a relay with one route to one upstream, whose name is its address. It is a model engine unless
+// engine is nil.
+func configFor(route table.Route, upstream string, engine *table.Engine) relay.Config {
 	route.Host, route.PathPrefix, route.Shares = "host.example", "/p/", []table.Share{{Service: "service", Weight: 1}}
 	current := table.New(table.Configuration{
-		Version: 1, Routes: []table.Route{route}, Services: []table.ServiceSettings{{Name: "service", MaxConnections: 100}},
+		Version: 1, Routes: []table.Route{route}, Services: []table.ServiceSettings{{Name: "service", MaxConnections: 100, Engine: engine}},
 		Organisations: []table.OrganisationKeys{{Organisation: "Patel", Keys: []string{"key"}}},
 	})
 	built := board.New(board.Config{Owns: func(clementinewind.Upstream) bool { return true }})
@@ -220,7 +221,7 @@
 			defer upstream.Close()
 			address := upstream.Listener.Addr().String()
 			var dials atomic.Int64
-			config := configFor(table.Route{Kind: table.RouteIdempotent, MaxAttempts: 2, LatencyGoal: 200 * time.Millisecond}, address)
+			config := configFor(table.Route{Kind: table.RouteIdempotent, MaxAttempts: 2, LatencyGoal: 200 * time.Millisecond}, address, nil)
 			config.Delayed = func() bool { return test.delayed }
 			config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 				if dials.Add(1) == 1 {
@@ -246,6 +247,25 @@
 	}
 }
 
+// Guards against an organisation whose requests reach no upstream and count as served, so that its share seems to be filled.
+func TestUnservedRequestsFillNoShare(t *testing.T) {
+	config := configFor(table.Route{Kind: table.RouteStream, MaxAttempts: 2, LatencyGoal: 200 * time.Millisecond}, "upstream", &table.Engine{})
+	config.Dial = func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	now := time.Now()
+	config.Shares.Ask("Other", 10_000, now)
+	config.Shares.Serve("Other", 5_000, now)
+	request := httptest.NewRequest(http.MethodPost, "/p/", nil)
+	request.Host = "host.example"
+	request.Header.Set("Authorization", "Bearer key")
+	request.Header.Set("X-Token-Count", "4000,100")
+	recorder := httptest.NewRecorder()
+	relay.New(config).ServeHTTP(recorder, request)
+	quicktest.Check(t, recorder.Code, quicktest.Equals, http.StatusServiceUnavailable)
+	share, scarce := config.Shares.Ratio("Patel", now.Add(300*time.Millisecond))
+	quicktest.Check(t, scarce, quicktest.IsTrue)
+	quicktest.Check(t, share, quicktest.Equals, 0.0)
+}
+
 // Guards against requests that are sent on after their callers left, at a router whose processor is too short to notice it in
 // time.
 func TestCallerThatLeftIsDropped(t *testing.T) {
