Refuse large requests without a goroutine for each

What callers saw: the router of a crowded organisation spends more than half of its processor on refusals, and serves the fewer for it.

Cause: a request of more than 16 KB that is refused counts as unfinished. It gets a goroutine, five timers that look in vain because the buffer is full, and a connection of the net package, which is opened and closed again.

Change: the buffer is 64 KB.

Test: gate.TestLargeRequestsAreRefusedAtOnce failed before (connection reset, because no more unfinished callers are awaited).

--- a/internal/edge/gate/gate_test.go
+++ b/internal/edge/gate/gate_test.go
@@ -200,6 +200,23 @@
 	quicktest.Check(t, runtime.NumGoroutine()-before < callers, quicktest.IsTrue)
 }
 
+// Replays an organisation with large prompts at a router that refuses. Guards against a goroutine and ten more system calls for each of
+// them: those that have arrived are refused like small ones, also while as many callers as are awaited have not sent their requests.
+func TestLargeRequestsAreRefusedAtOnce(t *testing.T) {
+	const unfinished = 400
+	server := listen(t, 1000)
+	server.refusing.Store(true)
+	for range unfinished {
+		server.dial(t)
+	}
+	large := server.dial(t)
+	fmt.Fprint(large, post("id", strings.Repeat("x", 40_000)))
+	server.start()
+	response, body := answer(t, large)
+	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	quicktest.Check(t, body, quicktest.Equals, "busy id")
+}
+
 // Guards against a bound on connections that refused or failed ones use up.
 func TestConnectionsAreBounded(t *testing.T) {
 	server := listen(t, 2)
--- a/internal/edge/gate/refuse.go
+++ b/internal/edge/gate/refuse.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// requestBytes is above the size of most requests. Larger ones are refused by a goroutine of their own.
-	requestBytes = 16 << 10
+	// requestBytes is above the size of requests with large prompts, which are 17 KB. Larger ones are refused by a goroutine of their own,
+	// which costs several times as much.
+	requestBytes = 64 << 10
 	// refusedAtOnce is after how many refusals other work of the process gets its turn.
 	refusedAtOnce = 16
 )
