Tell a router that waits for news from upstreams that take no requests

Cause: while a router does not know what changed because it did not run, it refuses with "no upstream took the request", as if the upstreams were full.

Change: the refusal says Stale with its reason; the ledger has a part for it, and organisation load prints all parts.

Test: relay.TestPausedRouterSendsNothing asks for the reason now.

--- a/internal/load/usage/ledger.go
+++ b/internal/load/usage/ledger.go
@@ -24,11 +24,15 @@
 	PartQueued
 	// PartAhead are the tokens of requests that were refused because the organisation got far more than one that waits.
 	PartAhead
+	// PartStale are the tokens of requests that were refused because the router did not know yet what changed while it did not run.
+	PartStale
 	// PartLate are the tokens of requests that ended at their deadline without an answer.
 	PartLate
-	parts
 )
 
+// parts is the number of values of Part.
+const parts = PartLate + 1
+
 // Account is what became of the tokens of one organisation, by Part.
 type Account struct {
 	Organisation clementinewind.Organisation
@@ -37,7 +41,11 @@
 
 // Refused returns the tokens that were refused for any reason.
 func (account Account) Refused() float64 {
-	return account.Tokens[PartOverloaded] + account.Tokens[PartQueued] + account.Tokens[PartAhead] + account.Tokens[PartLate]
+	refused := 0.0
+	for part := PartOverloaded; part < parts; part++ {
+		refused += account.Tokens[part]
+	}
+	return refused
 }
 
 // Ledger keeps what became of the tokens of each organisation since it was last taken. Its methods may be called by many goroutines.
--- a/internal/load/usage/ledger_test.go
+++ b/internal/load/usage/ledger_test.go
@@ -18,10 +18,12 @@
 	ledger.Add("large", usage.PartOverloaded, 50)
 	ledger.Add("large", usage.PartQueued, 15)
 	ledger.Add("large", usage.PartLate, 5)
+	ledger.Add("large", usage.PartStale, 4)
+	ledger.Add("large", usage.PartAhead, 6)
 	accounts := ledger.Take(1)
 	quicktest.Assert(t, accounts, quicktest.HasLen, 1)
 	quicktest.Check(t, accounts[0].Organisation, quicktest.Equals, clementinewind.Organisation("large"))
-	quicktest.Check(t, accounts[0].Refused(), quicktest.Equals, 70.0)
+	quicktest.Check(t, accounts[0].Refused(), quicktest.Equals, 80.0)
 	quicktest.Check(t, accounts[0].Tokens[usage.PartBegun], quicktest.Equals, 30.0)
 	quicktest.Check(t, ledger.Take(10), quicktest.HasLen, 0)
 }
--- a/internal/load/usage/part_string.go
+++ b/internal/load/usage/part_string.go
@@ -13,13 +13,13 @@
 	_ = x[PartOverloaded-2]
 	_ = x[PartQueued-3]
 	_ = x[PartAhead-4]
-	_ = x[PartLate-5]
-	_ = x[parts-6]
+	_ = x[PartStale-5]
+	_ = x[PartLate-6]
 }
 
-const _Part_name = "AskedBegunOverloadedQueuedAheadLateparts"
+const _Part_name = "AskedBegunOverloadedQueuedAheadStaleLate"
 
-var _Part_index = [...]uint8{0, 5, 10, 20, 26, 31, 35, 40}
+var _Part_index = [...]uint8{0, 5, 10, 20, 26, 31, 36, 40}
 
 func (i Part) String() string {
 	idx := int(i) - 0
--- a/internal/route/relay/account.go
+++ b/internal/route/relay/account.go
@@ -28,10 +28,11 @@
 			if account.Refused() == 0 && !scarce {
 				continue
 			}
-			relay.config.Logger.Warn("organisation load", "Organisation", account.Organisation,
-				"Asked", int(account.Tokens[usage.PartAsked]), "Begun", int(account.Tokens[usage.PartBegun]),
-				"Overloaded", int(account.Tokens[usage.PartOverloaded]), "Queued", int(account.Tokens[usage.PartQueued]),
-				"Ahead", int(account.Tokens[usage.PartAhead]), "Late", int(account.Tokens[usage.PartLate]), "Share", standing.Share, "Least", standing.Least)
+			fields := []any{"Organisation", account.Organisation, "Share", standing.Share, "Least", standing.Least}
+			for part, tokens := range account.Tokens {
+				fields = append(fields, usage.Part(part).String(), int(tokens))
+			}
+			relay.config.Logger.Warn("organisation load", fields...)
 		}
 	}
 }
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -73,6 +73,8 @@
 	// handed is when the request was first handed to an upstream, and begun is set when one began to answer it.
 	handed time.Time
 	begun  bool
+	// stale is set while the request waits because the router may not know what was decided meanwhile.
+	stale bool
 	// gone is set when the caller was found to have left.
 	gone bool
 }
@@ -189,7 +191,7 @@
 			exchange.gone = true
 			return nil
 		}
-		if exchange.relay.config.Stale() {
+		if exchange.stale = exchange.relay.config.Stale(); exchange.stale {
 			if now.After(giveUp) || pause.For(ctx, placeWait) != nil {
 				return nil
 			}
@@ -345,6 +347,9 @@
 	case exchange.fallback != nil:
 		exchange.write(exchange.fallback.status, exchange.fallback.header, exchange.fallback.body)
 		exchange.ended("Failed", fmt.Sprintf("upstream answered %d", exchange.fallback.status))
+	case exchange.runs == 0 && exchange.stale && ctx.Err() == nil:
+		exchange.account(usage.PartStale)
+		exchange.refuse(clementinewind.ReasonStale, busyRetry, "router does not know yet what changed while it did not run")
 	case exchange.runs == 0 && exchange.surplus > 0 && ctx.Err() == nil:
 		exchange.account(usage.PartAhead)
 		exchange.refuse(clementinewind.ReasonNoCapacity, max(busyRetry, exchange.surplus), "organisation got far more than one that waits")
--- a/internal/route/relay/trouble_test.go
+++ b/internal/route/relay/trouble_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -189,10 +190,11 @@
 	fleet := start(t, table.Route{Kind: table.RouteOnce, MaxAttempts: 1, LatencyGoal: 800 * time.Millisecond},
 		func(writer http.ResponseWriter, _ *http.Request, _ int) { sealed(writer, http.StatusOK, "answer") })
 	fleet.stale.Store(true)
-	response, _, err := fleet.ask(t, http.MethodPost, "body")
+	response, body, err := fleet.ask(t, http.MethodPost, "body")
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
 	quicktest.Check(t, response.Header.Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
+	quicktest.Check(t, strings.HasPrefix(body, "Stale"), quicktest.IsTrue, quicktest.Commentf("%s", body))
 	quicktest.Check(t, fleet.runs(), quicktest.HasLen, 0)
 	time.AfterFunc(20*time.Millisecond, func() { fleet.stale.Store(false) })
 	response, _, err = fleet.ask(t, http.MethodPost, "body")
