Let only requests pause that were not handed to an upstream

What callers would see: a stream that broke off and could go on at another upstream, or a request that one upstream had rejected, refused or broken off because its organisation came to be ahead meanwhile. Found in reading the diff, not in a play.

Change: the pause is asked for until the first placement only. The delays of the last time-out are a type of their own.

Test: relay.TestPlacedRequestsDoNotPause failed before (one try instead of two), entry.TestDelaysAreKeptForATimeOut.

--- a/internal/edge/entry/lag.go
+++ b/internal/edge/entry/lag.go
@@ -17,7 +17,7 @@
 	// lagProbe is the pause after which the process should run again; what it takes longer is the lag.
 	lagProbe = 20 * time.Millisecond
 	// waitProbes is the number of probes after which the waits of goroutines are taken, which costs 20 us, and leastWaits the number of
-	// samples from which they count: a router that passes on a few hundred streams has twice as many.
+	// samples from which they count: an overloaded router has four times as many, and those of an idle one say little.
 	waitProbes = 5
 	leastWaits = 16
 	// lagHold is how long the largest lag counts, so that a burst is not taken for over between two probes.
@@ -37,8 +37,8 @@
 	// for the processor.
 	busyGather = 0.4
 	mostGather = 0.6
-	// delayWindows times waitProbes probes last as long as link.DialTimeout.
-	delayWindows = 3 + 1
+	// delayWindows is the number of times that waits are taken in link.DialTimeout, and one for the time since.
+	delayWindows = int(link.DialTimeout/(waitProbes*lagProbe)) + 1
 	// delayLimit is the delay from which a connection that was not opened in time says nothing of the other side. A connection takes a few
 	// milliseconds, so that the rest of link.DialTimeout is enough for one unless most of it was lost.
 	delayLimit = link.DialTimeout / 3
@@ -50,10 +50,22 @@
 	pauseTrust = 3 * time.Second
 )
 
+// delays are the longest delays since waits were last taken, and between the times before.
+type delays [delayWindows]time.Duration
+
+// add records a delay.
+func (delays *delays) add(delay time.Duration) { delays[0] = max(delays[0], delay) }
+
+// turn begins a new time and forgets the oldest one.
+func (delays *delays) turn() {
+	copy(delays[1:], delays[:])
+	delays[0] = 0
+}
+
 // lag measures how long the process waits for the processor.
 type lag struct {
 	nanoseconds atomic.Int64
-	// longest is the longest delay in the last delayWindows times that waits were taken, and since.
+	// longest is the longest delay in the last link.DialTimeout.
 	longest atomic.Int64
 	// due is when the current probe ends, on the clock that counts pauses.
 	due  atomic.Int64
@@ -67,7 +79,7 @@
 func (lag *lag) run(ctx context.Context) error {
 	var largestAt time.Time
 	var wait time.Duration
-	var longest [delayWindows]time.Duration
+	var delays delays
 	meter := runq.New()
 	meter.Take()
 	ticker := time.NewTimer(lagProbe)
@@ -83,17 +95,16 @@
 		}
 		lag.watch.Tick()
 		now := time.Now()
-		longest[0] = max(longest[0], now.Sub(began)-lagProbe)
+		delays.add(now.Sub(began) - lagProbe)
 		if probe%waitProbes == 0 {
 			waits := meter.Take()
 			if wait = 0; waits.Count() >= leastWaits {
 				wait = waits.Mean()
 			}
-			longest[0] = max(longest[0], waits.Longest())
-			copy(longest[1:], longest[:])
-			longest[0] = 0
+			delays.add(waits.Longest())
+			delays.turn()
 		}
-		lag.longest.Store(int64(slices.Max(longest[:])))
+		lag.longest.Store(int64(slices.Max(delays[:])))
 		late := max(now.Sub(began)-lagProbe, wait)
 		lag.shed.Observe(late, now.Sub(began))
 		if int64(late) >= lag.nanoseconds.Load() || now.Sub(largestAt) > lagHold {
--- a/internal/edge/entry/lag_test.go
+++ b/internal/edge/entry/lag_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
 )
 
@@ -21,3 +23,16 @@
 	measured.longest.Store(int64(delayLimit))
 	quicktest.Check(t, measured.delayed(), quicktest.IsTrue)
 }
+
+// Guards against a delay that is forgotten before the time-outs that it caused, or that excuses later ones.
+func TestDelaysAreKeptForATimeOut(t *testing.T) {
+	var kept delays
+	kept.add(time.Second)
+	kept.add(time.Millisecond)
+	for lasted := time.Duration(0); lasted < link.DialTimeout; lasted += waitProbes * lagProbe {
+		quicktest.Check(t, slices.Max(kept[:]), quicktest.Equals, time.Second, quicktest.Commentf("after %s", lasted))
+		kept.turn()
+	}
+	kept.turn()
+	quicktest.Check(t, slices.Max(kept[:]), quicktest.Equals, time.Duration(0))
+}
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -201,7 +201,7 @@
 		if standing, scarce := exchange.relay.config.Shares.Standing(exchange.organisation, now); scarce {
 			exchange.share = standing.Share
 			patience = pick.Patience(goal, standing.Share)
-			if exchange.service.Engine != nil {
+			if exchange.service.Engine != nil && exchange.handed.IsZero() {
 				exchange.surplus = pick.Surplus(standing)
 			}
 			if exchange.surplus > 0 {
--- a/internal/route/relay/trouble_test.go
+++ b/internal/route/relay/trouble_test.go
@@ -249,6 +249,17 @@
 	}
 }
 
+// post asks a router with a configuration for 4,000 tokens and an answer of 100.
+func post(config relay.Config) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodPost, "/p/", nil)
+	request.Host = "host.example"
+	request.Header.Set("Authorization", "Bearer key")
+	request.Header.Set("X-Token-Count", "4000,100")
+	recorder := httptest.NewRecorder()
+	relay.New(config).ServeHTTP(recorder, request)
+	return recorder
+}
+
 // Guards against an organisation whose requests reach no upstream and count as served, so that its share seems to be filled.
 func TestUnservedRequestsFillNoShare(t *testing.T) {
 	config := configFor(table.Route{Kind: table.RouteStream, MaxAttempts: 2, LatencyGoal: 200 * time.Millisecond}, "upstream", &table.Engine{})
@@ -256,18 +267,34 @@
 	now := time.Now()
 	config.Shares.Ask("Other", 10_000, now)
 	config.Shares.Serve("Other", 5_000, now)
-	request := httptest.NewRequest(http.MethodPost, "/p/", nil)
-	request.Host = "host.example"
-	request.Header.Set("Authorization", "Bearer key")
-	request.Header.Set("X-Token-Count", "4000,100")
-	recorder := httptest.NewRecorder()
-	relay.New(config).ServeHTTP(recorder, request)
+	recorder := post(config)
 	quicktest.Check(t, recorder.Code, quicktest.Equals, http.StatusServiceUnavailable)
 	share, scarce := config.Shares.Ratio("Patel", now.Add(300*time.Millisecond))
 	quicktest.Check(t, scarce, quicktest.IsTrue)
 	quicktest.Check(t, share, quicktest.Equals, 0.0)
 }
 
+// Guards against a request that an upstream has rejected, or whose stream broke off, and that is refused on its way to the next one because
+// its organisation came to be ahead meanwhile: it has its place already.
+func TestPlacedRequestsDoNotPause(t *testing.T) {
+	config := configFor(table.Route{Kind: table.RouteStream, MaxAttempts: 2, LatencyGoal: 200 * time.Millisecond}, "first", &table.Engine{})
+	config.Board.Set(table.Entry{Upstream: "second", Service: "service", Address: "second", Slots: 4}, time.Now())
+	var dials atomic.Int64
+	config.Dial = func(context.Context, string, string) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			config.Shares.Ask("Patel", 100_000, time.Now())
+			config.Shares.Serve("Patel", 90_000, time.Now())
+			config.Shares.Ask("Waiting", 100_000, time.Now())
+			config.Shares.Serve("Waiting", 1_000, time.Now())
+			// Shares are worked out anew after a while.
+			time.Sleep(150 * time.Millisecond)
+		}
+		return nil, syscall.ECONNREFUSED
+	}
+	quicktest.Check(t, post(config).Code, quicktest.Equals, http.StatusServiceUnavailable)
+	quicktest.Check(t, dials.Load(), quicktest.Equals, int64(2))
+}
+
 // Guards against an organisation that gets far more than one that waits, and against one that is refused for that without the time at
 // which it may return. Requests of other kinds are not refused for it.
 func TestOrganisationAheadPauses(t *testing.T) {
@@ -283,12 +310,7 @@
 		config.Shares.Serve("Patel", 90_000, now)
 		config.Shares.Ask("Waiting", 100_000, now)
 		config.Shares.Serve("Waiting", 1_000, now)
-		request := httptest.NewRequest(http.MethodPost, "/p/", nil)
-		request.Host = "host.example"
-		request.Header.Set("Authorization", "Bearer key")
-		request.Header.Set("X-Token-Count", "4000,100")
-		recorder := httptest.NewRecorder()
-		relay.New(config).ServeHTTP(recorder, request)
+		recorder := post(config)
 		quicktest.Check(t, recorder.Code, quicktest.Equals, http.StatusServiceUnavailable)
 		quicktest.Check(t, recorder.Header().Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
 		quicktest.Check(t, dialed.Load(), quicktest.Equals, engine == nil)
