Ask for the standing of an organisation in one way

Cause: Standing took the place of Ratio in the product, and Ratio stayed as a wrapper that only tests call. NewShares kept the window that its meters know.

Ruled out: keeping Ratio for the tests; nothing is exported without a use outside its package but a test's.

Change: Ratio and the field are gone; the tests ask for Standing and check the same bounds of Share.

--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -90,7 +90,7 @@
 	behind.shares.Ask("Fjordvolt", 1000, time.Now())
 	// Usage is told about once a second only.
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-		if share, scarce := behind.shares.Ratio("Patel", time.Now()); scarce && share > 1 {
+		if standing, scarce := behind.shares.Standing("Patel", time.Now()); scarce && standing.Share > 1 {
 			break
 		}
 		if time.Now().After(end) {
--- a/internal/load/usage/share.go
+++ b/internal/load/usage/share.go
@@ -52,7 +52,6 @@
 	asked  *Meter[uint32]
 	served *Meter[uint32]
 	peers  map[Source]peerReport
-	window time.Duration
 
 	refreshed time.Time
 	level     float64
@@ -79,7 +78,7 @@
 // NewShares returns shares over a window that slides. The sums decay over half of it, because what they count is on average as
 // old as the time over which they decay, and what a sliding window counts half as old as the window.
 func NewShares(window time.Duration) *Shares {
-	return &Shares{asked: New[uint32](window / 2), served: New[uint32](window / 2), peers: map[Source]peerReport{}, window: window / 2}
+	return &Shares{asked: New[uint32](window / 2), served: New[uint32](window / 2), peers: map[Source]peerReport{}}
 }
 
 // Ask counts a request that arrived.
@@ -147,12 +146,6 @@
 	return own
 }
 
-// Ratio returns the Share of the organisation's Standing.
-func (shares *Shares) Ratio(organisation clementinewind.Organisation, now time.Time) (float64, bool) {
-	standing, scarce := shares.Standing(organisation, now)
-	return standing.Share, scarce
-}
-
 // Standing returns what an organisation got from all routers. It is false while there is enough for all.
 func (shares *Shares) Standing(organisation clementinewind.Organisation, now time.Time) (Standing, bool) {
 	shares.mutex.Lock()
@@ -164,7 +157,7 @@
 		return Standing{}, false
 	}
 	return Standing{
-		Share: shares.totals[Hash(organisation)].Served / shares.level, Least: min(shares.least/shares.level, 1), Window: shares.window,
+		Share: shares.totals[Hash(organisation)].Served / shares.level, Least: min(shares.least/shares.level, 1), Window: shares.served.window,
 	}, true
 }
 
--- a/internal/load/usage/usage_test.go
+++ b/internal/load/usage/usage_test.go
@@ -22,8 +22,8 @@
 
 // ratio returns the part of its share that an organisation got, or 0 if there is enough for all.
 func ratio(shares *usage.Shares, organisation clementinewind.Organisation, now time.Time) float64 {
-	share, _ := shares.Ratio(organisation, now)
-	return share
+	standing, _ := shares.Standing(organisation, now)
+	return standing.Share
 }
 
 func TestMeterDecays(t *testing.T) {
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -494,15 +494,15 @@
 			config.Shares.Serve("Other", 80_000, now)
 			config.Shares.Ask("Crowded", 10_000, now)
 			config.Shares.Serve("Crowded", 10_000, now)
-			ratio, scarce := config.Shares.Ratio("Other", now)
+			standing, scarce := config.Shares.Standing("Other", now)
 			quicktest.Check(t, scarce, quicktest.IsTrue)
-			quicktest.Check(t, ratio > 0.95 && ratio < 1.05, quicktest.IsTrue, quicktest.Commentf("%v", ratio))
+			quicktest.Check(t, standing.Share > 0.95 && standing.Share < 1.05, quicktest.IsTrue, quicktest.Commentf("%v", standing))
 			for range 100 {
 				refuse(t, refusing, "crowded")
 				refuse(t, refusing, "unknown")
 			}
-			ratio, _ = config.Shares.Ratio("Other", now.Add(time.Second/2))
-			quicktest.Check(t, ratio > 1.7, quicktest.IsTrue, quicktest.Commentf("%v", ratio))
+			standing, _ = config.Shares.Standing("Other", now.Add(time.Second/2))
+			quicktest.Check(t, standing.Share > 1.7, quicktest.IsTrue, quicktest.Commentf("%v", standing))
 		})
 	}
 }
--- a/internal/route/relay/trouble_test.go
+++ b/internal/route/relay/trouble_test.go
@@ -269,9 +269,9 @@
 	config.Shares.Serve("Other", 5_000, now)
 	recorder := post(config)
 	quicktest.Check(t, recorder.Code, quicktest.Equals, http.StatusServiceUnavailable)
-	share, scarce := config.Shares.Ratio("Patel", now.Add(300*time.Millisecond))
+	standing, scarce := config.Shares.Standing("Patel", now.Add(300*time.Millisecond))
 	quicktest.Check(t, scarce, quicktest.IsTrue)
-	quicktest.Check(t, share, quicktest.Equals, 0.0)
+	quicktest.Check(t, standing.Share, quicktest.Equals, 0.0)
 }
 
 // Guards against a request that an upstream has rejected, or whose stream broke off, and that is refused on its way to the next one because
