Log which requests a crashed upstream interrupted, and their prompt parts

Callers saw: answers of many requests cut off at once; the logs showed broken connections and could not tell which request they had in common, nor a crash from a broken answer. Change: the first lost connection of an upstream makes the router connect to it once after 30 ms. A refused connection means that its process has ended; anything else may be the network or an answer that the upstream broke off. The line names the requests without a response header and those with at most one event, with hashes of the prompt parts that they may share. No decision depends on it. Ruled out: connections that the router closes itself (deadline, caller left, stalled stream) start no check.

--- a/internal/route/prompt/prompt.go
+++ b/internal/route/prompt/prompt.go
@@ -1,7 +1,13 @@
 // Package prompt identifies the prompt prefixes that requests share, for prefix caching.
 package prompt
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Part is a section of a prompt.
 type Part struct {
@@ -9,6 +15,12 @@
 	Tokens int
 }
 
+// PartHash identifies a part of a prompt, whatever stands before it. All routers compute the same hash.
+type PartHash uint64
+
+// String returns the hash in hexadecimal.
+func (hash PartHash) String() string { return fmt.Sprintf("%016x", uint64(hash)) }
+
 // Prompt describes a prompt without its text. It is the zero value for requests to services without a model.
 type Prompt struct {
 	Model string
@@ -45,3 +57,19 @@
 	}
 	return prefixes
 }
+
+// SharedParts returns the hashes of the parts that other prompts may share, each once and in order. They exclude the last part.
+func (prompt Prompt) SharedParts() []PartHash {
+	if len(prompt.Parts) < 2 {
+		return nil
+	}
+	hashes := make([]PartHash, 0, len(prompt.Parts)-1)
+	for _, part := range prompt.Parts[:len(prompt.Parts)-1] {
+		// Identifiers are hexadecimal numbers, in which case does not matter.
+		hash := PartHash(xxhash.Sum64String(strings.ToLower(part.ID)))
+		if !slices.Contains(hashes, hash) {
+			hashes = append(hashes, hash)
+		}
+	}
+	return hashes
+}
--- a/internal/route/relay/answer.go
+++ b/internal/route/relay/answer.go
@@ -33,6 +33,9 @@
 		return attemptFailed
 	case err != nil:
 		ticket.End(board.ResultFailed, time.Now())
+		if ctx.Err() == nil {
+			exchange.recordInterruption(ticket, true, 0)
+		}
 		exchange.logger.Info("answer broke off", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream, "Error", err)
 		return attemptFailed
 	case len(body) == maxBufferedBytes:
--- /dev/null
+++ b/internal/route/relay/crash.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/route/link"
+	"github.com/clementinewind/clementinewind/internal/route/prompt"
+	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
+)
+
+const (
+	// crashCheckDelay is the time after the first lost connection at which an upstream is checked. The connections of a process
+	// that crashes do not all close at once, and its listener may close last.
+	crashCheckDelay = 30 * time.Millisecond
+	// crashRecordTime is how long further lost connections count to a crash that was found.
+	crashRecordTime = time.Second
+)
+
+// interruptedRequest is a request whose connection to the upstream was lost.
+type interruptedRequest struct {
+	id    string
+	parts []prompt.PartHash
+	// answering is set if the upstream had sent a response header, and events counts the events that it sent in this attempt.
+	answering bool
+	events    int
+}
+
+// incarnation identifies one start of an upstream.
+type incarnation struct {
+	upstream clementinewind.Upstream
+	started  int64
+}
+
+// crashCheck finds out whether an upstream crashed after connections to it were lost.
+type crashCheck struct {
+	interrupted []interruptedRequest
+	startedAt   time.Time
+	// done is closed when the result is known; crashed is set before that.
+	done    chan struct{}
+	crashed bool
+}
+
+// recordInterruption records that the connection of a request was lost although neither the router nor its caller closed it. The
+// first one of an upstream starts a check.
+func (relay *Relay) recordInterruption(entry table.Entry, request interruptedRequest, now time.Time) *crashCheck {
+	key := incarnation{upstream: entry.Upstream, started: entry.Incarnation}
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	check, ok := relay.crashChecks[key]
+	if !ok {
+		check = &crashCheck{startedAt: now, done: make(chan struct{})}
+		relay.crashChecks[key] = check
+		go relay.runCrashCheck(key, entry, check)
+	}
+	check.interrupted = append(check.interrupted, request)
+	return check
+}
+
+// runCrashCheck connects to an upstream once. A refused connection means that its process has ended. Any other result may be due
+// to the network, or to an answer that the upstream itself broke off.
+func (relay *Relay) runCrashCheck(key incarnation, entry table.Entry, check *crashCheck) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckDelay+link.DialTimeout)
+	defer cancel()
+	// The context ends later than the pause.
+	_ = pause.For(ctx, crashCheckDelay)
+	conn, err := relay.config.Dial(ctx, "tcp", entry.Address)
+	if err == nil {
+		// The connection was never used.
+		_ = conn.Close()
+	}
+	crashed := errors.Is(err, syscall.ECONNREFUSED)
+	relay.mutex.Lock()
+	check.crashed = crashed
+	relay.mutex.Unlock()
+	close(check.done)
+	if crashed {
+		time.Sleep(crashRecordTime)
+	}
+	relay.mutex.Lock()
+	interrupted := check.interrupted
+	delete(relay.crashChecks, key)
+	relay.mutex.Unlock()
+	if crashed {
+		relay.logCrash(entry, interrupted)
+	}
+}
+
+// logCrash logs which requests a crash interrupted before their second event, with the parts of their prompts, and how many others.
+func (relay *Relay) logCrash(entry table.Entry, interrupted []interruptedRequest) {
+	var waiting, answering []string
+	parts := map[string][]prompt.PartHash{}
+	for _, request := range interrupted {
+		switch {
+		case request.events > 1:
+			continue
+		case request.answering:
+			answering = append(answering, request.id)
+		default:
+			waiting = append(waiting, request.id)
+		}
+		parts[request.id] = request.parts
+	}
+	relay.config.Logger.Warn("upstream crashed", "Upstream", entry.Upstream, "Incarnation", entry.Incarnation, "Service", entry.Service,
+		"Waiting", waiting, "Answering", answering, "Parts", parts, "Interrupted", len(interrupted))
+}
+
+// recordInterruption records that the connection of the current attempt was lost after a number of events.
+func (exchange *exchange) recordInterruption(ticket *board.Ticket, answering bool, events int) {
+	if parts := exchange.call.Prompt.SharedParts(); len(parts) > 0 {
+		exchange.relay.recordInterruption(ticket.Entry, interruptedRequest{
+			id: exchange.call.RequestID, parts: parts, answering: answering, events: events,
+		}, time.Now())
+	}
+}
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -325,6 +325,10 @@
 	ticket.End(result, now)
 	var broken *link.BrokenError
 	if errors.As(err, &broken) {
+		timedOut := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+		if result == board.ResultFailed && !timedOut {
+			exchange.recordInterruption(ticket, false, 0)
+		}
 		// The idle connections to this upstream are of a similar age and have probably been closed too.
 		pool.CloseIdle()
 	}
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -93,11 +93,15 @@
 	mutex        sync.Mutex
 	pools        map[clementinewind.Upstream]*link.Pool
 	retryBudgets map[table.Service]*budget.Budget
+	crashChecks  map[incarnation]*crashCheck
 }
 
 // New returns a Relay without connections.
 func New(config Config) *Relay {
-	return &Relay{config: config, ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*link.Pool{}, retryBudgets: map[table.Service]*budget.Budget{}}
+	return &Relay{
+		config: config, ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*link.Pool{},
+		retryBudgets: map[table.Service]*budget.Budget{}, crashChecks: map[incarnation]*crashCheck{},
+	}
 }
 
 // RemoveUpstream closes the connections to an upstream that no longer exists.
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -73,6 +73,7 @@
 		defer stallTimer.Stop()
 	}
 	var pending []byte
+	eventsBefore := exchange.progress.eventCount
 	buffer := make([]byte, readBufferBytes)
 	awaitingFirst := true
 	for {
@@ -116,7 +117,7 @@
 			exchange.recordEnd("Answered", "stream complete")
 			return attemptDone
 		case err != nil || len(pending) > maxEventBytes:
-			return exchange.handleBrokenStream(ctx, ticket, err)
+			return exchange.handleBrokenStream(ctx, ticket, exchange.progress.eventCount-eventsBefore, err)
 		}
 	}
 }
@@ -141,11 +142,14 @@
 	return controller.Flush()
 }
 
-// handleBrokenStream records a stream that ended before it was complete.
-func (exchange *exchange) handleBrokenStream(ctx context.Context, ticket *board.Ticket, err error) attemptResult {
+// handleBrokenStream records a stream that ended before it was complete, after a number of events in this attempt.
+func (exchange *exchange) handleBrokenStream(ctx context.Context, ticket *board.Ticket, events int, err error) attemptResult {
 	result := board.ResultFailed
-	if exchange.request.Context().Err() != nil {
+	switch {
+	case exchange.request.Context().Err() != nil:
 		result = board.ResultAbandoned
+	case ctx.Err() == nil && err != nil && !errors.Is(err, errStalled):
+		exchange.recordInterruption(ticket, true, events)
 	}
 	ticket.End(result, time.Now())
 	exchange.logger.Info("stream broke off", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream,
