--- /dev/null
+++ b/internal/edge/entry/poison_test.go
@@ -0,0 +1,230 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/platform"
+	"github.com/clementinewind/clementinewind/platform/stand"
+)
+
+// poisonedPart is the prompt part that crashes brittle upstreams.
+const poisonedPart = "dead"
+
+// brittlePool is a set of model engines that crash when they begin to answer a prompt with the poisoned part.
+type brittlePool struct {
+	t        *testing.T
+	store    *stand.Store
+	downtime time.Duration
+
+	mutex   sync.Mutex
+	crashes []time.Time
+	// poisoned are the times at which requests with the poisoned part arrived.
+	poisoned []time.Time
+	stopped  bool
+	starts   int
+}
+
+// brittleUpstream is one incarnation of an engine.
+type brittleUpstream struct {
+	pool     *brittlePool
+	listener net.Listener
+
+	mutex sync.Mutex
+	conns map[net.Conn]bool
+}
+
+func newBrittlePool(t *testing.T, store *stand.Store, size int) *brittlePool {
+	t.Helper()
+	pool := &brittlePool{t: t, store: store, downtime: 400 * time.Millisecond}
+	t.Cleanup(func() {
+		pool.mutex.Lock()
+		defer pool.mutex.Unlock()
+		pool.stopped = true
+	})
+	for range size {
+		pool.start("127.0.0.1:0")
+	}
+	return pool
+}
+
+// start starts an incarnation under a new name.
+func (pool *brittlePool) start(address string) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if pool.stopped {
+		return
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		pool.t.Errorf("restart upstream: %v", err)
+		return
+	}
+	pool.t.Cleanup(func() { listener.Close() })
+	pool.starts++
+	registerUpstream(pool.t, pool.store, table.Entry{
+		Upstream: clementinewind.Upstream(fmt.Sprintf("engine-%d", pool.starts)), Service: "s", Address: listener.Addr().String(),
+		Zone: "a", Slots: 32, Sequence: 1, Incarnation: time.Now().UnixMilli(),
+	})
+	upstream := &brittleUpstream{pool: pool, listener: listener, conns: map[net.Conn]bool{}}
+	name := fmt.Sprintf("engine-%d", pool.starts)
+	go stand.ServeConns(listener, func(conn net.Conn) { upstream.serve(conn, name) })
+}
+
+// serve answers the requests of a connection with streams of five events.
+func (upstream *brittleUpstream) serve(conn net.Conn, name string) {
+	upstream.mutex.Lock()
+	upstream.conns[conn] = true
+	upstream.mutex.Unlock()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		poisoned := strings.Contains(request.Header.Get("X-Prompt-Prefix"), poisonedPart)
+		if poisoned {
+			upstream.pool.mutex.Lock()
+			upstream.pool.poisoned = append(upstream.pool.poisoned, time.Now())
+			upstream.pool.mutex.Unlock()
+		}
+		time.Sleep(5 * time.Millisecond)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+			stand.SealedHeaderLines(stand.RequestID(request.Header)))
+		if poisoned {
+			upstream.crash(name)
+			return
+		}
+		for id := range 5 {
+			event := fmt.Sprintf("id: %d\ndata: token\n\n", id+1)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
+			return
+		}
+	}
+}
+
+// crash closes the listener and all connections, and starts another incarnation at the same address after a while.
+func (upstream *brittleUpstream) crash(name string) {
+	pool := upstream.pool
+	pool.mutex.Lock()
+	pool.crashes = append(pool.crashes, time.Now())
+	pool.mutex.Unlock()
+	upstream.listener.Close()
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	for conn := range upstream.conns {
+		conn.Close()
+	}
+	time.AfterFunc(pool.downtime, func() {
+		pool.store.Put(platform.TopicUpstreams, name, nil)
+		pool.start(upstream.listener.Addr().String())
+	})
+}
+
+// counts returns how many upstreams crashed, and how many poisoned requests arrived later than the given time after the crash with
+// the given number.
+func (pool *brittlePool) counts(number int, after time.Duration) (crashes, late int) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if len(pool.crashes) < number {
+		return len(pool.crashes), 0
+	}
+	for _, arrival := range pool.poisoned {
+		if arrival.Sub(pool.crashes[number-1]) > after {
+			late++
+		}
+	}
+	return len(pool.crashes), late
+}
+
+// stream sends a model request with the given shared prompt parts and reports whether the answer was complete.
+func (router *router) stream(id, parts string) bool {
+	request, err := http.NewRequest(http.MethodPost, "http://"+router.settings.CallerListen.String()+"/x", nil)
+	if err != nil {
+		return false
+	}
+	request.Host = "h"
+	stand.SetCallerHeaders(request.Header, id, "key", 5*time.Second)
+	request.Header.Set("X-Model", "m")
+	request.Header.Set("X-Token-Count", "400,10")
+	request.Header.Set("X-Prompt-Prefix", parts+","+id+":100")
+	client := http.Client{Timeout: waitTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return err == nil && response.StatusCode == http.StatusOK && strings.Contains(string(body), "id: 5")
+}
+
+// configureModel writes a configuration with one streaming route to model engines.
+func (fleet *fleet) configureModel() {
+	fleet.version++
+	configure(fleet.t, fleet.store, table.Configuration{
+		Version: table.Version(fleet.version),
+		Routes: []table.Route{{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: table.RouteStream, Timeout: 5 * time.Second, LatencyGoal: time.Second, MaxAttempts: 2,
+			TrafficSplit: []table.ServiceWeight{{Service: "s", Weight: 1}},
+		}},
+		Services:      []table.ServiceSettings{{Name: "s", MaxConnections: 200, Engine: &table.Engine{MemoryTokens: 1 << 20}}},
+		Organisations: []table.OrganisationKeys{{Organisation: "o", Keys: []string{"key"}}},
+	})
+}
+
+// Guards against requests of one kind that crash one upstream after the other, because no router connects a crash with the next.
+func TestPoisonedPromptPart(t *testing.T) {
+	const (
+		routers      = 3
+		contact      = 3 * time.Second
+		lateRequests = 3
+	)
+	fleet := newFleet(t)
+	fleet.configureModel()
+	pool := newBrittlePool(t, fleet.store, 6)
+	fleet.startAll(routers)
+	var sends sync.WaitGroup
+	var mutex sync.Mutex
+	sent, served := 0, 0
+	start := time.Now()
+	for number := 0; time.Since(start) < 3*contact; number++ {
+		router := fleet.routers[1+number%routers]
+		sends.Go(func() { router.stream(fmt.Sprintf("bad%d", number), "f1:200,"+poisonedPart+":100") })
+		sends.Go(func() {
+			// The sound request shares its first part with the poisoned ones.
+			begun := time.Since(start)
+			complete := router.stream(fmt.Sprintf("good%d", number), fmt.Sprintf("f1:200,%x:100", number%8))
+			mutex.Lock()
+			defer mutex.Unlock()
+			if begun > 2*contact {
+				sent++
+				if complete {
+					served++
+				}
+			}
+		})
+		time.Sleep(60 * time.Millisecond)
+	}
+	sends.Wait()
+	crashes, late := pool.counts(5, contact)
+	t.Logf("%d crashes, %d poisoned requests reached upstreams later than %v after the fifth; %d of %d sound requests served", crashes, late, contact, served, sent)
+	quicktest.Check(t, late <= lateRequests, quicktest.IsTrue, quicktest.Commentf("%d poisoned requests", late))
+	quicktest.Check(t, served >= sent/2, quicktest.IsTrue, quicktest.Commentf("%d of %d sound requests", served, sent))
+}
