Reject requests with a prompt part that crashed several upstreams

Callers saw: requests of one kind crash upstreams one after the other; answers of sound requests beside them are cut off, and callers of the same organisation are refused while upstreams restart. Cause: nothing connects one crash with the next. Each request is placed as if its parts had no history, and of a crash most routers see only requests that waited. The class of fault: a request's effect on an upstream is judged at the upstream, and never at what the request shares with others. Change: the parts of a request that a crash interrupted before its second event are suspected; an answer that gets going clears its parts of earlier crashes. Heartbeats and digests carry suspicions and clearances. Requests with a part in quarantine get 503 with the time until it is probed, before they count as demand. An interrupted request is not sent to a second upstream unless all its parts were answered lately. A crash that was found counts as an upstream that cannot be reached, before requests fail on it. Why it works: a poisoned part is never answered, so nothing clears it, while sound parts are cleared by the next answer anywhere.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -21,7 +21,9 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
+	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/relay"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
@@ -72,6 +74,7 @@
 	roster *roster.Roster
 	board  *board.Board
 	shares *usage.Shares
+	poison *poison.Registry
 	view   *view.View
 	relay  *relay.Relay
 	store  *platform.Store
@@ -110,6 +113,10 @@
 		Owns: func(upstream clementinewind.Upstream) bool { return router.roster.Owns(string(upstream), time.Now()) },
 	})
 	router.shares = usage.NewShares(settings.ShareWindow)
+	router.poison = poison.New(poison.Config{
+		Owns:   func(part prompt.PartHash) bool { return router.roster.Owns(part.String(), time.Now()) },
+		Logger: config.Logger,
+	})
 	router.view = view.New(view.Config{
 		Board: router.board, Logger: config.Logger,
 		OnRemoved: func(upstream clementinewind.Upstream) { router.relay.RemoveUpstream(upstream) },
@@ -119,7 +126,7 @@
 		Address: settings.StoreAddress.String(), Dial: dialer.DialContext, Observe: config.Meter.StoreCall,
 	})
 	router.relay = relay.New(relay.Config{
-		Zone: settings.Zone, Board: router.board, Shares: router.shares, Table: router.view.Table, RouterCount: router.roster.Count,
+		Zone: settings.Zone, Board: router.board, Shares: router.shares, Poison: router.poison, Table: router.view.Table, RouterCount: router.roster.Count,
 		Closing: router.shouldCloseConnections, Draining: router.drainRefuses, Stale: router.stale, CallerDisconnected: callerDisconnected,
 		Overloaded: router.shouldShed, EventBatchDelay: router.eventBatchDelay,
 		Dial: dialer.DialContext, ProcessStalled: router.cpu.recentlyDelayed, RetryBudget: router.retryBudget,
@@ -212,7 +219,7 @@
 	}
 	defer conn.Close()
 	gossiper := gossip.New(gossip.Config{
-		Conn: conn, Roster: router.roster, Board: router.board, Shares: router.shares, Offsets: router.topics.offsets,
+		Conn: conn, Roster: router.roster, Board: router.board, Shares: router.shares, Poison: router.poison, Offsets: router.topics.offsets,
 		OnPeerAhead: router.topics.observePeerOffsets, ConfigurationVersion: router.configurationVersion, Refresh: router.updateSelf, Logger: logger,
 	})
 	router.gossiper.Store(gossiper)
--- a/internal/fleet/gossip/bench_test.go
+++ b/internal/fleet/gossip/bench_test.go
@@ -14,6 +14,7 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/table"
@@ -45,6 +46,7 @@
 	roster       *roster.Roster
 	board        *board.Board
 	shares       *usage.Shares
+	poison       *poison.Registry
 	stopped      bool
 	offsets      gossip.Offsets
 	aheadOffsets gossip.Offsets
@@ -94,8 +96,9 @@
 			Upstream: clementinewind.Upstream(fmt.Sprintf("u%d", upstream)), Service: "s", Slots: 64,
 		}, mesh.now)
 	}
+	member.poison = poison.New(poison.Config{})
 	member.gossip = gossip.New(gossip.Config{
-		Conn: member, Roster: member.roster, Board: member.board, Shares: member.shares, Logger: hclog.NewNullLogger(),
+		Conn: member, Roster: member.roster, Board: member.board, Shares: member.shares, Poison: member.poison, Logger: hclog.NewNullLogger(),
 		Offsets: func() gossip.Offsets { return member.offsets }, ConfigurationVersion: func() int64 { return 1 },
 		OnPeerAhead: func(offsets gossip.Offsets) { member.aheadOffsets = offsets }, Refresh: func() {},
 	})
--- a/internal/fleet/gossip/encode.go
+++ b/internal/fleet/gossip/encode.go
@@ -7,6 +7,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
@@ -33,9 +34,8 @@
 }
 
 func encodePresence(presence roster.Presence, now time.Time) *fleetv1.Presence {
-	age := min(max(now.Sub(presence.HeardAt).Milliseconds(), 0), math.MaxUint32)
 	return &fleetv1.Presence{
-		Instance: presence.NameHash, Incarnation: presence.Incarnation, AgeMillis: uint32(age), Load: toUint32(int(presence.Load)),
+		Instance: presence.NameHash, Incarnation: presence.Incarnation, AgeMillis: ageMillis(presence.HeardAt, now), Load: toUint32(int(presence.Load)),
 		Ready: presence.Ready, Leaving: presence.Leaving, StoreReachable: presence.StoreReachable,
 	}
 }
@@ -43,7 +43,7 @@
 func decodePresence(encoded *fleetv1.Presence, now time.Time) roster.Presence {
 	return roster.Presence{
 		NameHash: encoded.Instance, Incarnation: encoded.Incarnation,
-		HeardAt: now.Add(-time.Duration(encoded.AgeMillis) * time.Millisecond), Load: float64(encoded.Load),
+		HeardAt: timeOfAge(encoded.AgeMillis, now), Load: float64(encoded.Load),
 		Ready: encoded.Ready, Leaving: encoded.Leaving, StoreReachable: encoded.StoreReachable,
 	}
 }
@@ -107,3 +107,46 @@
 	}
 	return report
 }
+
+func encodeSuspects(reports []poison.Report, now time.Time) []*fleetv1.Suspect {
+	suspects := make([]*fleetv1.Suspect, 0, len(reports))
+	for _, report := range reports {
+		suspect := &fleetv1.Suspect{Part: uint64(report.Part)}
+		for _, crash := range report.Crashes {
+			suspect.Crashes = append(suspect.Crashes, &fleetv1.Crash{
+				Upstream: uint64(crash.Crash), AgeMillis: ageMillis(crash.At, now), Answering: crash.Answering,
+			})
+		}
+		if !report.ClearedAt.IsZero() {
+			suspect.Cleared, suspect.ClearedAgeMillis = true, ageMillis(report.ClearedAt, now)
+		}
+		suspects = append(suspects, suspect)
+	}
+	return suspects
+}
+
+func decodeSuspects(suspects []*fleetv1.Suspect, now time.Time) []poison.Report {
+	reports := make([]poison.Report, 0, len(suspects))
+	for _, suspect := range suspects {
+		report := poison.Report{Part: prompt.PartHash(suspect.Part)}
+		for _, crash := range suspect.Crashes {
+			report.Crashes = append(report.Crashes, poison.Suspicion{
+				Crash: poison.CrashID(crash.Upstream), At: timeOfAge(crash.AgeMillis, now), Answering: crash.Answering,
+			})
+		}
+		if suspect.Cleared {
+			report.ClearedAt = timeOfAge(suspect.ClearedAgeMillis, now)
+		}
+		reports = append(reports, report)
+	}
+	return reports
+}
+
+// ageMillis returns the time that passed since at, in milliseconds.
+func ageMillis(at, now time.Time) uint32 {
+	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+}
+
+func timeOfAge(millis uint32, now time.Time) time.Time {
+	return now.Add(-time.Duration(millis) * time.Millisecond)
+}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/head"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 )
@@ -57,6 +58,8 @@
 	Roster *roster.Roster
 	Board  *board.Board
 	Shares *usage.Shares
+	// Poison holds the prompt parts that crash upstreams; nil is a registry of which nobody asks.
+	Poison *poison.Registry
 	// Refresh is called before each heartbeat and updates the router's own state in the roster.
 	Refresh func()
 	// Offsets returns how far this router has read, ConfigurationVersion the version of its configuration.
@@ -96,6 +99,9 @@
 
 // New returns a Gossip that has not sent anything.
 func New(config Config) *Gossip {
+	if config.Poison == nil {
+		config.Poison = poison.New(poison.Config{})
+	}
 	return &Gossip{
 		config: config, aggregator: newAggregator(), receiveState: newReceiveState(), pendingDigests: map[clementinewind.Zone]*fleetv1.Digest{},
 		latestDigests: map[clementinewind.Zone]*fleetv1.Digest{},
@@ -171,6 +177,7 @@
 	loads, placements := gossip.config.Board.LocalLoad(now)
 	heartbeat.Loads = encodeLoads(loads)
 	heartbeat.Placements = encodePlacements(placements)
+	heartbeat.Suspects = encodeSuspects(gossip.config.Poison.Reports(now), now)
 	var report usage.Report
 	if now.Sub(gossip.usageSentAt) >= usageInterval {
 		gossip.usageSentAt = now
@@ -236,6 +243,7 @@
 			gossip.sendLatestDigests(member, now)
 		}
 	}
+	gossip.config.Poison.Merge(decodeSuspects(heartbeat.Suspects, now), now)
 	// A recent digest of the zone already includes this router.
 	if !gossip.receiveState.hasRecentDigest(member.Zone, maxDigestAge, now) {
 		source := usage.Source{Instance: member.Instance, Zone: member.Zone}
--- a/internal/fleet/gossip/hub.go
+++ b/internal/fleet/gossip/hub.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if gossip.aggregator.coversMajority(len(members)) || now.Sub(gossip.headSince) >= headTimeout {
-		gossip.sendDigests(self, now)
+		gossip.sendDigests(self, heartbeat.Suspects, now)
 	}
 }
 
@@ -129,9 +129,10 @@
 }
 
 // sendDigests sends the digest of the zone to the heads and standbys of the other zones, and to the routers of the own zone
-// together with the pending digests of the other zones.
-func (gossip *Gossip) sendDigests(self roster.Member, now time.Time) {
+// together with the pending digests of the other zones. The suspects are those of its heartbeat.
+func (gossip *Gossip) sendDigests(self roster.Member, suspects []*fleetv1.Suspect, now time.Time) {
 	digest := gossip.aggregator.buildDigest(now)
+	digest.Suspects = suspects
 	gossip.setSender(digest, self)
 	gossip.aggregator.addPresences(digest, now)
 	peers := groupByZone(gossip.config.Roster.Peers())
@@ -203,8 +204,8 @@
 	for zone, latest := range gossip.latestDigests {
 		if gossip.receiveState.hasRecentDigest(zone, headTimeout, now) {
 			digest := proto.CloneOf(latest)
-			// Its presences and placements are outdated.
-			digest.Presences, digest.Placements = nil, nil
+			// Its presences, placements and suspects are outdated.
+			digest.Presences, digest.Placements, digest.Suspects = nil, nil, nil
 			digests = append(digests, digest)
 		}
 	}
@@ -241,6 +242,7 @@
 		return
 	}
 	gossip.applyPresences(digest, now)
+	gossip.config.Poison.Merge(decodeSuspects(digest.Suspects, now), now)
 	gossip.notifyIfBehind(digest.OperatorOffset, digest.UpstreamOffset)
 	loads, report := decodeLoads(digest.Loads), decodeReport(digest.Usages)
 	if zone == self.Zone {
--- a/internal/fleet/gossip/mesh_test.go
+++ b/internal/fleet/gossip/mesh_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/poison"
+	"github.com/clementinewind/clementinewind/internal/route/prompt"
 )
 
 // peerRequests returns the number of requests that a router believes the others to run.
@@ -239,3 +241,42 @@
 	fleet.run(6 * time.Second)
 	fleet.checkConverged(t)
 }
+
+// Guards against routers that do not learn of a poisoned prompt part in time: each crash is seen by another router, one router starts
+// late, one was cut off, and every tenth datagram is lost.
+func TestPoisonedPartIsKnownEverywhere(t *testing.T) {
+	const contact = 3 * time.Second
+	for _, routers := range []int{6, 60, 300} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			fleet := newMesh(routers, 3, 1)
+			cutOff := fleet.routers[routers-1]
+			isCutOff := true
+			datagrams := 0
+			fleet.drops = func(from, to *meshMember) bool {
+				datagrams++
+				return datagrams%10 == 0 || (isCutOff && (from == cutOff || to == cutOff))
+			}
+			fleet.run(2 * time.Second)
+			parts := []prompt.PartHash{1, 2}
+			for upstream := range 5 {
+				at := fleet.now
+				fleet.routers[upstream].poison.RecordCrash(parts, poison.Suspicion{Crash: poison.CrashID(upstream), At: at, Answering: true}, at)
+				fleet.run(600 * time.Millisecond)
+				fleet.routers[upstream].poison.RecordAnswer(parts[:1], fleet.now)
+			}
+			fleet.run(contact)
+			late := fleet.add(3, 3, 1, 2)
+			for _, other := range fleet.routers {
+				late.roster.AddFromStore(other.roster.Self(), fleet.now)
+			}
+			isCutOff = false
+			fleet.run(contact)
+			for _, member := range fleet.running() {
+				_, rejected := member.poison.Check(parts[1:], fleet.now)
+				quicktest.Check(t, rejected, quicktest.IsTrue, quicktest.Commentf("%s, poisoned part", member.name))
+				_, rejected = member.poison.Check(parts[:1], fleet.now)
+				quicktest.Check(t, rejected, quicktest.IsFalse, quicktest.Commentf("%s, sound part", member.name))
+			}
+		})
+	}
+}
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -155,6 +155,15 @@
 	board.byService[service] = slices.DeleteFunc(board.byService[service], func(other *upstream) bool { return other == known })
 }
 
+// RecordCrash records that an incarnation of an upstream has ended, before any request fails to reach it.
+func (board *Board) RecordCrash(name clementinewind.Upstream, incarnation int64, now time.Time) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	if known, ok := board.upstreams[name]; ok && known.entry.Incarnation == incarnation {
+		known.recordUnreachable(board.settings[known.entry.Service], now)
+	}
+}
+
 // SetZoneOut takes an availability zone out of service or returns it. Upstreams of a returned zone count as cold,
 // because they may have turned cold meanwhile.
 func (board *Board) SetZoneOut(zone clementinewind.Zone, out bool, now time.Time) {
--- a/internal/route/relay/answer.go
+++ b/internal/route/relay/answer.go
@@ -51,6 +51,7 @@
 	} else {
 		exchange.relay.config.Meter.FirstEvent(exchange.service.Name, time.Since(exchange.arrived), ticket.Expected)
 		ticket.End(board.ResultServed, time.Now())
+		exchange.recordSound(status)
 	}
 	exchange.writeAnswer(status, header, body)
 	exchange.recordEnd("Answered", strconv.Itoa(status))
--- a/internal/route/relay/crash.go
+++ b/internal/route/relay/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/table"
@@ -21,6 +23,9 @@
 	crashCheckDelay = 30 * time.Millisecond
 	// crashRecordTime is how long further lost connections count to a crash that was found.
 	crashRecordTime = time.Second
+	// soundEvents is the number of events after which an answer cannot crash its upstream any more by what its prompt holds. The
+	// first event may be on its way before an upstream crashes.
+	soundEvents = 2
 )
 
 // interruptedRequest is a request whose connection to the upstream was lost.
@@ -60,9 +65,22 @@
 		go relay.runCrashCheck(key, entry, check)
 	}
 	check.interrupted = append(check.interrupted, request)
+	if check.crashed {
+		relay.suspect(key, check.startedAt, request)
+	}
 	return check
 }
 
+// suspect reports the prompt parts of a request that a crash interrupted before its answer got going.
+func (relay *Relay) suspect(key incarnation, at time.Time, request interruptedRequest) {
+	if request.events >= soundEvents {
+		return
+	}
+	relay.config.Poison.RecordCrash(request.parts, poison.Suspicion{
+		Crash: poison.NewCrashID(key.upstream, key.started), At: at, Answering: request.answering,
+	}, time.Now())
+}
+
 // runCrashCheck connects to an upstream once. A refused connection means that its process has ended. Any other result may be due
 // to the network, or to an answer that the upstream itself broke off.
 func (relay *Relay) runCrashCheck(key incarnation, entry table.Entry, check *crashCheck) {
@@ -77,10 +95,15 @@
 	}
 	crashed := errors.Is(err, syscall.ECONNREFUSED)
 	relay.mutex.Lock()
-	check.crashed = crashed
+	if check.crashed = crashed; crashed {
+		for _, request := range check.interrupted {
+			relay.suspect(key, check.startedAt, request)
+		}
+	}
 	relay.mutex.Unlock()
 	close(check.done)
 	if crashed {
+		relay.config.Board.RecordCrash(entry.Upstream, entry.Incarnation, time.Now())
 		time.Sleep(crashRecordTime)
 	}
 	relay.mutex.Lock()
@@ -98,7 +121,7 @@
 	parts := map[string][]prompt.PartHash{}
 	for _, request := range interrupted {
 		switch {
-		case request.events > 1:
+		case request.events >= soundEvents:
 			continue
 		case request.answering:
 			answering = append(answering, request.id)
@@ -113,9 +136,46 @@
 
 // recordInterruption records that the connection of the current attempt was lost after a number of events.
 func (exchange *exchange) recordInterruption(ticket *board.Ticket, answering bool, events int) {
-	if parts := exchange.call.Prompt.SharedParts(); len(parts) > 0 {
-		exchange.relay.recordInterruption(ticket.Entry, interruptedRequest{
-			id: exchange.call.RequestID, parts: parts, answering: answering, events: events,
-		}, time.Now())
+	if len(exchange.parts) == 0 {
+		return
+	}
+	check := exchange.relay.recordInterruption(ticket.Entry, interruptedRequest{
+		id: exchange.call.RequestID, parts: exchange.parts, answering: answering, events: events,
+	}, time.Now())
+	if events < soundEvents {
+		exchange.crashCheck = check
+	}
+}
+
+// mayHaveCrashed waits for the result of the check that the last attempt started, if any. It reports whether the upstream crashed
+// and the request may be the cause, so that it must not be sent to another one.
+func (exchange *exchange) mayHaveCrashed(ctx context.Context) bool {
+	check := exchange.crashCheck
+	if check == nil {
+		return false
+	}
+	exchange.crashCheck = nil
+	select {
+	case <-check.done:
+	case <-ctx.Done():
+		return true
+	}
+	return check.crashed && !exchange.relay.config.Poison.Trusted(exchange.parts)
+}
+
+// inQuarantine reports whether the request must be rejected because its prompt has a part that crashes upstreams.
+func (exchange *exchange) inQuarantine() bool {
+	if len(exchange.parts) == 0 || exchange.probe {
+		return false
+	}
+	quarantine, rejected := exchange.relay.config.Poison.Check(exchange.parts, time.Now())
+	exchange.quarantine, exchange.probe = quarantine, quarantine.Probe
+	return rejected
+}
+
+// recordSound records that an answer with the given status got going, which shows that no part of the prompt crashes upstreams.
+func (exchange *exchange) recordSound(status int) {
+	if len(exchange.parts) > 0 && status < http.StatusMultipleChoices {
+		exchange.relay.config.Poison.RecordAnswer(exchange.parts, time.Now())
 	}
 }
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -12,8 +12,10 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/pick"
+	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/link"
+	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/platform"
@@ -58,6 +60,8 @@
 	// noTimeLimit is set for a stream that neither the caller nor the route limits in time.
 	noTimeLimit bool
 	body        []byte
+	// parts are the shared parts of the prompt.
+	parts []prompt.PartHash
 
 	// tried lists the upstreams that were attempted; possibleRuns counts the attempts that may have run the request.
 	tried        []clementinewind.Upstream
@@ -78,6 +82,11 @@
 	// stale is set while placement waits for the router to refresh its state after a pause of the process.
 	stale              bool
 	callerDisconnected bool
+	// crashCheck is set after an attempt that may have crashed its upstream.
+	crashCheck *crashCheck
+	// quarantine is why the request must be rejected; probe is set if it tests whether a quarantine may end.
+	quarantine poison.Quarantine
+	probe      bool
 }
 
 // fallback is an error response of an upstream that is forwarded to the caller if no other upstream serves the request.
@@ -138,6 +147,11 @@
 
 // run places and sends the request until the caller has a final answer.
 func (exchange *exchange) run() {
+	exchange.parts = exchange.call.Prompt.SharedParts()
+	if exchange.inQuarantine() {
+		exchange.rejectUnserved()
+		return
+	}
 	retryBudget := exchange.relay.retryBudget(exchange.service.Name)
 	retryBudget.RecordRequest(exchange.arrived)
 	tokens := exchange.tokenCost()
@@ -152,6 +166,9 @@
 			exchange.logger.Info("request not retried", "Request", exchange.call.RequestID, "Cause", "retry budget exhausted")
 			break
 		}
+		if exchange.inQuarantine() {
+			break
+		}
 		ticket := exchange.place(ctx)
 		if ticket == nil {
 			break
@@ -169,7 +186,8 @@
 		case attemptFailed:
 			exchange.sends++
 			exchange.possibleRuns++
-			if !exchange.retryable() || exchange.possibleRuns >= exchange.route.MaxAttempts || exchange.remaining() < minRetryTime {
+			if !exchange.retryable() || exchange.possibleRuns >= exchange.route.MaxAttempts || exchange.remaining() < minRetryTime ||
+				exchange.mayHaveCrashed(ctx) {
 				exchange.fail(ctx)
 				return
 			}
@@ -300,7 +318,8 @@
 			return decoded.RequestID == "" && decoded.NotRun
 		},
 		Permitted: func() bool {
-			return !exchange.relay.config.CallerDisconnected(exchange.request.Context()) && !exchange.relay.config.Stale() && ticket.Permitted()
+			return !exchange.relay.config.CallerDisconnected(exchange.request.Context()) && !exchange.relay.config.Stale() &&
+				!exchange.inQuarantine() && ticket.Permitted()
 		},
 	}
 }
@@ -368,6 +387,9 @@
 // rejectUnserved refuses a request that no upstream took although time is left, with a Retry-After that fits the cause.
 func (exchange *exchange) rejectUnserved() {
 	switch {
+	case exchange.quarantine.Part != 0 && !exchange.probe:
+		exchange.rejectUnavailable(clementinewind.ReasonQuarantined, exchange.quarantine.Left,
+			fmt.Sprintf("prompt part %v crashed %d upstreams", exchange.quarantine.Part, exchange.quarantine.Crashes))
 	case exchange.stale:
 		exchange.countTokens(usage.PartStale)
 		exchange.rejectUnavailable(clementinewind.ReasonStale, minRetryAfter, "router does not know yet what changed while it did not run")
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/route/table"
@@ -47,6 +48,8 @@
 	Zone   clementinewind.Zone
 	Board  *board.Board
 	Shares *usage.Shares
+	// Poison holds the prompt parts that crash upstreams; nil is a registry that no other router knows.
+	Poison *poison.Registry
 	// Table returns the configuration in force, or nil before the first one.
 	Table func() *table.Table
 	// RouterCount returns the number of known routers, including this one and unreachable ones.
@@ -98,6 +101,9 @@
 
 // New returns a Relay without connections.
 func New(config Config) *Relay {
+	if config.Poison == nil {
+		config.Poison = poison.New(poison.Config{Logger: config.Logger})
+	}
 	return &Relay{
 		config: config, ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*link.Pool{},
 		retryBudgets: map[table.Service]*budget.Budget{}, crashChecks: map[incarnation]*crashCheck{},
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -73,7 +73,7 @@
 		defer stallTimer.Stop()
 	}
 	var pending []byte
-	eventsBefore := exchange.progress.eventCount
+	eventsBefore, sound := exchange.progress.eventCount, false
 	buffer := make([]byte, readBufferBytes)
 	awaitingFirst := true
 	for {
@@ -101,6 +101,10 @@
 				return attemptDone
 			}
 			pending = pending[complete:]
+			if events := exchange.progress.eventCount - eventsBefore; !sound && (events >= soundEvents || (err == io.EOF && events > 0)) {
+				sound = true
+				exchange.recordSound(answer.Response.StatusCode)
+			}
 			if stallTimer != nil && exchange.progress.eventCount > countBefore {
 				// Only events count as progress; comments and partial events do not.
 				stallTimer.Reset(exchange.stallTimeout())
--- a/internal/route/router/refuse.go
+++ b/internal/route/router/refuse.go
@@ -82,7 +82,7 @@
 }
 
 func parseReason(name string) clementinewind.Reason {
-	for reason := clementinewind.ReasonNone; reason <= clementinewind.ReasonKeyMismatch; reason++ {
+	for reason := clementinewind.ReasonNone; reason <= clementinewind.ReasonQuarantined; reason++ {
 		if reason.String() == name {
 			return reason
 		}
--- a/reason.go
+++ b/reason.go
@@ -42,4 +42,6 @@
 	ReasonKeyInUse
 	// ReasonKeyMismatch means that the idempotency key was used earlier for a different call.
 	ReasonKeyMismatch
+	// ReasonQuarantined means that the prompt has a part that crashed several upstreams.
+	ReasonQuarantined
 )
--- a/reason_string.go
+++ b/reason_string.go
@@ -25,11 +25,12 @@
 	_ = x[ReasonKeyExpired-14]
 	_ = x[ReasonKeyInUse-15]
 	_ = x[ReasonKeyMismatch-16]
+	_ = x[ReasonQuarantined-17]
 }
 
-const _Reason_name = "NoneInvalidUnauthorizedQueueFullRateLimitedDeadlineNoCapacityBusyStaleLogUnavailableUpstreamFailedConnectionLostCancelledShutdownKeyExpiredKeyInUseKeyMismatch"
+const _Reason_name = "NoneInvalidUnauthorizedQueueFullRateLimitedDeadlineNoCapacityBusyStaleLogUnavailableUpstreamFailedConnectionLostCancelledShutdownKeyExpiredKeyInUseKeyMismatchQuarantined"
 
-var _Reason_index = [...]uint8{0, 4, 11, 23, 32, 43, 51, 61, 65, 70, 84, 98, 112, 121, 129, 139, 147, 158}
+var _Reason_index = [...]uint8{0, 4, 11, 23, 32, 43, 51, 61, 65, 70, 84, 98, 112, 121, 129, 139, 147, 158, 169}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
