Ask for one crash more before a part answered lately goes into quarantine

Cause: the first part of its prompts was in requests with either poisoned part, three upstreams crashed within 1.6 s, and no request with it was answered in between. Change: a part that was answered within 10 s needs four separate crashes, which is still before the fifth. It goes into quarantine with three once it has not been answered for 10 s. Ruled out: a lost clearance; no router had an answer to such a prompt between the first and the third crash. Evidence: TestPartSharedByTwoPoisonedPartsStaysInService failed before.

--- a/internal/load/poison/registry.go
+++ b/internal/load/poison/registry.go
@@ -20,6 +20,9 @@
 	// because upstreams that fail together have a cause in common that is not a prompt.
 	quarantineCrashes = 3
 	crashSpacing      = 300 * time.Millisecond
+	// A part that was answered within recentAnswerTime needs one crash more: it may have been part of the same prompts as several
+	// poisoned parts.
+	recentAnswerTime = 10 * time.Second
 	// clearanceTime is the shortest time between the first crash and the quarantine. Clearances of other routers arrive within it.
 	clearanceTime = time.Second
 	// suspicionTime is how long a crash counts against a part that is not in quarantine.
@@ -326,8 +329,12 @@
 			continue
 		}
 		counted := registry.countedLocked(known)
-		separate := separateCrashes(counted)
-		if separate < quarantineCrashes {
+		separate, required := separateCrashes(counted), quarantineCrashes
+		if !known.clearedAt.IsZero() && now.Sub(known.clearedAt) < recentAnswerTime {
+			required++
+		}
+		if _, ok := registry.quarantined[part]; separate < required && !ok {
+			registry.unsettled = registry.unsettled || separate >= quarantineCrashes
 			continue
 		}
 		if now.Sub(counted[0].At) < clearanceTime {
--- a/internal/load/poison/registry_test.go
+++ b/internal/load/poison/registry_test.go
@@ -110,6 +110,20 @@
 	}
 }
 
+// Guards against rejecting all requests of an organisation while its prompts hold one poisoned part or another.
+func TestPartSharedByTwoPoisonedPartsStaysInService(t *testing.T) {
+	registry := poison.New(poison.Config{})
+	for round := range 10 {
+		// The first part is answered every 4 s, and meanwhile three upstreams crash.
+		begin := 4 * float64(round)
+		registry.RecordAnswer([]prompt.PartHash{tenant, other}, after(begin))
+		for upstream := range 3 {
+			crash(registry, 3*round+upstream, begin+1+float64(upstream), true, tenant, []prompt.PartHash{bad, companion}[upstream%2])
+		}
+		quicktest.Check(t, rejected(registry, begin+3.9, tenant, other), quicktest.IsFalse, quicktest.Commentf("round %d", round))
+	}
+}
+
 // Guards against a poisoned part that stays in service: crashes in quick succession, several parts at once, parts in any position,
 // and requests that crash their upstream before its response header arrives.
 func TestPoisonedPartsAreRejected(t *testing.T) {
@@ -131,11 +145,17 @@
 		},
 		"answered until it was poisoned": func(registry *poison.Registry) {
 			registry.RecordAnswer([]prompt.PartHash{tenant, bad}, after(-0.1))
-			for upstream := range 3 {
+			for upstream := range 5 {
 				crash(registry, upstream, float64(upstream), true, tenant, bad)
 				registry.RecordAnswer([]prompt.PartHash{tenant}, after(float64(upstream)+0.1))
 			}
 		},
+		"three crashes long after it was answered": func(registry *poison.Registry) {
+			registry.RecordAnswer([]prompt.PartHash{bad}, after(-6))
+			for upstream := range 3 {
+				crash(registry, upstream, float64(upstream), true, bad)
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			registry := poison.New(poison.Config{})
