Quarantine only the part that explains the crashes

Callers saw: nothing but the detail of a rejection, which named a sound part; operators saw a sound part in quarantine. Cause: a part that was always beside the poisoned one has the same crashes. Once it had not been answered for 10 s it went into quarantine as well. Requests with it alone still passed, because the poisoned part excused it. Change: parts are judged in the order of likelihood, and a part whose crashes are all explained by one in quarantine stays out. TestOnlyThePoisonedPartIsQuarantined failed before.

--- a/internal/load/poison/registry.go
+++ b/internal/load/poison/registry.go
@@ -156,7 +156,7 @@
 	var probe Quarantine
 	for _, part := range parts {
 		known, ok := registry.quarantined[part]
-		if !ok || registry.excusedLocked(part, known, parts) {
+		if !ok || registry.explainedLocked(part, known, parts) {
 			continue
 		}
 		left := known.quarantinedUntil.Sub(now)
@@ -185,10 +185,10 @@
 	})
 }
 
-// excusedLocked reports whether a part got into quarantine only because it was often part of the same prompts as another one, which
-// the request does not hold. That is so if the other one is suspected of all crashes of the part and of more, or if only the part was
-// ever answered.
-func (registry *Registry) excusedLocked(part prompt.PartHash, known *suspect, held []prompt.PartHash) bool {
+// explainedLocked reports whether a part is suspected only because it was often part of the same prompts as another one, which is in
+// quarantine and not among the held parts. That is so if the other one is suspected of all crashes of the part and of more, or if only
+// the part was ever answered.
+func (registry *Registry) explainedLocked(part prompt.PartHash, known *suspect, held []prompt.PartHash) bool {
 	crashes := registry.countedLocked(known)
 	for other, candidate := range registry.quarantined {
 		if other == part || slices.Contains(held, other) {
@@ -324,32 +324,45 @@
 		return
 	}
 	registry.unsettled = false
-	for part, known := range registry.suspects {
-		if len(known.crashes) < quarantineCrashes {
-			continue
-		}
+	for _, part := range registry.bySuspicionLocked() {
+		known := registry.suspects[part]
 		counted := registry.countedLocked(known)
 		separate, required := separateCrashes(counted), quarantineCrashes
 		if !known.clearedAt.IsZero() && now.Sub(known.clearedAt) < recentAnswerTime {
 			required++
 		}
-		if _, ok := registry.quarantined[part]; separate < required && !ok {
-			registry.unsettled = registry.unsettled || separate >= quarantineCrashes
+		_, quarantined := registry.quarantined[part]
+		switch {
+		case separate < quarantineCrashes || (!quarantined && registry.explainedLocked(part, known, nil)):
 			continue
-		}
-		if now.Sub(counted[0].At) < clearanceTime {
+		case !quarantined && (separate < required || now.Sub(counted[0].At) < clearanceTime):
 			registry.unsettled = true
 			continue
 		}
 		duration := min(minQuarantine<<min(separate-quarantineCrashes, 8), maxQuarantine)
 		known.quarantinedUntil = counted[len(counted)-1].At.Add(duration)
-		if _, ok := registry.quarantined[part]; !ok {
+		if !quarantined {
 			registry.quarantined[part], known.changedAt = known, now
 			registry.config.Logger.Warn("prompt part in quarantine", "Part", part, "Crashes", len(counted), "For", duration)
 		}
 	}
 }
 
+// bySuspicionLocked returns the parts that were suspected often enough for a quarantine, the most likely causes first.
+func (registry *Registry) bySuspicionLocked() []prompt.PartHash {
+	var parts []prompt.PartHash
+	for part, known := range registry.suspects {
+		if len(known.crashes) >= quarantineCrashes {
+			parts = append(parts, part)
+		}
+	}
+	slices.SortFunc(parts, func(a, b prompt.PartHash) int {
+		first, second := registry.suspects[a], registry.suspects[b]
+		return cmp.Or(first.clearedAt.Compare(second.clearedAt), cmp.Compare(len(second.crashes), len(first.crashes)))
+	})
+	return parts
+}
+
 // expireLocked forgets suspicions that led to no quarantine, and parts whose quarantine ended without a request with them.
 func (registry *Registry) expireLocked(now time.Time) {
 	for part, known := range registry.suspects {
--- a/internal/load/poison/registry_test.go
+++ b/internal/load/poison/registry_test.go
@@ -206,3 +206,17 @@
 	quicktest.Check(t, quarantined, quicktest.Equals, 1)
 	quicktest.Check(t, rejected(registry, 24, bad), quicktest.IsTrue)
 }
+
+// Guards against a quarantine of the parts beside a poisoned one, which would name a sound part as the cause to operators and callers.
+func TestOnlyThePoisonedPartIsQuarantined(t *testing.T) {
+	registry := poison.New(poison.Config{})
+	registry.RecordAnswer([]prompt.PartHash{tenant, companion}, after(-20))
+	for upstream := range 3 {
+		crash(registry, upstream, float64(upstream), true, tenant, companion, bad)
+	}
+	quarantine, isRejected := registry.Check([]prompt.PartHash{tenant, companion, bad}, after(3))
+	quicktest.Check(t, isRejected, quicktest.IsTrue)
+	quicktest.Check(t, quarantine.Part, quicktest.Equals, bad)
+	_, quarantined := registry.Counts(after(3))
+	quicktest.Check(t, quarantined, quicktest.Equals, 1)
+}
