Withdraw waiting requests when a part of their prompt goes into quarantine

Callers saw: one more upstream end after the part was known, and the sound answers there cut off. Cause: requests that were already queued at an upstream stayed there and crashed it when their turn came. Change: a quarantine ends the attempts that wait for their response header; their upstreams drop them. The caller gets 502, because the request may have begun. Ruled out: a late router. All routers knew the part 0.2 s after the crash that named it.

--- a/internal/load/poison/registry.go
+++ b/internal/load/poison/registry.go
@@ -66,6 +66,8 @@
 type Config struct {
 	// Owns reports whether this router is the one of the fleet that probes a part after its quarantine; nil means always.
 	Owns func(part prompt.PartHash) bool
+	// OnQuarantine is called in a goroutine of its own after a part was put into quarantine; it may be nil.
+	OnQuarantine func()
 	// Logger may be nil.
 	Logger hclog.Logger
 }
@@ -344,6 +346,9 @@
 		if !quarantined {
 			registry.quarantined[part], known.changedAt = known, now
 			registry.config.Logger.Warn("prompt part in quarantine", "Part", part, "Crashes", len(counted), "For", duration)
+			if registry.config.OnQuarantine != nil {
+				go registry.config.OnQuarantine()
+			}
 		}
 	}
 }
--- a/internal/route/relay/crash.go
+++ b/internal/route/relay/crash.go
@@ -173,6 +173,40 @@
 	return rejected
 }
 
+// errWithdrawn is the cause of the end of a request that its upstream may not begin to answer any more.
+var errWithdrawn = errors.New("a part of the prompt was put into quarantine")
+
+// addWaiting adds an attempt that waits for its response header. The function withdraw ends it.
+func (relay *Relay) addWaiting(exchange *exchange, withdraw context.CancelCauseFunc) {
+	if len(exchange.parts) == 0 || exchange.probe {
+		return
+	}
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.waiting[exchange] = withdraw
+}
+
+func (relay *Relay) removeWaiting(exchange *exchange) {
+	if len(exchange.parts) == 0 {
+		return
+	}
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	delete(relay.waiting, exchange)
+}
+
+// WithdrawQuarantined ends the requests that wait at their upstreams although a part of their prompt is in quarantine. Each of them
+// would crash its upstream when its turn comes.
+func (relay *Relay) WithdrawQuarantined() {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	for exchange, withdraw := range relay.waiting {
+		if _, rejected := relay.config.Poison.Check(exchange.parts, time.Now()); rejected {
+			withdraw(errWithdrawn)
+		}
+	}
+}
+
 // recordSound records that an answer with the given status got going, which shows that no part of the prompt crashes upstreams.
 func (exchange *exchange) recordSound(status int) {
 	if len(exchange.parts) > 0 && status < http.StatusMultipleChoices {
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -87,6 +87,8 @@
 	// quarantine is why the request must be rejected; probe is set if it tests whether a quarantine may end.
 	quarantine poison.Quarantine
 	probe      bool
+	// withdrawn is set if a part of the prompt was put into quarantine while the request waited for its response header.
+	withdrawn bool
 }
 
 // fallback is an error response of an upstream that is forwarded to the caller if no other upstream serves the request.
@@ -253,9 +255,17 @@
 	exchange.tried = append(exchange.tried, ticket.Entry.Upstream)
 	sendCtx, cancel := exchange.attemptContext(ctx, ticket)
 	defer cancel()
+	sendCtx, withdraw := context.WithCancelCause(sendCtx)
+	defer withdraw(nil)
 	pool := exchange.relay.pool(ticket.Entry, exchange.service, ticket.RemoteRunning)
+	exchange.relay.addWaiting(exchange, withdraw)
 	answer, err := pool.Do(sendCtx, exchange.upstreamRequest(ticket))
+	exchange.relay.removeWaiting(exchange)
 	if err != nil {
+		if errors.Is(context.Cause(sendCtx), errWithdrawn) {
+			err = errors.WithMessage(err, errWithdrawn.Error())
+			exchange.withdrawn = true
+		}
 		return exchange.handleNoResponse(ctx, ticket, pool, err)
 	}
 	defer answer.Close()
@@ -330,7 +340,7 @@
 	result := board.ResultFailed
 	var unreachable *link.UnreachableError
 	switch {
-	case exchange.request.Context().Err() != nil:
+	case exchange.request.Context().Err() != nil, exchange.withdrawn:
 		result = board.ResultAbandoned
 	case errors.As(err, &unreachable) && unreachable.ProcessStalled:
 		result = board.ResultAbandoned
@@ -379,6 +389,8 @@
 	case ctx.Err() != nil:
 		exchange.countTokens(usage.PartLate)
 		exchange.writeRejection(http.StatusGatewayTimeout, clementinewind.ReasonDeadline, 0, "no answer before the deadline")
+	case exchange.withdrawn:
+		exchange.writeRejection(http.StatusBadGateway, clementinewind.ReasonQuarantined, 0, "withdrawn from its upstream")
 	default:
 		exchange.writeRejection(http.StatusBadGateway, clementinewind.ReasonUpstreamFailed, 0, "upstream failed")
 	}
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -97,6 +97,8 @@
 	pools        map[clementinewind.Upstream]*link.Pool
 	retryBudgets map[table.Service]*budget.Budget
 	crashChecks  map[incarnation]*crashCheck
+	// waiting holds the attempts without a response header whose prompts have shared parts.
+	waiting map[*exchange]context.CancelCauseFunc
 }
 
 // New returns a Relay without connections.
@@ -107,6 +109,7 @@
 	return &Relay{
 		config: config, ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*link.Pool{},
 		retryBudgets: map[table.Service]*budget.Budget{}, crashChecks: map[incarnation]*crashCheck{},
+		waiting: map[*exchange]context.CancelCauseFunc{},
 	}
 }
 
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/relay"
 	"github.com/clementinewind/clementinewind/internal/route/table"
@@ -40,6 +41,7 @@
 	relay  *relay.Relay
 	server *httptest.Server
 	board  *board.Board
+	poison *poison.Registry
 
 	overloaded         atomic.Bool
 	batching           atomic.Bool
@@ -110,6 +112,8 @@
 	config.Stale, config.EventBatchDelay = started.stale.Load, started.eventBatchDelay
 	config.CallerDisconnected = func(context.Context) bool { return started.callerDisconnected.Load() }
 	config.Overloaded = func(context.Context) bool { return started.overloaded.Load() }
+	started.poison = poison.New(poison.Config{OnQuarantine: func() { started.relay.WithdrawQuarantined() }})
+	config.Poison = started.poison
 	started.relay = relay.New(config)
 	started.server = httptest.NewServer(started.relay)
 	t.Cleanup(started.server.Close)
