Treat streams that end inside an event, or before the first one, as broken off

Callers saw: an empty 200 where an upstream ended after the response header of a stream with neither a length nor chunks; a part of an event at the end of a stream with a length or chunks, as if it were complete. Cause: the end of a connection was taken for the end of the stream unless bytes of an event were left over, and only without a length. Change: a stream is complete only at the end of an event; without a length or chunks it needs at least one. Otherwise it is broken off: a failure if the caller has none of it, a resumed stream where the route allows it, a reset connection otherwise. Looked for elsewhere: link reads every answer and reuses no connection whose answer ends with it; plain answers without a length are whole when the connection ends in order and fail when it is reset (TestBodyDelimiters); the store's client and the feeds between routers read answers that state their length. Evidence: TestStreamWithoutEventsIsNotComplete and two new cases of TestTruncatedStreamIsNotComplete failed before.

--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -75,7 +75,7 @@
 	var pending []byte
 	eventsBefore, sound := exchange.progress.eventCount, false
 	buffer := make([]byte, readBufferBytes)
-	awaitingFirst := true
+	awaitingFirst, forwarded := true, false
 	for {
 		count, err := answer.Read(buffer)
 		if count > 0 && awaitingFirst {
@@ -88,10 +88,9 @@
 		complete := endOfEvents(pending)
 		switch {
 		case err != io.EOF:
-		case closeDelimited(answer.Response) && complete < len(pending):
+		case complete < len(pending), closeDelimited(answer.Response) && complete == 0 && !forwarded:
+			// An upstream that fails may end its answer inside an event, and before the first one.
 			err = io.ErrUnexpectedEOF
-		default:
-			complete = len(pending)
 		}
 		if complete > 0 || err == io.EOF {
 			countBefore := exchange.progress.eventCount
@@ -100,7 +99,7 @@
 				exchange.recordEnd("Abandoned", "caller left during the stream")
 				return attemptDone
 			}
-			pending = pending[complete:]
+			pending, forwarded = pending[complete:], true
 			if events := exchange.progress.eventCount - eventsBefore; !sound && (events >= soundEvents || (err == io.EOF && events > 0)) {
 				sound = true
 				exchange.recordSound(answer.Response.StatusCode)
--- a/internal/route/relay/trouble_test.go
+++ b/internal/route/relay/trouble_test.go
@@ -53,6 +53,8 @@
 		"Content-Length, cut in an event":      {"Content-Length: 60\r\n", "id: 1\ndata: a\n\nid: 2\nda", false},
 		"chunked, cut after an event":          {"Transfer-Encoding: chunked\r\n", "f\r\nid: 1\ndata: a\n\n\r\n", false},
 		"chunked, cut in an event":             {"Transfer-Encoding: chunked\r\n", "17\r\nid: 1\ndata: a\n\nid: 2\nda\r\n", false},
+		"Content-Length, ends in an event":     {"Content-Length: 23\r\n", "id: 1\ndata: a\n\nid: 2\nda", false},
+		"chunked, ends in an event":            {"Transfer-Encoding: chunked\r\n", "17\r\nid: 1\ndata: a\n\nid: 2\nda\r\n0\r\n\r\n", false},
 		"chunked, complete":                    {"Transfer-Encoding: chunked\r\n", "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", true},
 	}
 	for name, test := range tests {
@@ -69,6 +71,22 @@
 	}
 }
 
+// Guards against an upstream that ends after the response header: without a length or chunks the end of the connection would look like
+// the end of an empty stream.
+func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
+	for name, body := range map[string]string{"nothing": "", "part of an event": "id: 1\nda"} {
+		t.Run(name, func(t *testing.T) {
+			router := startRouter(t, table.Route{Kind: table.RouteStream, MaxAttempts: 1})
+			addRawUpstream(t, router, func(conn net.Conn, request *http.Request) {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n%s", stand.SealedHeaderLines(stand.RequestID(request.Header)), body)
+			})
+			response, _, err := router.ask(t, http.MethodGet, "")
+			quicktest.Check(t, err, quicktest.IsNil)
+			quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusBadGateway)
+		})
+	}
+}
+
 // Guards against a faulty upstream whose body never ends: the request must end by its deadline, and not as a success.
 func TestEndlessBody(t *testing.T) {
 	tests := map[string]struct {
