Resume a stream only with events that follow the last one

Here: errors with an error status, declined and unsealed answers and bytes that are no answer never reached the caller. Three cases did, and the stream then ended as complete: a success that is no event stream, events without identifiers, and a stream that starts again or repeats the last event. Cause: on a resumed stream only the status of the second answer was checked. Change: the media type must be that of the stream, and the first event must have an identifier after the last one that the caller has. Otherwise the attempt counts as failed, and the caller's stream is broken off unless another upstream continues it. Evidence: TestFailedResumptionIsNotForwarded failed before in these cases.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -114,7 +114,7 @@
 	})
 	router.shares = usage.NewShares(settings.ShareWindow)
 	router.poison = poison.New(poison.Config{
-		Owns:   func(part prompt.PartHash) bool { return router.roster.Owns(part.String(), time.Now()) },
+		Owns:         func(part prompt.PartHash) bool { return router.roster.Owns(part.String(), time.Now()) },
 		OnQuarantine: func() { router.relay.WithdrawQuarantined() }, Logger: config.Logger,
 	})
 	router.view = view.New(view.Config{
--- /dev/null
+++ b/internal/route/relay/report_test.go
@@ -0,0 +1,73 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/platform/stand"
+)
+
+// Guards against an error of a second upstream, its head or a stream from another position in the middle of the caller's stream, and
+// against a stream that then ends as if it were complete.
+func TestFailedResumptionIsNotForwarded(t *testing.T) {
+	const begun = "id: 1\ndata: token\n\n"
+	sealed := func(status, header, body string) func(id string) string {
+		return func(id string) string {
+			return fmt.Sprintf("HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n%s", status, stand.SealedHeaderLines(id), header, len(body), body)
+		}
+	}
+	tests := map[string]func(id string) string{
+		"sealed error":         sealed("500 Internal Server Error", "", "out of memory\n\n"),
+		"sealed client error":  sealed("400 Bad Request", "", "id: 9\ndata: bad\n\n"),
+		"success of no stream": sealed("200 OK", "Content-Type: text/plain\r\n", "out of memory\n\n"),
+		"no content":           func(id string) string { return "HTTP/1.1 204 No Content\r\n" + stand.SealedHeaderLines(id) + "\r\n" },
+		"declined":             stand.DeclinedResponse,
+		"not sealed":           func(string) string { return "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\noops" },
+		"no response":          func(string) string { return "out of memory\n\n" },
+		"two heads": func(id string) string {
+			return "HTTP/1.1 100 Continue\r\n\r\n" + sealed("500 Oops", "", "oops\n\n")(id)
+		},
+		"from the start":     sealed("200 OK", "Content-Type: text/event-stream\r\n", begun+"id: 2\ndata: token\n\n"),
+		"events without ids": sealed("200 OK", "Content-Type: text/event-stream\r\n", "event: error\ndata: out of memory\n\n"),
+	}
+	for name, second := range tests {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			router := startRouter(t, table.Route{Kind: table.RouteStream, Resumable: true, MaxAttempts: 2})
+			for _, upstream := range []string{"u0", "u1"} {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				quicktest.Assert(t, err, quicktest.IsNil)
+				t.Cleanup(func() { listener.Close() })
+				go stand.ServeConns(listener, func(conn net.Conn) {
+					request, err := http.ReadRequest(bufio.NewReader(conn))
+					if err != nil {
+						return
+					}
+					id := stand.RequestID(request.Header)
+					if requests.Add(1) == 1 {
+						fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nContent-Length: 600\r\n\r\n%sid: 2\nda",
+							stand.SealedHeaderLines(id), begun)
+						return
+					}
+					io.WriteString(conn, second(id))
+				})
+				router.board.Set(table.Entry{Upstream: clementinewind.Upstream(upstream), Service: "service", Address: listener.Addr().String()}, time.Now())
+			}
+			response, body, err := router.ask(t, http.MethodGet, "")
+			quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusOK)
+			quicktest.Check(t, body, quicktest.Equals, begun)
+			quicktest.Check(t, err, quicktest.IsNotNil)
+			quicktest.Check(t, requests.Load() >= 2, quicktest.IsTrue)
+		})
+	}
+}
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,9 +36,15 @@
 	// eventCount counts the forwarded events that have an ID.
 	eventCount  int
 	lastEventID string
+	// contentType is the media type of the stream.
+	contentType string
 }
 
-var errStalled = errors.New("stream sent no event within the stall timeout")
+var (
+	errStalled = errors.New("stream sent no event within the stall timeout")
+	// errNotContinued is the error of a resumed stream that does not go on after the last event that the caller has.
+	errNotContinued = errors.New("stream does not continue after the last event")
+)
 
 // stallTimeout returns the time without an event after which a stream without a deadline is cut. A stream with a deadline is
 // never cut for being silent.
@@ -60,6 +68,39 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
+func mediaType(response *http.Response) string {
+	name, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
+// continues reports whether the first of some whole events follows the event with the given ID. Numeric IDs increase. An event without
+// an ID comes from something else than the run that is resumed.
+func continues(events []byte, lastEventID string) bool {
+	id, isEvent := "", false
+	for line := range bytes.Lines(events) {
+		line = bytes.TrimRight(line, "\r\n")
+		value, hasID := bytes.CutPrefix(line, []byte("id:"))
+		switch {
+		case hasID:
+			id, isEvent = string(bytes.TrimSpace(value)), true
+		case len(line) == 0 && isEvent:
+			return follows(id, lastEventID)
+		case len(line) > 0 && line[0] != ':':
+			isEvent = true
+		}
+	}
+	return true
+}
+
+func follows(id, lastEventID string) bool {
+	next, err := strconv.ParseInt(id, 10, 64)
+	last, lastErr := strconv.ParseInt(lastEventID, 10, 64)
+	if err == nil && lastErr == nil {
+		return next > last
+	}
+	return id != "" && id != lastEventID
+}
+
 // relayStream forwards a stream by whole events, so that another upstream can resume it after the last one.
 func (exchange *exchange) relayStream(ctx context.Context, ticket *board.Ticket, answer *link.Answer) attemptResult {
 	controller := http.NewResponseController(exchange.writer)
@@ -76,6 +117,10 @@
 	eventsBefore, sound := exchange.progress.eventCount, false
 	buffer := make([]byte, readBufferBytes)
 	awaitingFirst, forwarded := true, false
+	resuming := exchange.progress.started
+	if resuming && mediaType(answer.Response) != exchange.progress.contentType {
+		return exchange.handleBrokenStream(ctx, ticket, 0, errNotContinued)
+	}
 	for {
 		count, err := answer.Read(buffer)
 		if count > 0 && awaitingFirst {
@@ -92,6 +137,9 @@
 			// An upstream that fails may end its answer inside an event, and before the first one.
 			err = io.ErrUnexpectedEOF
 		}
+		if resuming && !forwarded && complete > 0 && !continues(pending[:complete], exchange.progress.lastEventID) {
+			complete, err = 0, errNotContinued
+		}
 		if complete > 0 || err == io.EOF {
 			countBefore := exchange.progress.eventCount
 			if writeErr := exchange.writeEvents(answer, pending[:complete], controller); writeErr != nil {
@@ -128,7 +176,7 @@
 // writeEvents writes complete events to the caller and flushes them.
 func (exchange *exchange) writeEvents(answer *link.Answer, events []byte, controller *http.ResponseController) error {
 	if !exchange.progress.started {
-		exchange.progress.started = true
+		exchange.progress.started, exchange.progress.contentType = true, mediaType(answer.Response)
 		exchange.setAnswerHeader(platform.ResponseHeader(answer.Response.Header))
 		exchange.writer.Header().Del("Content-Length")
 		exchange.writer.WriteHeader(answer.Response.StatusCode)
@@ -151,7 +199,7 @@
 	switch {
 	case exchange.request.Context().Err() != nil:
 		result = board.ResultAbandoned
-	case ctx.Err() == nil && err != nil && !errors.Is(err, errStalled):
+	case ctx.Err() == nil && err != nil && !errors.Is(err, errStalled) && !errors.Is(err, errNotContinued):
 		exchange.recordInterruption(ticket, true, events)
 	}
 	ticket.End(result, time.Now())
