Send requests without an identifier on connections of their own

Reported by other operators: an earlier refusal, written once more on a kept connection, told callers that a request had not run. Here: a refusal with another identifier is skipped, one without an identifier counts only on a new connection, and a connection is not kept after a refusal. For a request that has no identifier itself any response without one was taken for its answer, also on a connection that had served others. Change: such a request gets a new connection. Evidence: two cases of TestRepeatedRefusal failed before (503 for a request that ran).

--- a/internal/route/link/pool.go
+++ b/internal/route/link/pool.go
@@ -16,6 +16,8 @@
 	// OnceMaxIdle is the idle limit for requests that cannot be retried. The longer a connection is idle, the more likely the
 	// upstream is just closing it.
 	OnceMaxIdle = time.Second
+	// NoReuse is the idle limit for requests that need a new connection.
+	NoReuse = -time.Second
 	// DialTimeout is far above a round trip within a region. A slower upstream could not answer in time.
 	DialTimeout = 300 * time.Millisecond
 )
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -308,7 +308,11 @@
 
 func (exchange *exchange) upstreamRequest(ticket *board.Ticket) link.Request {
 	maxIdle := link.DefaultMaxIdle
-	if !exchange.retryable() {
+	switch {
+	case exchange.call.RequestID == "":
+		// A response on a connection that served other requests could be one of theirs.
+		maxIdle = link.NoReuse
+	case !exchange.retryable():
 		maxIdle = link.OnceMaxIdle
 	}
 	lastEventID := exchange.progress.lastEventID
--- a/internal/route/relay/report_test.go
+++ b/internal/route/relay/report_test.go
@@ -17,6 +17,67 @@
 	"github.com/clementinewind/clementinewind/platform/stand"
 )
 
+// Guards against an earlier refusal that a faulty upstream sends again on a kept connection, and that is taken for the answer to the
+// next request, which the upstream runs.
+func TestRepeatedRefusal(t *testing.T) {
+	tests := map[string]struct {
+		ids      [2]string
+		repeated string
+		// fresh is set if the next request may be sent on another connection.
+		fresh bool
+	}{
+		"with its identifier":                 {[2]string{"one", "two"}, "one", false},
+		"without an identifier":               {[2]string{"one", "two"}, "", false},
+		"requests without identifiers":        {[2]string{"", ""}, "", true},
+		"the next request has no identifier":  {[2]string{"one", ""}, "", true},
+		"the first request has no identifier": {[2]string{"", "two"}, "", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var runs, repeats atomic.Int32
+			router := startRouter(t, table.Route{Kind: table.RouteOnce, MaxAttempts: 1})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			quicktest.Assert(t, err, quicktest.IsNil)
+			t.Cleanup(func() { listener.Close() })
+			go stand.ServeConns(listener, func(conn net.Conn) {
+				reader := bufio.NewReader(conn)
+				for number := 0; ; number++ {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					runs.Add(1)
+					if number > 0 {
+						repeats.Add(1)
+						io.WriteString(conn, stand.DeclinedResponse(test.repeated))
+					}
+					io.WriteString(conn, stand.SealedResponse(stand.RequestID(request.Header), "ok"))
+				}
+			})
+			router.board.Set(table.Entry{Upstream: "u", Service: "service", Address: listener.Addr().String()}, time.Now())
+			var statuses []int
+			for _, id := range test.ids {
+				request, err := http.NewRequest(http.MethodGet, router.server.URL+"/p/x", nil)
+				quicktest.Assert(t, err, quicktest.IsNil)
+				request.Host = "host.example"
+				stand.SetCallerHeaders(request.Header, id, "key", 2*time.Second)
+				if id == "" {
+					stand.RemoveRequestID(request.Header)
+				}
+				response, err := http.DefaultClient.Do(request)
+				quicktest.Assert(t, err, quicktest.IsNil)
+				_, err = io.Copy(io.Discard, response.Body)
+				quicktest.Check(t, err, quicktest.IsNil)
+				response.Body.Close()
+				statuses = append(statuses, response.StatusCode)
+			}
+			quicktest.Check(t, statuses, quicktest.DeepEquals, []int{http.StatusOK, http.StatusOK})
+			quicktest.Check(t, runs.Load(), quicktest.Equals, int32(2))
+			quicktest.Check(t, repeats.Load() == 1 || test.fresh, quicktest.IsTrue)
+		})
+	}
+}
+
 // Guards against an error of a second upstream, its head or a stream from another position in the middle of the caller's stream, and
 // against a stream that then ends as if it were complete.
 func TestFailedResumptionIsNotForwarded(t *testing.T) {
