Keep quarantines in the store, so that they survive a restart of all routers

Callers saw: nothing yet. A fleet whose routers all restart would forget the poisoned parts and lose three upstreams more to each. Cause: quarantines lived in the memory of the routers only. Change: the owner of a part writes a record beside the registrations of routers, which each router reads once when it discovers its peers, and removes it after the quarantine. Suspicions that are told late are judged before they expire. Gauges count suspected and quarantined parts. The test fleet of model engines no longer has an upstream that answers streams with plain text.

--- a/internal/admin/telem/entry.go
+++ b/internal/admin/telem/entry.go
@@ -89,6 +89,9 @@
 	InFlight int64
 	// RefusedFraction is the fraction of requests that load shedding refuses because processor time is short.
 	RefusedFraction float64
+	// SuspectedParts is the number of prompt parts that may have crashed an upstream, QuarantinedParts the number of those that
+	// requests are rejected for.
+	SuspectedParts, QuarantinedParts int
 }
 
 // ObserveState registers the gauges, which call state at each scrape. It must be called at most once.
@@ -102,6 +105,9 @@
 	inFlight := builder.gauge("clementinewind.entry.in.flight", "", "Requests that are being served.")
 	refusedFraction := builder.gauge("clementinewind.entry.refused.part", "",
 		"Part of the requests that is refused because the processor is not enough.")
+	suspectedParts := builder.gauge("clementinewind.entry.suspected.parts", "", "Prompt parts that may have crashed an upstream.")
+	quarantinedParts := builder.gauge("clementinewind.entry.quarantined.parts", "",
+		"Prompt parts that crashed several upstreams; requests with them are rejected.")
 	if builder.err != nil {
 		return errors.Wrap(builder.err, "create instruments")
 	}
@@ -114,8 +120,10 @@
 		observer.ObserveFloat64(upstreams, float64(current.Upstreams))
 		observer.ObserveFloat64(inFlight, float64(current.InFlight))
 		observer.ObserveFloat64(refusedFraction, current.RefusedFraction)
+		observer.ObserveFloat64(suspectedParts, float64(current.SuspectedParts))
+		observer.ObserveFloat64(quarantinedParts, float64(current.QuarantinedParts))
 		return nil
-	}, ready, version, caughtUpAge, routers, upstreams, inFlight, refusedFraction)
+	}, ready, version, caughtUpAge, routers, upstreams, inFlight, refusedFraction, suspectedParts, quarantinedParts)
 	return errors.Wrap(err, "register gauges")
 }
 
--- a/internal/edge/entry/announce.go
+++ b/internal/edge/entry/announce.go
@@ -61,6 +61,9 @@
 		return false
 	}
 	for _, record := range batch.Records {
+		if router.quarantines.load(record.Key, record.Value, time.Now()) {
+			continue
+		}
 		var beat fleetv1.Beat
 		if err := proto.Unmarshal(record.Value, &beat); err != nil || beat.Instance == "" {
 			router.config.Logger.Warn("invalid router record ignored", "Key", record.Key, "Error", err)
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -79,6 +79,8 @@
 	relay  *relay.Relay
 	store  *platform.Store
 	topics topics
+	// quarantines keeps the prompt parts in quarantine in the store.
+	quarantines *quarantineRecords
 	// gossiper is nil until Run.
 	gossiper atomic.Pointer[gossip.Gossip]
 
@@ -114,9 +116,9 @@
 	})
 	router.shares = usage.NewShares(settings.ShareWindow)
 	router.poison = poison.New(poison.Config{
-		Owns:         func(part prompt.PartHash) bool { return router.roster.Owns(part.String(), time.Now()) },
-		OnQuarantine: func() { router.relay.WithdrawQuarantined() }, Logger: config.Logger,
+		Owns: router.ownsPart, OnQuarantine: func() { router.relay.WithdrawQuarantined() }, Logger: config.Logger,
 	})
+	router.quarantines = &quarantineRecords{router: router, stored: map[prompt.PartHash]bool{}}
 	router.view = view.New(view.Config{
 		Board: router.board, Logger: config.Logger,
 		OnRemoved: func(upstream clementinewind.Upstream) { router.relay.RemoveUpstream(upstream) },
@@ -259,6 +261,7 @@
 	actor(router.joinFleet)
 	actor(router.cpu.run)
 	actor(router.relay.LogLoad)
+	actor(router.quarantines.run)
 	actor(gossiper.Send)
 	group.Add(func() error { return gossiper.Receive(ctx) }, func(error) { cancel(); conn.Close() })
 	for _, server := range servers {
@@ -279,6 +282,7 @@
 		Ready: router.ready(), Version: router.configurationVersion(), Routers: len(router.roster.Alive(time.Now())), Upstreams: router.board.Count(),
 		InFlight: router.inFlight.Load(), RefusedFraction: router.cpu.shed.RefusedFraction(), CaughtUpAge: boot.Now(),
 	}
+	state.SuspectedParts, state.QuarantinedParts = router.poison.Counts(time.Now())
 	if asOf := router.topics.currentAsOf(); asOf > 0 {
 		state.CaughtUpAge -= asOf
 	}
--- a/internal/edge/entry/poison_test.go
+++ b/internal/edge/entry/poison_test.go
@@ -156,9 +156,20 @@
 
 // stream sends a model request with the given shared prompt parts and reports whether the answer was complete.
 func (router *router) stream(id, parts string) bool {
+	status, body := router.prompt(id, parts)
+	return status == http.StatusOK && strings.Contains(body, "id: 5")
+}
+
+// status sends a model request with the given shared prompt parts and returns the status of the answer; 0 if there is no whole one.
+func (router *router) status(id, parts string) int {
+	status, _ := router.prompt(id, parts)
+	return status
+}
+
+func (router *router) prompt(id, parts string) (int, string) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+router.settings.CallerListen.String()+"/x", nil)
 	if err != nil {
-		return false
+		return 0, ""
 	}
 	request.Host = "h"
 	stand.SetCallerHeaders(request.Header, id, "key", 5*time.Second)
@@ -168,15 +179,19 @@
 	client := http.Client{Timeout: waitTime, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
-		return false
+		return 0, ""
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && strings.Contains(string(body), "id: 5")
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(body)
 }
 
-// configureModel writes a configuration with one streaming route to model engines.
+// configureModel writes a configuration with one streaming route to model engines, and removes the upstream of newFleet.
 func (fleet *fleet) configureModel() {
+	fleet.store.Put(platform.TopicUpstreams, "u", nil)
 	fleet.version++
 	configure(fleet.t, fleet.store, table.Configuration{
 		Version: table.Version(fleet.version),
@@ -228,3 +243,34 @@
 	quicktest.Check(t, late <= lateRequests, quicktest.IsTrue, quicktest.Commentf("%d poisoned requests", late))
 	quicktest.Check(t, served >= sent/2, quicktest.IsTrue, quicktest.Commentf("%d of %d sound requests", served, sent))
 }
+
+// Guards against a fleet that forgets a poisoned prompt part when all its routers restart.
+func TestQuarantineSurvivesRestartOfAllRouters(t *testing.T) {
+	const routers = 2
+	fleet := newFleet(t)
+	fleet.configureModel()
+	pool := newBrittlePool(t, fleet.store, 6)
+	fleet.startAll(routers)
+	parts := "f1:200," + poisonedPart + ":100"
+	for number := 0; fleet.routers[1].entry.State().QuarantinedParts == 0; number++ {
+		fleet.routers[1+number%routers].status(fmt.Sprintf("bad%d", number), parts)
+		fleet.routers[1+number%routers].status(fmt.Sprintf("good%d", number), "f1:200,aa:100")
+		time.Sleep(400 * time.Millisecond)
+	}
+	// The owner of the part writes it to the store within a second.
+	time.Sleep(1500 * time.Millisecond)
+	for number := range routers {
+		fleet.kill(number + 1)
+	}
+	fleet.startAll(routers)
+	before, _ := pool.counts(1, 0)
+	for number := range routers {
+		router := fleet.routers[number+1]
+		fleet.waitUntil("quarantine read", func() bool { return router.entry.State().QuarantinedParts == 1 })
+		quicktest.Check(t, router.status(fmt.Sprintf("again%d", number), parts), quicktest.Equals, http.StatusServiceUnavailable)
+	}
+	after, _ := pool.counts(1, 0)
+	quicktest.Check(t, after, quicktest.Equals, before)
+	status, body := fleet.routers[1].prompt("good", "f1:200,aa:100")
+	quicktest.Check(t, status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s", body))
+}
--- a/internal/fleet/gossip/encode.go
+++ b/internal/fleet/gossip/encode.go
@@ -128,20 +128,37 @@
 func decodeSuspects(suspects []*fleetv1.Suspect, now time.Time) []poison.Report {
 	reports := make([]poison.Report, 0, len(suspects))
 	for _, suspect := range suspects {
-		report := poison.Report{Part: prompt.PartHash(suspect.Part)}
-		for _, crash := range suspect.Crashes {
-			report.Crashes = append(report.Crashes, poison.Suspicion{
-				Crash: poison.CrashID(crash.Upstream), At: timeOfAge(crash.AgeMillis, now), Answering: crash.Answering,
-			})
-		}
-		if suspect.Cleared {
-			report.ClearedAt = timeOfAge(suspect.ClearedAgeMillis, now)
-		}
-		reports = append(reports, report)
+		reports = append(reports, decodeSuspect(suspect, now))
 	}
 	return reports
 }
 
+func decodeSuspect(suspect *fleetv1.Suspect, now time.Time) poison.Report {
+	report := poison.Report{Part: prompt.PartHash(suspect.Part)}
+	for _, crash := range suspect.Crashes {
+		report.Crashes = append(report.Crashes, poison.Suspicion{
+			Crash: poison.CrashID(crash.Upstream), At: timeOfAge(crash.AgeMillis, now), Answering: crash.Answering,
+		})
+	}
+	if suspect.Cleared {
+		report.ClearedAt = timeOfAge(suspect.ClearedAgeMillis, now)
+	}
+	return report
+}
+
+// EncodeQuarantine returns the record of a prompt part in quarantine for the platform's store.
+func EncodeQuarantine(report poison.Report, now time.Time) *fleetv1.Quarantine {
+	return &fleetv1.Quarantine{Suspect: encodeSuspects([]poison.Report{report}, now)[0], WrittenMillis: now.UnixMilli()}
+}
+
+// DecodeQuarantine returns what a record says of a prompt part. A record of the future counts as just written, because the clocks of
+// routers differ.
+func DecodeQuarantine(record *fleetv1.Quarantine, now time.Time) poison.Report {
+	written := time.UnixMilli(min(record.WrittenMillis, now.UnixMilli()))
+	// Without the monotonic clock reading of now, times would not compare after a jump of the time of day.
+	return decodeSuspect(record.Suspect, now.Add(-now.Sub(written)))
+}
+
 // ageMillis returns the time that passed since at, in milliseconds.
 func ageMillis(at, now time.Time) uint32 {
 	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
--- a/internal/load/poison/registry.go
+++ b/internal/load/poison/registry.go
@@ -124,7 +124,7 @@
 		}
 		registry.addLocked(known, suspicion, now)
 	}
-	registry.quarantineLocked(now)
+	registry.settleLocked(now)
 }
 
 // RecordAnswer records that the answer to a prompt with the given parts got going, which clears them.
@@ -154,7 +154,7 @@
 func (registry *Registry) Check(parts []prompt.PartHash, now time.Time) (Quarantine, bool) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	registry.quarantineLocked(now)
+	registry.settleLocked(now)
 	var probe Quarantine
 	for _, part := range parts {
 		known, ok := registry.quarantined[part]
@@ -213,7 +213,7 @@
 func (registry *Registry) Counts(now time.Time) (suspected, quarantined int) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	registry.quarantineLocked(now)
+	registry.settleLocked(now)
 	for _, known := range registry.suspects {
 		if len(known.crashes) > 0 {
 			suspected++
@@ -316,16 +316,21 @@
 	return count
 }
 
-// quarantineLocked puts parts into quarantine, and extends the quarantine of those that were suspected again.
-func (registry *Registry) quarantineLocked(now time.Time) {
+// settleLocked brings the quarantines up to date. What another router reported may have led to a quarantine long ago, so that it is
+// judged before it expires.
+func (registry *Registry) settleLocked(now time.Time) {
+	if registry.unsettled {
+		registry.unsettled = false
+		registry.quarantineLocked(now)
+	}
 	if now.Sub(registry.sweptAt) > sweepInterval {
 		registry.sweptAt = now
 		registry.expireLocked(now)
 	}
-	if !registry.unsettled {
-		return
-	}
-	registry.unsettled = false
+}
+
+// quarantineLocked puts parts into quarantine, and extends the quarantine of those that were suspected again.
+func (registry *Registry) quarantineLocked(now time.Time) {
 	for _, part := range registry.bySuspicionLocked() {
 		known := registry.suspects[part]
 		counted := registry.countedLocked(known)
--- a/internal/load/poison/registry_test.go
+++ b/internal/load/poison/registry_test.go
@@ -176,6 +176,9 @@
 	}
 	follower.Merge(owner.Reports(after(2.1)), after(2.1))
 	quicktest.Check(t, rejected(owner, end-1, bad), quicktest.IsTrue)
+	started := poison.New(poison.Config{})
+	started.Merge(owner.Reports(after(end-10)), after(end-10))
+	quicktest.Check(t, rejected(started, end-9, bad), quicktest.IsTrue)
 	quicktest.Check(t, rejected(follower, end+1, bad), quicktest.IsTrue)
 	quarantine, isRejected := owner.Check([]prompt.PartHash{bad}, after(end+1))
 	quicktest.Check(t, isRejected, quicktest.IsFalse)
--- a/internal/load/poison/report.go
+++ b/internal/load/poison/report.go
@@ -33,7 +33,7 @@
 func (registry *Registry) Reports(now time.Time) []Report {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	registry.quarantineLocked(now)
+	registry.settleLocked(now)
 	var due []prompt.PartHash
 	for part, known := range registry.suspects {
 		changed := now.Sub(known.changedAt) <= spreadTime
@@ -50,11 +50,27 @@
 	for _, part := range due {
 		known := registry.suspects[part]
 		known.sentAt = now
-		reports = append(reports, Report{Part: part, Crashes: slices.Collect(maps.Values(known.crashes)), ClearedAt: known.clearedAt})
+		reports = append(reports, known.report(part))
 	}
 	return reports
 }
 
+// Quarantined returns what is known of the parts in quarantine.
+func (registry *Registry) Quarantined(now time.Time) []Report {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.settleLocked(now)
+	reports := make([]Report, 0, len(registry.quarantined))
+	for part, known := range registry.quarantined {
+		reports = append(reports, known.report(part))
+	}
+	return reports
+}
+
+func (suspect *suspect) report(part prompt.PartHash) Report {
+	return Report{Part: part, Crashes: slices.Collect(maps.Values(suspect.crashes)), ClearedAt: suspect.clearedAt}
+}
+
 // Merge adds what another router reported.
 func (registry *Registry) Merge(reports []Report, now time.Time) {
 	registry.mutex.Lock()
@@ -75,5 +91,5 @@
 			}
 		}
 	}
-	registry.quarantineLocked(now)
+	registry.settleLocked(now)
 }
