--- a/internal/admin/cause/cause.go
+++ b/internal/admin/cause/cause.go
@@ -39,7 +39,7 @@
 	slices.SortStableFunc(requestLines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	allLines := slices.Concat(requestLines, contextLines(lines, requestLines))
 	slices.SortStableFunc(allLines, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	return Report{Lines: allLines, Cause: causeOf(requestLines)}, true
+	return Report{Lines: allLines, Cause: causeOf(requestLines, allLines)}, true
 }
 
 // contextLines returns the lines that the router of a request logged around it without naming a request: state changes of
@@ -63,8 +63,8 @@
 	return found
 }
 
-// causeOf derives the cause from the last line of the request and its last failed attempt.
-func causeOf(requestLines []Line) string {
+// causeOf derives the cause from the last line of the request, its last failed attempt, and crashes among all lines of its report.
+func causeOf(requestLines, allLines []Line) string {
 	last := requestLines[len(requestLines)-1]
 	lastFailure := lastWithMessage(requestLines, "attempt failed", "stream broke off", "answer broke off", "declined", "not resumed")
 	switch last.Message {
@@ -77,12 +77,26 @@
 			return fmt.Sprintf("The stream was cut after %s events because its deadline passed while upstream %s was still sending.",
 				last.Fields["Events"], lastFailure.Fields["Upstream"])
 		}
+		if crash := crashOf(lastFailure.Fields["Upstream"], allLines); crash.Message != "" {
+			return fmt.Sprintf("The stream was cut after %s events because upstream %s crashed; requests that it began to answer then: %s.",
+				last.Fields["Events"], lastFailure.Fields["Upstream"], crash.Fields["Answering"])
+		}
 		return fmt.Sprintf("The stream was cut after %s events because upstream %s broke it off: %s.",
 			last.Fields["Events"], lastFailure.Fields["Upstream"], lastFailure.Fields["Error"])
 	}
 	return fmt.Sprintf("The log ends with %q: the router stopped, or lines were left out.", last.Message)
 }
 
+// crashOf returns the line that reports the crash of an upstream; the zero Line if there is none.
+func crashOf(upstream string, lines []Line) Line {
+	for _, line := range lines {
+		if line.Message == "upstream crashed" && line.Fields["Upstream"] == upstream {
+			return line
+		}
+	}
+	return Line{}
+}
+
 func causeOfEnd(last, lastFailure Line) string {
 	switch last.Fields["Outcome"] {
 	case "Answered":
@@ -109,6 +123,12 @@
 				"had %s of its fair share; return after %s.", late, last.Fields["Share"], last.Fields["RetryAfter"])
 		}
 		return fmt.Sprintf("The request was refused and has not run: no upstream took requests; return after %s.", last.Fields["RetryAfter"])
+	case reason == "Quarantined" && last.Fields["Status"] == "503":
+		return fmt.Sprintf("The request was refused and has not run: %s, so that no request with it is sent before the part is probed in %s.",
+			detail, last.Fields["RetryAfter"])
+	case reason == "Quarantined":
+		return fmt.Sprintf("The request waited at upstream %s and was withdrawn, because a part of its prompt had crashed several upstreams.",
+			lastFailure.Fields["Upstream"])
 	case reason == "Unauthorized":
 		return "The request was denied because no organisation of the configuration in force holds its key."
 	case reason == "Invalid":
--- a/internal/admin/cause/cause_test.go
+++ b/internal/admin/cause/cause_test.go
@@ -35,6 +35,21 @@
 			logger.Warn("rejected", "Request", "id", "Status", 503, "Reason", "NoCapacity", "Detail", "organisation got far more than one that waits",
 				"RetryAfter", "700ms", "Share", 1.4, "Tried", 0)
 		}, "its organisation had 1.4 of its fair share while one that waits had far less; return after 700ms", 1},
+		"in quarantine": {func(logger hclog.Logger) {
+			logger.Warn("rejected", "Request", "id", "Status", 503, "Reason", "Quarantined", "Detail", "prompt part 9b1d5d86714c532e crashed 3 upstreams",
+				"RetryAfter", "4m59s", "Tried", 0)
+		}, "has not run: prompt part 9b1d5d86714c532e crashed 3 upstreams, so that no request with it is sent before the part is probed in 4m59s", 1},
+		"withdrawn": {func(logger hclog.Logger) {
+			logger.Info("placed", "Request", "id", "Upstream", "u")
+			logger.Info("attempt failed", "Request", "id", "Upstream", "u", "Error", "context canceled")
+			logger.Warn("rejected", "Request", "id", "Status", 502, "Reason", "Quarantined", "Detail", "withdrawn from its upstream", "Tried", 1)
+		}, "waited at upstream u and was withdrawn", 3},
+		"crashed": {func(logger hclog.Logger) {
+			logger.Info("placed", "Request", "id", "Upstream", "u")
+			logger.Info("stream broke off", "Request", "id", "Upstream", "u", "Deadline", false, "Error", "unexpected EOF")
+			logger.Warn("answer broken off", "Request", "id", "Events", 7)
+			logger.Warn("upstream crashed", "Upstream", "u", "Answering", []string{"other"})
+		}, "cut after 7 events because upstream u crashed", 4},
 		"broken off": {func(logger hclog.Logger) {
 			logger.Info("placed", "Request", "id", "Upstream", "u")
 			logger.Info("upstream gone", "Upstream", "u", "Cause", "entry deleted")
--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/route/prompt"
 )
 
 // Entry holds the process settings of a router behind the platform's HTTP entry.
@@ -40,6 +41,8 @@
 
 	// MaxRefusedFraction bounds the fraction of requests that load shedding refuses while processor time is short.
 	MaxRefusedFraction float64
+	// AllowedParts are prompt parts for which no request is rejected, whatever they crash.
+	AllowedParts []prompt.PartHash
 
 	// Grace is the time between the platform's request to stop and the kill.
 	Grace time.Duration
@@ -132,6 +135,7 @@
 		}},
 		{"Sizes", "CoreShare", false, ratio(maxRatio, func(entry *Entry) *float64 { return &entry.CoreShare })},
 		{"Load", "MostRefused", false, ratio(1, func(entry *Entry) *float64 { return &entry.MaxRefusedFraction })},
+		{"Load", "AllowedParts", false, func(entry *Entry, text string) *valueFault { return setParts(text, &entry.AllowedParts) }},
 		{"Times", "Grace", false, duration(func(entry *Entry) *time.Duration { return &entry.Grace })},
 		{"Times", "AddressTimeToLive", false, duration(func(entry *Entry) *time.Duration { return &entry.AddressTimeToLive })},
 		{"Times", "EventDelay", false, duration(func(entry *Entry) *time.Duration { return &entry.EventDelay })},
@@ -183,6 +187,25 @@
 // ReadEntry reads a file for ParseEntry or ShowEntry without parsing it.
 func ReadEntry(path string) ([]byte, error) { return readFile(path, "read entry settings") }
 
+// noParts is the value of an empty list of prompt parts.
+const noParts = "none"
+
+// setParts parses a list of prompt parts as log lines name them.
+func setParts(text string, target *[]prompt.PartHash) *valueFault {
+	*target = nil
+	if text == noParts {
+		return nil
+	}
+	for part := range strings.SplitSeq(text, ",") {
+		hash, err := strconv.ParseUint(strings.TrimSpace(part), 16, 64)
+		if err != nil {
+			return valueFaultf(FaultBadValue, "%q: want %s, or hashes of prompt parts separated by commas, for example 9b1d5d86714c532e", text, noParts)
+		}
+		*target = append(*target, prompt.PartHash(hash))
+	}
+	return nil
+}
+
 // setPorts parses a range of ports such as 7400-7415.
 func setPorts(text string, first, last *int) *valueFault {
 	low, high, found := strings.Cut(text, "-")
--- a/internal/admin/conf/entry_test.go
+++ b/internal/admin/conf/entry_test.go
@@ -82,6 +82,7 @@
 		"ratio is no number":  {"Ratio = 0.2", "Ratio = NaN", conf.FaultOutOfRange},
 		"unknown key":         {"Extra = 58", "Extras = 58", conf.FaultUnknownKey},
 		"refuses too much":    {"[Share]", "[Load]\nMostRefused = 1.5\n[Share]", conf.FaultOutOfRange},
+		"part is no hash":     {"[Share]", "[Load]\nAllowedParts = 9b1d5d86714c532e,a part\n[Share]", conf.FaultBadValue},
 		"too few descriptors": {"Descriptors = 4100", "Descriptors = 10", conf.FaultOutOfRange},
 	}
 	for name, test := range tests {
@@ -102,6 +103,7 @@
 // Guards against printed settings that differ from the effective ones or omit a key: they must parse to the same settings.
 func TestShowEntry(t *testing.T) {
 	text := strings.Replace(renderTemplate(t), "Descriptors = 4100", "Descriptors = 4100.5", 1)
+	text = strings.Replace(text, "[Share]", "[Load]\nAllowedParts = 9b1d5d86714c532e, 0a\n[Share]", 1)
 	settings, err := conf.ParseEntry("entry.ini", []byte(text))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	shown, err := conf.ShowEntry("entry.ini", []byte(text))
@@ -109,7 +111,7 @@
 	again, err := conf.ParseEntry("shown.ini", []byte(shown))
 	quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("%s", shown))
 	quicktest.Check(t, reflect.DeepEqual(again, settings), quicktest.IsTrue, quicktest.Commentf("%s", shown))
-	for _, line := range []string{"Name = front-1 ; entry.ini", "Descriptors = 4100 ; entry.ini", "MostRefused = 0.95 ; default"} {
+	for _, line := range []string{"Name = front-1 ; entry.ini", "AllowedParts = 9b1d5d86714c532e,000000000000000a ; entry.ini", "Descriptors = 4100 ; entry.ini", "MostRefused = 0.95 ; default"} {
 		quicktest.Check(t, strings.Contains(shown, line+"\n"), quicktest.IsTrue, quicktest.Commentf("%s in\n%s", line, shown))
 	}
 	quicktest.Check(t, strings.Contains(shown, "is not set"), quicktest.IsFalse, quicktest.Commentf("%s", shown))
--- a/internal/admin/conf/show.go
+++ b/internal/admin/conf/show.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -15,6 +16,10 @@
 		}
 		return value.String()
 	}
+	parts := make([]string, 0, len(entry.AllowedParts))
+	for _, part := range entry.AllowedParts {
+		parts = append(parts, part.String())
+	}
 	return map[keyPath]string{
 		{"Instance", "Name"}:           string(entry.Name),
 		{"Instance", "Zone"}:           string(entry.Zone),
@@ -29,6 +34,7 @@
 		{"Sizes", "Descriptors"}:       strconv.Itoa(entry.Descriptors),
 		{"Sizes", "CoreShare"}:         number(entry.CoreShare),
 		{"Load", "MostRefused"}:        number(entry.MaxRefusedFraction),
+		{"Load", "AllowedParts"}:       cmp.Or(strings.Join(parts, ","), noParts),
 		{"Times", "Grace"}:             entry.Grace.String(),
 		{"Times", "AddressTimeToLive"}: entry.AddressTimeToLive.String(),
 		{"Times", "EventDelay"}:        entry.EventDelay.String(),
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -118,6 +118,7 @@
 	router.poison = poison.New(poison.Config{
 		Owns: router.ownsPart, OnQuarantine: func() { router.relay.WithdrawQuarantined() }, Logger: config.Logger,
 	})
+	router.poison.Allow(settings.AllowedParts)
 	router.quarantines = &quarantineRecords{router: router, stored: map[prompt.PartHash]bool{}}
 	router.view = view.New(view.Config{
 		Board: router.board, Logger: config.Logger,
@@ -208,6 +209,7 @@
 // Reload applies new settings. Changed listen addresses take effect only at the next start.
 func (router *Router) Reload(settings conf.Entry) {
 	router.settings.Store(&settings)
+	router.poison.Allow(settings.AllowedParts)
 	router.config.Logger.Info("settings reloaded", "Name", settings.Name)
 }
 
--- a/internal/load/poison/registry.go
+++ b/internal/load/poison/registry.go
@@ -85,6 +85,8 @@
 	unsettled   bool
 	quarantined map[prompt.PartHash]*suspect
 	sweptAt     time.Time
+	// allowed are the parts for which an operator wants no request rejected.
+	allowed map[prompt.PartHash]bool
 }
 
 // suspect is a part that is or was suspected.
@@ -139,6 +141,16 @@
 	}
 }
 
+// Allow replaces the parts for which no request is rejected.
+func (registry *Registry) Allow(parts []prompt.PartHash) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.allowed = make(map[prompt.PartHash]bool, len(parts))
+	for _, part := range parts {
+		registry.allowed[part] = true
+	}
+}
+
 // Quarantine is why a request is rejected.
 type Quarantine struct {
 	Part    prompt.PartHash
@@ -158,7 +170,7 @@
 	var probe Quarantine
 	for _, part := range parts {
 		known, ok := registry.quarantined[part]
-		if !ok || registry.explainedLocked(part, known, parts) {
+		if !ok || registry.allowed[part] || registry.explainedLocked(part, known, parts) {
 			continue
 		}
 		left := known.quarantinedUntil.Sub(now)
--- a/internal/load/poison/registry_test.go
+++ b/internal/load/poison/registry_test.go
@@ -223,3 +223,15 @@
 	_, quarantined := registry.Counts(after(3))
 	quicktest.Check(t, quarantined, quicktest.Equals, 1)
 }
+
+// Guards against a quarantine that an operator cannot lift.
+func TestAllowedPartsPass(t *testing.T) {
+	registry := poison.New(poison.Config{})
+	for upstream := range 3 {
+		crash(registry, upstream, float64(upstream), true, bad)
+	}
+	registry.Allow([]prompt.PartHash{bad})
+	quicktest.Check(t, rejected(registry, 3, bad), quicktest.IsFalse)
+	registry.Allow(nil)
+	quicktest.Check(t, rejected(registry, 3, bad), quicktest.IsTrue)
+}
