Obey what upstreams say in their answers: leaving, and no work for a time

Callers saw: requests sent to an upstream that had said in an answer that it leaves, as long as its entry or the store said otherwise, and requests that an overloaded upstream turned away again and again within the time for which it wanted none. Cause: neither Server-Leaving nor the Retry-After of an upstream's 503 was read. Change: both are states of one incarnation, learnt from every response header that reaches the router. Leaving holds until another incarnation, also when the entry says ready or is removed and back. While all upstreams of a service are paused, callers are refused at once with the time to the first end, spread by up to a quarter. The pause of a refusal that is sent again does not count, nor what a misdirected answer says, which is another upstream's. Not built: to tell other routers, which learn it from their own first answer; it was not measured whether that pays.

--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,12 @@
 // time of a prefix and well below the time that a prefix stays popular.
 const demandWindow = 2 * time.Second
 
+// pauseSpread is the inverse of the part by which the time to return to paused upstreams varies.
+const pauseSpread = 4
+
+// maxLeft limits how many removed upstreams are remembered.
+const maxLeft = 1024
+
 // Placement records that a prompt with a prefix was sent to an upstream.
 type Placement struct {
 	// Upstream is the hash of the upstream's name.
@@ -61,6 +68,8 @@
 	zonesOut   map[clementinewind.Zone]bool
 	peers      map[usage.Source]peerReport
 	placements []Placement
+	// left holds the incarnation of removed upstreams that had said that they were leaving. Their entries may come back.
+	left map[clementinewind.Upstream]int64
 	// demand is the number of recent placements of each prefix by all routers.
 	demand *usage.Meter[uint32]
 	// eligible, candidates and topScores are buffers that each placement reuses.
@@ -90,6 +99,7 @@
 		estimates: map[table.Service]*serviceEstimates{},
 		zonesOut:  map[clementinewind.Zone]bool{},
 		peers:     map[usage.Source]peerReport{},
+		left:      map[clementinewind.Upstream]int64{},
 		demand:    usage.NewMeter[uint32](demandWindow),
 	}
 }
@@ -130,6 +140,9 @@
 	}
 	added := newUpstream(entry, settings)
 	added.zoneOut = board.zonesOut[entry.Zone]
+	if incarnation, ok := board.left[entry.Upstream]; ok && incarnation == entry.Incarnation {
+		added.saidLeaving = true
+	}
 	added.update(entry, settings, now)
 	board.upstreams[entry.Upstream] = added
 	board.byHash[added.hash] = added
@@ -149,6 +162,12 @@
 	if !ok {
 		return
 	}
+	if known.saidLeaving {
+		if len(board.left) >= maxLeft {
+			clear(board.left)
+		}
+		board.left[name] = known.entry.Incarnation
+	}
 	delete(board.upstreams, name)
 	delete(board.byHash, known.hash)
 	service := known.entry.Service
@@ -292,7 +311,7 @@
 		Copies: copies,
 	})
 	if decision.Index < 0 {
-		return nil, 0
+		return nil, board.pauseLeftLocked(request.Service, now)
 	}
 	if excess := pick.ExcessLatency(decision, request.MaxLatency); len(shared) > 0 && excess > 0 {
 		return nil, excess
@@ -312,8 +331,28 @@
 	return ticket, 0
 }
 
+// pauseLeftLocked returns the time until the first paused upstream of a service may get a request; 0 if others cannot take requests for
+// another reason. A random part keeps callers that obey it from returning together.
+func (board *Board) pauseLeftLocked(service table.Service, now time.Time) time.Duration {
+	var first time.Duration
+	for _, upstream := range board.byService[service] {
+		left := upstream.pausedUntil.Sub(now)
+		switch {
+		case upstream.leaving() || upstream.zoneOut:
+		case left <= 0:
+			return 0
+		case first == 0 || left < first:
+			first = left
+		}
+	}
+	return first + time.Duration(rand.Int64N(int64(first)/pauseSpread+1))
+}
+
 func (board *Board) startLocked(ticket *Ticket, shared []prompt.Prefix, now time.Time) {
 	chosen := ticket.upstream
+	if chosen.onTrial {
+		chosen.trial = ticket
+	}
 	chosen.running++
 	chosen.queuedTokens += ticket.prefillTokens
 	chosen.residentTokens += ticket.residentTokens
@@ -352,7 +391,7 @@
 	allowance := int((settings.ColdRate*board.config.ColdRatio + board.config.ColdExtra) / maxColdOwners)
 	for _, upstream := range board.byService[request.Service] {
 		switch {
-		case upstream.entry.Leaving || upstream.zoneOut || now.Before(upstream.backoffUntil):
+		case upstream.leaving() || upstream.zoneOut || now.Before(upstream.backoffUntil) || upstream.paused(now):
 		case slices.Contains(request.Tried, upstream.entry.Upstream):
 		case settings.ColdRate > 0 && upstream.isCold(now) &&
 			(!board.config.Owns(upstream.entry.Upstream) || upstream.coldAllowanceLeft(allowance, now) <= 0):
@@ -413,7 +452,7 @@
 	board.topScores = topScores
 	for _, upstream := range board.byService[service] {
 		upstream.score = scoreOf(prefix, upstream.hash)
-		if upstream.entry.Leaving || upstream.zoneOut || upstream.connectFailures > 0 {
+		if upstream.leaving() || upstream.zoneOut || upstream.connectFailures > 0 {
 			continue
 		}
 		score := upstream.score
--- a/internal/load/board/ticket.go
+++ b/internal/load/board/ticket.go
@@ -71,7 +71,41 @@
 	defer ticket.board.mutex.Unlock()
 	upstream := ticket.upstream
 	known := ticket.board.upstreams[ticket.Entry.Upstream] == upstream
-	return known && !upstream.entry.Leaving && !upstream.zoneOut && ticket.board.config.Clock() < ticket.expiresAt
+	return known && !upstream.leaving() && !upstream.zoneOut && !time.Now().Before(upstream.pausedUntil) &&
+		ticket.board.config.Clock() < ticket.expiresAt
+}
+
+// Notice is what an answer says of its upstream.
+type Notice struct {
+	// Leaving is set if the upstream is shutting down.
+	Leaving bool
+	// Pause is how long the upstream wants no requests; 0 if it does not say.
+	Pause time.Duration
+}
+
+// Heed records what an answer to the request says of the upstream. It reports whether the router did not know that before.
+func (ticket *Ticket) Heed(notice Notice, now time.Time) bool {
+	ticket.board.mutex.Lock()
+	defer ticket.board.mutex.Unlock()
+	upstream := ticket.upstream
+	// The address may belong to a later incarnation by now.
+	if upstream.entry.Incarnation != ticket.Entry.Incarnation {
+		return false
+	}
+	news := notice.Leaving && !upstream.saidLeaving
+	upstream.saidLeaving = upstream.saidLeaving || notice.Leaving
+	if until := now.Add(notice.Pause); notice.Pause > 0 && until.After(upstream.pausedUntil) {
+		upstream.pausedUntil, upstream.onTrial, upstream.trial = until, true, nil
+		news = true
+	}
+	return news
+}
+
+// endTrialLocked ends the trial of a paused upstream when it answered a request without asking for another pause.
+func (ticket *Ticket) endTrialLocked() {
+	if ticket.upstream.trial == ticket {
+		ticket.upstream.onTrial, ticket.upstream.trial = false, nil
+	}
 }
 
 // FirstEvent records the first event of the answer.
@@ -79,6 +113,7 @@
 	ticket.board.mutex.Lock()
 	defer ticket.board.mutex.Unlock()
 	ticket.dequeueLocked()
+	ticket.endTrialLocked()
 	ticket.upstream.observeLatency(ticket.board.estimatesLocked(ticket.Entry.Service), ticket, now.Sub(ticket.placedAt), now)
 }
 
@@ -106,6 +141,7 @@
 	upstream.residentTokens -= ticket.residentTokens
 	switch result {
 	case ResultServed:
+		ticket.endTrialLocked()
 		upstream.recordResult(false, now)
 		upstream.connectFailures = 0
 		estimates := ticket.board.estimatesLocked(ticket.Entry.Service)
--- a/internal/load/board/upstream.go
+++ b/internal/load/board/upstream.go
@@ -39,6 +39,8 @@
 	maxEntryDelay = 1500 * time.Millisecond
 	// cacheShare is the part of an engine's memory that is expected to hold the cached prompts of ended requests.
 	cacheShare = 0.6
+	// trialTime is the time within which an upstream declines a request that it does not want.
+	trialTime = 500 * time.Millisecond
 	// maxColdOwners is how many routers may believe at once that they own a cold upstream while they disagree on the
 	// members of the fleet. Each of them takes its part of the allowance.
 	maxColdOwners = 3
@@ -72,6 +74,14 @@
 	unanswered  map[*Ticket]struct{}
 	earliestDue time.Time
 
+	// saidLeaving is set once an answer of this incarnation said that it is leaving. No entry takes that back.
+	saidLeaving bool
+	// pausedUntil is until when the upstream wants no requests. After that, trial is the one request that shows whether it still
+	// wants none; it is nil while there is none, and onTrial is set until one was answered.
+	pausedUntil time.Time
+	onTrial     bool
+	trial       *Ticket
+
 	connectFailures int
 	backoffUntil    time.Time
 	// coldAssumedAt is when this router last assumed that the upstream is cold, although its entry does not say so.
@@ -98,6 +108,17 @@
 	upstream.failureAverage = 0
 	upstream.connectFailures = 0
 	upstream.backoffUntil = time.Time{}
+	upstream.saidLeaving = false
+	upstream.pausedUntil, upstream.onTrial, upstream.trial = time.Time{}, false, nil
+}
+
+// leaving reports whether the upstream is shutting down, by its entry or by its own word.
+func (upstream *upstream) leaving() bool { return upstream.entry.Leaving || upstream.saidLeaving }
+
+// paused reports whether the upstream wants no requests, or a request is under way that shows whether it still wants none.
+func (upstream *upstream) paused(now time.Time) bool {
+	trying := upstream.onTrial && upstream.trial != nil && !upstream.trial.ended && now.Sub(upstream.trial.placedAt) < trialTime
+	return trying || now.Before(upstream.pausedUntil)
 }
 
 // update applies a newer entry.
--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -179,11 +179,13 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if request.Matches == nil || request.Matches(response) {
-			return response, nil
-		}
 		// On a reused connection, an answer without a request ID may be a duplicate that belongs to an earlier request.
-		if !conn.reused && request.MatchesWithoutID != nil && request.MatchesWithoutID(response) {
+		matches := request.Matches == nil || request.Matches(response) ||
+			(!conn.reused && request.MatchesWithoutID != nil && request.MatchesWithoutID(response))
+		if request.Observe != nil {
+			request.Observe(response, matches)
+		}
+		if matches {
 			return response, nil
 		}
 		count, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
--- a/internal/route/link/pool.go
+++ b/internal/route/link/pool.go
@@ -94,6 +94,8 @@
 	// MatchesWithoutID reports whether to accept a response without a request ID on a connection that served no earlier
 	// request; nil accepts none.
 	MatchesWithoutID func(response *http.Response) bool
+	// Observe is called with each response header that arrives, also of answers to other requests; it may be nil.
+	Observe func(response *http.Response, matches bool)
 	// Permitted reports whether the request may still be sent. It is called just before the first byte is written; nil means
 	// always.
 	Permitted func() bool
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -331,6 +331,7 @@
 			decoded := platform.DecodeResponse(response.StatusCode, response.Header)
 			return decoded.RequestID == "" && decoded.NotRun
 		},
+		Observe: func(response *http.Response, matches bool) { exchange.heed(ticket, response, matches) },
 		Permitted: func() bool {
 			return !exchange.relay.config.CallerDisconnected(exchange.request.Context()) && !exchange.relay.config.Stale() &&
 				!exchange.inQuarantine() && ticket.Permitted()
@@ -338,6 +339,24 @@
 	}
 }
 
+// heed records what a response says of its upstream. Of an answer to another request only counts that the upstream leaves, because
+// a refusal that is sent again would prolong the pause that it asked for.
+func (exchange *exchange) heed(ticket *board.Ticket, response *http.Response, matches bool) {
+	decoded := platform.DecodeResponse(response.StatusCode, response.Header)
+	if decoded.Misdirected {
+		// Another upstream has the address.
+		return
+	}
+	notice := board.Notice{Leaving: decoded.Leaving}
+	if matches {
+		notice.Pause = decoded.RetryAfter
+	}
+	if (notice.Leaving || notice.Pause > 0) && ticket.Heed(notice, time.Now()) {
+		exchange.logger.Info("upstream wants no requests", "Upstream", ticket.Entry.Upstream, "Leaving", notice.Leaving, "For", notice.Pause,
+			"Status", response.StatusCode, "By", exchange.call.RequestID)
+	}
+}
+
 // handleNoResponse handles an attempt that got no response header.
 func (exchange *exchange) handleNoResponse(ctx context.Context, ticket *board.Ticket, pool *link.Pool, err error) attemptResult {
 	now := time.Now()
