--- a/internal/fleet/gossip/encode.go
+++ b/internal/fleet/gossip/encode.go
@@ -155,7 +155,7 @@
 // routers differ.
 func DecodeQuarantine(record *fleetv1.Quarantine, now time.Time) poison.Report {
 	written := time.UnixMilli(min(record.WrittenMillis, now.UnixMilli()))
-	// Without the monotonic clock reading of now, times would not compare after a jump of the time of day.
+	// The result keeps the monotonic clock reading of now, so that a later jump of the time of day does not matter.
 	return decodeSuspect(record.Suspect, now.Add(-now.Sub(written)))
 }
 
--- a/internal/route/relay/crash.go
+++ b/internal/route/relay/crash.go
@@ -26,8 +26,13 @@
 	// soundEvents is the number of events after which an answer cannot crash its upstream any more by what its prompt holds. The
 	// first event may be on its way before an upstream crashes.
 	soundEvents = 2
+	// maxLoggedRequests limits the requests of each kind in the log line of a crash.
+	maxLoggedRequests = 16
 )
 
+// errWithdrawn is the cause of the end of a request that its upstream may not begin to answer any more.
+var errWithdrawn = errors.New("a part of the prompt was put into quarantine")
+
 // interruptedRequest is a request whose connection to the upstream was lost.
 type interruptedRequest struct {
 	id    string
@@ -115,20 +120,21 @@
 	}
 }
 
-// logCrash logs which requests a crash interrupted before their second event, with the parts of their prompts, and how many others.
+// logCrash logs which requests a crash interrupted before their second event, with the parts of their prompts, and how many it
+// interrupted in all.
 func (relay *Relay) logCrash(entry table.Entry, interrupted []interruptedRequest) {
 	var waiting, answering []string
 	parts := map[string][]prompt.PartHash{}
 	for _, request := range interrupted {
 		switch {
 		case request.events >= soundEvents:
-			continue
-		case request.answering:
+		case request.answering && len(answering) < maxLoggedRequests:
 			answering = append(answering, request.id)
-		default:
+			parts[request.id] = request.parts
+		case !request.answering && len(waiting) < maxLoggedRequests:
 			waiting = append(waiting, request.id)
+			parts[request.id] = request.parts
 		}
-		parts[request.id] = request.parts
 	}
 	relay.config.Logger.Warn("upstream crashed", "Upstream", entry.Upstream, "Incarnation", entry.Incarnation, "Service", entry.Service,
 		"Waiting", waiting, "Answering", answering, "Parts", parts, "Interrupted", len(interrupted))
@@ -173,9 +179,6 @@
 	return rejected
 }
 
-// errWithdrawn is the cause of the end of a request that its upstream may not begin to answer any more.
-var errWithdrawn = errors.New("a part of the prompt was put into quarantine")
-
 // addWaiting adds an attempt that waits for its response header. The function withdraw ends it.
 func (relay *Relay) addWaiting(exchange *exchange, withdraw context.CancelCauseFunc) {
 	if len(exchange.parts) == 0 || exchange.probe {
