Restart the test's upstreams at new ports

Change: an upstream that crashed starts again at a new port, under a new name as before. The old address refuses connections as before, and the checks and bounds are the same.

--- a/internal/edge/entry/poison_test.go
+++ b/internal/edge/entry/poison_test.go
@@ -54,19 +54,20 @@
 		pool.stopped = true
 	})
 	for range size {
-		pool.start("127.0.0.1:0")
+		pool.start()
 	}
 	return pool
 }
 
-// start starts an incarnation under a new name.
-func (pool *brittlePool) start(address string) {
+// start starts an incarnation under a new name and at a new port: the port of an earlier one may be in use as the local port of a
+// connection by then.
+func (pool *brittlePool) start() {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if pool.stopped {
 		return
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		pool.t.Errorf("restart upstream: %v", err)
 		return
@@ -120,7 +121,7 @@
 	}
 }
 
-// crash closes the listener and all connections, and starts another incarnation at the same address after a while.
+// crash closes the listener and all connections, and starts another incarnation after a while.
 func (upstream *brittleUpstream) crash(name string) {
 	pool := upstream.pool
 	pool.mutex.Lock()
@@ -134,7 +135,7 @@
 	}
 	time.AfterFunc(pool.downtime, func() {
 		pool.store.Put(platform.TopicUpstreams, name, nil)
-		pool.start(upstream.listener.Addr().String())
+		pool.start()
 	})
 }
 
