Keep the platform's header names of new tests in its stand-in

Cause: two new test files spelled headers of the platform, which only platform/ may know. Change: platform/stand sets and reads them. Checks and bounds are the same.

--- a/internal/edge/entry/poison_test.go
+++ b/internal/edge/entry/poison_test.go
@@ -97,7 +97,7 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
-		poisoned := strings.Contains(request.Header.Get("X-Prompt-Prefix"), poisonedPart)
+		poisoned := strings.Contains(stand.PromptParts(request), poisonedPart)
 		if poisoned {
 			upstream.pool.mutex.Lock()
 			upstream.pool.poisoned = append(upstream.pool.poisoned, time.Now())
@@ -174,9 +174,7 @@
 	}
 	request.Host = "h"
 	stand.SetCallerHeaders(request.Header, id, "key", 5*time.Second)
-	request.Header.Set("X-Model", "m")
-	request.Header.Set("X-Token-Count", "400,10")
-	request.Header.Set("X-Prompt-Prefix", parts+","+id+":100")
+	stand.SetPromptParts(request.Header, parts+","+id+":100", 400, 10)
 	client := http.Client{Timeout: waitTime, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/route/relay/heed_test.go
+++ b/internal/route/relay/heed_test.go
@@ -21,7 +21,7 @@
 // Guards against requests to an upstream whose answer said that it is leaving: any answer counts, also an error, a refusal, one to
 // another request, and one that breaks off.
 func TestUpstreamThatSaysItLeaves(t *testing.T) {
-	leaving := "Server-Leaving: 1\r\n"
+	leaving := stand.LeavingHeaderLine("1")
 	tests := map[string]struct {
 		answer func(id string) string
 		counts bool
@@ -33,7 +33,7 @@
 			return "HTTP/1.1 500 Oops\r\n" + leaving + stand.SealedHeaderLines(id) + "Content-Length: 0\r\n\r\n"
 		}, true},
 		"refusal": {func(id string) string {
-			return "HTTP/1.1 503 Full\r\n" + leaving + "X-Not-Executed: 1\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+			return "HTTP/1.1 503 Full\r\n" + leaving + stand.DeclinedHeaderLines(id) + "Content-Length: 0\r\n\r\n"
 		}, true},
 		"interrupted": {func(id string) string {
 			return "HTTP/1.1 200 OK\r\n" + leaving + stand.SealedHeaderLines(id) + "Content-Length: 20\r\n\r\nok"
@@ -42,10 +42,10 @@
 			return "HTTP/1.1 200 OK\r\n" + leaving + stand.SealedHeaderLines("other") + "Content-Length: 2\r\n\r\nno" + stand.SealedResponse(id, "ok")
 		}, true},
 		"of another upstream at the address": {func(id string) string {
-			return "HTTP/1.1 421 Misdirected\r\n" + leaving + "X-Replica-Id: another\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+			return "HTTP/1.1 421 Misdirected\r\n" + leaving + stand.MisdirectedHeaderLines(id, "another") + "Content-Length: 0\r\n\r\n"
 		}, false},
 		"not leaving": {func(id string) string {
-			return "HTTP/1.1 200 OK\r\nServer-Leaving: 0\r\n" + stand.SealedHeaderLines(id) + "Content-Length: 2\r\n\r\nok"
+			return "HTTP/1.1 200 OK\r\n" + stand.LeavingHeaderLine("0") + stand.SealedHeaderLines(id) + "Content-Length: 2\r\n\r\nok"
 		}, false},
 	}
 	for name, test := range tests {
