--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -20,6 +20,7 @@
 
 // cases maps the name of a case to its play, which returns whether the rule held.
 var cases = map[string]func(*world) (bool, error){
+	"poisoned-prompts": poisonedPrompts,
 	"missed-deletion":  missedDeletion,
 	"forgotten-pause":  forgottenPause,
 	"dead-addresses":   deadAddresses,
