Routers say from which offset their history of a topic is whole

Cause: the routers of a zone read the topics from one of them. A router that starts loads its mirror with a full read of the store, in which keys that were deleted before do not occur, and answered reads from offsets below that load all the same. A router that changed from the store to it moved past the deletion without seeing it, and nothing read that part again. The topic of the operators travels the same way: a zone that was taken back while the reader restarted stayed out.

Change: a mirror keeps the offset from which on it knows each change. Mirror.Since returns ErrTruncated below it, which peers pass on as status 410, as the store does; the follower then reads the whole topic from the same peer. That is no failure of the peer: it is not skipped. The offset also moves when a router has to reload itself because the store no longer has its history.

--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
@@ -300,7 +302,7 @@
 // Read implements feed.Source.
 func (source peerSource) Read(ctx context.Context, topic string, from int64, wait time.Duration) (feed.Batch, error) {
 	batch, err := source.Source.Read(ctx, topic, from, wait)
-	if err != nil && ctx.Err() == nil && !source.topics.peerMayBeStarting(source.topic) {
+	if err != nil && !errors.Is(err, feed.ErrTruncated) && ctx.Err() == nil && !source.topics.peerMayBeStarting(source.topic) {
 		source.topic.recordPeerFailure(source.instance, source.topics.largeFleet(), time.Now())
 	}
 	return batch, err
--- a/internal/edge/entry/readers_test.go
+++ b/internal/edge/entry/readers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/admin/conf"
 	"github.com/clementinewind/clementinewind/internal/admin/telem"
+	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/store/feed"
 )
@@ -72,6 +74,24 @@
 	quicktest.Check(t, small.topics.upstreams.readsStore(now.Add(peerFailureBackoff)), quicktest.IsFalse)
 }
 
+// Guards against a router that turns to the store because a peer has restarted and no longer has the history that it asked for. The peer
+// answers, and the whole topic is read from it.
+func TestTruncatedPeerIsNotSkipped(t *testing.T) {
+	router := newZoneRouter(t, 5)
+	mirror := feed.NewMirror(feed.MirrorConfig{})
+	mirror.Replace(feed.Batch{Next: 9})
+	server := httptest.NewServer(gossip.FeedHandler(map[string]*feed.Mirror{"topic": mirror}, hclog.NewNullLogger()))
+	defer server.Close()
+	member := roster.Member{Instance: "router-00", PeerAddress: server.Listener.Addr().String()}
+	source := router.topics.newPeerSource(router.topics.upstreams, member)
+	_, err := source.Read(t.Context(), "topic", 1, 0)
+	quicktest.Check(t, err, quicktest.ErrorIs, feed.ErrTruncated)
+	quicktest.Check(t, router.topics.upstreams.readsStore(time.Now()), quicktest.IsFalse)
+	batch, err := source.Newest(t.Context(), "topic")
+	quicktest.Check(t, err, quicktest.IsNil)
+	quicktest.Check(t, batch.Next, quicktest.Equals, int64(9))
+}
+
 // A large fleet starts as a whole: its routers are registered, but none has been heard yet. Guards against three
 // hundred routers loading the topics from the store, and against a router that waits for peers that do not exist.
 func TestStartingRouterReadsFromPeers(t *testing.T) {
--- a/internal/fleet/gossip/feed.go
+++ b/internal/fleet/gossip/feed.go
@@ -52,9 +52,13 @@
 			http.Error(writer, "Wait: want a duration", http.StatusBadRequest)
 			return
 		}
-		batch, loaded := waitForRecords(request.Context(), mirror, from, min(wait, maxFeedWait))
-		if !loaded {
-			http.Error(writer, "topic not read yet", http.StatusServiceUnavailable)
+		batch, err := waitForRecords(request.Context(), mirror, from, min(wait, maxFeedWait))
+		switch {
+		case errors.Is(err, feed.ErrTruncated):
+			http.Error(writer, err.Error(), http.StatusGone)
+			return
+		case err != nil:
+			http.Error(writer, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
 		content, err := proto.Marshal(encodeBatch(batch))
@@ -71,24 +75,27 @@
 	return mux
 }
 
+// errNotLoaded is returned for a topic that this router has not read yet.
+var errNotLoaded = errors.New("topic not read yet")
+
 // waitForRecords returns the records from an offset on, as soon as there is one, and an empty batch if there is none within wait.
-// It returns false if the topic is not loaded by then.
-func waitForRecords(ctx context.Context, mirror *feed.Mirror, from int64, wait time.Duration) (feed.Batch, bool) {
+// It returns errNotLoaded if the topic is not loaded by then, and feed.ErrTruncated if the mirror does not know all changes from the
+// offset on.
+func waitForRecords(ctx context.Context, mirror *feed.Mirror, from int64, wait time.Duration) (feed.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		changed := mirror.Changed()
-		var batch feed.Batch
-		_, loaded := mirror.Next()
-		if loaded {
-			if batch = mirror.Since(from); len(batch.Records) > 0 {
-				return batch, true
+		batch, err := feed.Batch{}, errNotLoaded
+		if _, loaded := mirror.Next(); loaded {
+			if batch, err = mirror.Since(from); err != nil || len(batch.Records) > 0 {
+				return batch, err
 			}
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return batch, loaded
+			return batch, err
 		}
 	}
 }
@@ -137,6 +144,9 @@
 	if err != nil {
 		return feed.Batch{}, errors.Wrap(err, "read feed response")
 	}
+	if response.StatusCode == http.StatusGone {
+		return feed.Batch{}, feed.ErrTruncated
+	}
 	if response.StatusCode != http.StatusOK {
 		return feed.Batch{}, errors.Errorf("peer responded with status %d to a read of topic %s", response.StatusCode, topic)
 	}
--- /dev/null
+++ b/internal/fleet/gossip/reload_test.go
@@ -0,0 +1,191 @@
+package gossip_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
+	"github.com/clementinewind/clementinewind/internal/store/feed"
+)
+
+const reloadTopic = "topic"
+
+// topicLog is a compacted topic of the store. It implements feed.Source.
+type topicLog struct {
+	records []feed.Record
+	// first is the offset of the oldest retained record.
+	first int64
+	// betweenPages is called once in the middle of a full read.
+	betweenPages func()
+}
+
+func (log *topicLog) write(key, value string) {
+	log.records = append(log.records, feed.Record{Key: key, Value: []byte(value), Offset: int64(len(log.records))})
+}
+
+func (log *topicLog) newest() map[string]feed.Record {
+	newest := map[string]feed.Record{}
+	for _, record := range log.records {
+		newest[record.Key] = record
+	}
+	maps.DeleteFunc(newest, func(_ string, record feed.Record) bool { return record.Deleted() })
+	return newest
+}
+
+func (log *topicLog) Newest(context.Context, string) (feed.Batch, error) {
+	batch := feed.Batch{Next: int64(len(log.records))}
+	page := func(includes func(key string) bool) {
+		newest := log.newest()
+		for _, key := range slices.Sorted(maps.Keys(newest)) {
+			if includes(key) {
+				batch.Records = append(batch.Records, newest[key])
+			}
+		}
+	}
+	page(func(key string) bool { return key < "c" })
+	if interrupt := log.betweenPages; interrupt != nil {
+		log.betweenPages = nil
+		interrupt()
+	}
+	page(func(key string) bool { return key >= "c" })
+	return batch, nil
+}
+
+func (log *topicLog) Read(_ context.Context, _ string, from int64, _ time.Duration) (feed.Batch, error) {
+	if from < log.first {
+		return feed.Batch{}, feed.ErrTruncated
+	}
+	return feed.Batch{Records: slices.Clone(log.records[from:]), Next: int64(len(log.records))}, nil
+}
+
+// reporter is the common part of testing.T and rapid.T.
+type reporter interface {
+	Errorf(format string, args ...any)
+}
+
+// feedReader is the part of a router that follows the topic.
+type feedReader struct {
+	test reporter
+	log  *topicLog
+	name string
+
+	mirror   *feed.Mirror
+	follower *feed.Follower
+	handler  http.Handler
+	next     feed.Source
+	stop     context.CancelFunc
+	// view holds the current value of each key, applied the offset of the record that was applied last for it.
+	view    map[string]string
+	applied map[string]int64
+}
+
+// withoutSequence cuts the heartbeat number off a value.
+func withoutSequence(value []byte) []byte { return value[:bytes.IndexByte(value, '/')] }
+
+func (reader *feedReader) restart() {
+	reader.view, reader.applied = map[string]string{}, map[string]int64{}
+	reader.mirror = feed.NewMirror(feed.MirrorConfig{
+		Unchanged: func(older, newer []byte) bool { return bytes.Equal(withoutSequence(older), withoutSequence(newer)) },
+	})
+	reader.handler = gossip.FeedHandler(map[string]*feed.Mirror{reloadTopic: reader.mirror}, hclog.NewNullLogger())
+	reader.follower = feed.NewFollower(feed.FollowerConfig{
+		Topic: reloadTopic, Mirror: reader.mirror, Logger: hclog.NewNullLogger(),
+		NextPoll: func() feed.PollOptions {
+			source := reader.next
+			if reader.next = nil; source == nil {
+				reader.stop()
+			}
+			return feed.PollOptions{Source: source, RetryDelay: time.Nanosecond}
+		},
+		Apply: func(records []feed.Record, _ time.Time) { reader.apply(records) },
+	})
+}
+
+func (reader *feedReader) apply(records []feed.Record) {
+	for _, record := range records {
+		last, known := reader.applied[record.Key]
+		if known && record.Offset <= last {
+			reader.test.Errorf("%s: record %d of %s was applied after record %d", reader.name, record.Offset, record.Key, last)
+		}
+		reader.applied[record.Key] = record.Offset
+		if !record.Deleted() {
+			reader.view[record.Key] = string(withoutSequence(record.Value))
+			continue
+		}
+		delete(reader.view, record.Key)
+		if !slices.ContainsFunc(reader.log.records, func(written feed.Record) bool { return written.Key == record.Key && written.Deleted() }) {
+			reader.test.Errorf("%s: %s was removed and was never deleted", reader.name, record.Key)
+		}
+	}
+}
+
+// newFeedReaders returns routers that have read nothing yet.
+func newFeedReaders(test reporter, log *topicLog, count int) []*feedReader {
+	readers := make([]*feedReader, count)
+	for i := range readers {
+		readers[i] = &feedReader{test: test, log: log, name: fmt.Sprintf("router %d", i)}
+		readers[i].restart()
+	}
+	return readers
+}
+
+// read lets the follower read once.
+func (reader *feedReader) read(source feed.Source) {
+	var ctx context.Context
+	ctx, reader.stop = context.WithCancel(context.Background())
+	defer reader.stop()
+	reader.next = source
+	_ = reader.follower.Run(ctx)
+}
+
+// readPeer lets the follower read once from another router.
+func (reader *feedReader) readPeer(peer *feedReader) {
+	reader.read(gossip.Source{Address: "peer:1", Client: &http.Client{Transport: peer}})
+}
+
+// checkView compares what the router knows with the store.
+func (reader *feedReader) checkView() {
+	want := map[string]string{}
+	for key, record := range reader.log.newest() {
+		want[key] = string(withoutSequence(record.Value))
+	}
+	if !maps.Equal(reader.view, want) {
+		reader.test.Errorf("%s holds %v, the store %v", reader.name, reader.view, want)
+	}
+}
+
+// RoundTrip implements http.RoundTripper: it answers the reads of other routers.
+func (reader *feedReader) RoundTrip(request *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	reader.handler.ServeHTTP(recorder, request)
+	return recorder.Result(), nil
+}
+
+// Guards against a router that never learns of a deletion: the router from which it reads was down at the time of the deletion, and
+// loaded the topic after it. An upstream that left goes on getting requests, a zone that returned stays out of service.
+func TestDeletionBeforeRestartOfReader(t *testing.T) {
+	log := &topicLog{}
+	log.write("a", "ready/1")
+	log.write("b", "ready/2")
+	readers := newFeedReaders(t, log, 3)
+	for _, reader := range readers {
+		reader.read(log)
+	}
+	log.write("a", "")
+	readers[0].restart()
+	readers[0].read(log)
+	readers[1].readPeer(readers[0])
+	readers[1].checkView()
+	// A router that reloaded from a peer has the same history as the peer.
+	readers[2].readPeer(readers[1])
+	readers[2].checkView()
+}
--- a/internal/store/feed/mirror.go
+++ b/internal/store/feed/mirror.go
@@ -21,6 +21,9 @@
 	mutex   sync.Mutex
 	entries map[string]entry
 	next    int64
+	// completeFrom is the offset from which on the mirror knows each change. Keys that were deleted below it leave no trace in the
+	// full read from which the mirror was loaded.
+	completeFrom int64
 	// lastChange is the offset of the newest record that changed a key.
 	lastChange int64
 	loaded     bool
@@ -62,10 +65,14 @@
 	return mirror.changed
 }
 
-// Since returns the current record of each key that changed at or after an offset, in the order of the offsets.
-func (mirror *Mirror) Since(from int64) Batch {
+// Since returns the current record of each key that changed at or after an offset, in the order of the offsets. From 0 it returns
+// all of them. It returns ErrTruncated if keys may have been deleted at or after the offset of which the mirror has no record.
+func (mirror *Mirror) Since(from int64) (Batch, error) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
+	if from > 0 && from < mirror.completeFrom {
+		return Batch{}, ErrTruncated
+	}
 	batch := Batch{Next: mirror.next}
 	for _, entry := range mirror.entries {
 		if entry.record.Offset >= from {
@@ -73,7 +80,7 @@
 		}
 	}
 	slices.SortFunc(batch.Records, byOffset)
-	return batch
+	return batch, nil
 }
 
 // Apply merges the records of an incremental read and returns those that changed a key.
@@ -102,6 +109,9 @@
 			changes = append(changes, deletion)
 		}
 	}
+	if !mirror.loaded || batch.Next > mirror.next {
+		mirror.completeFrom = batch.Next
+	}
 	mirror.loaded = true
 	mirror.advance(batch.Next, changes)
 	return changes
--- a/internal/store/feed/mirror_test.go
+++ b/internal/store/feed/mirror_test.go
@@ -19,7 +19,8 @@
 	mirror.Apply(feed.Batch{Records: []feed.Record{record("config", "new", 7)}, Next: 8})
 	// A stale read arrives late.
 	mirror.Apply(feed.Batch{Records: []feed.Record{record("config", "old", 4)}, Next: 5})
-	fmt.Println(string(mirror.Since(0).Records[0].Value))
+	batch, _ := mirror.Since(0)
+	fmt.Println(string(batch.Records[0].Value))
 	// Output: new
 }
 
@@ -42,7 +43,9 @@
 	mirror := feed.NewMirror(feed.MirrorConfig{Unchanged: bytes.Equal})
 	mirror.Apply(feed.Batch{Records: []feed.Record{record("a", "1", 1)}, Next: 2})
 	quicktest.Check(t, mirror.Apply(feed.Batch{Records: []feed.Record{record("a", "1", 9)}, Next: 10}), quicktest.HasLen, 0)
-	quicktest.Check(t, mirror.Since(2).Records, quicktest.HasLen, 0)
+	batch, err := mirror.Since(2)
+	quicktest.Check(t, err, quicktest.IsNil)
+	quicktest.Check(t, batch.Records, quicktest.HasLen, 0)
 	quicktest.Check(t, mirror.LastChange(), quicktest.Equals, int64(1))
 	// An older record still does not replace the current one.
 	quicktest.Check(t, mirror.Apply(feed.Batch{Records: []feed.Record{record("a", "0", 5)}, Next: 6}), quicktest.HasLen, 0)
