A reload from a peer drops keys that the peer remembers as deleted

Callers could see requests sent to an upstream that had left, after a router had read a whole topic from a peer: since routers say from where their history is whole, such reads happen while the reading router has records itself.

Cause: a full read from a peer holds tombstones. Mirror.Replace took a key for present if it occurred in the read at all. If the peer knew only of an earlier deletion of the key, because the store had dropped the later one, the tombstone was older than the record here, was skipped, and kept the record from being removed.

Change: only live records count as present.

--- a/internal/store/feed/mirror.go
+++ b/internal/store/feed/mirror.go
@@ -99,7 +99,7 @@
 	defer mirror.mutex.Unlock()
 	present := make(map[string]bool, len(batch.Records))
 	for _, record := range batch.Records {
-		present[record.Key] = true
+		present[record.Key] = !record.Deleted()
 	}
 	changes := mirror.merge(batch.Records)
 	for key, current := range mirror.entries {
