Tell a full read of a peer from an incremental read at offset 0

Callers could see requests sent to an upstream that had left, on a fleet that started with an empty store.

Cause: a full read from a peer was a read from offset 0. A router that loaded the topic while it was empty reads on from offset 0 as well, and holds a record if one was written between the pages of its full read. It took the answer, in which keys that the peer never knew do not occur, for an increment, and kept the record of a key that was deleted since.

Change: a full read has an offset of its own, feed.FullRead. At offset 0 a peer answers 410 like at any other offset below its history. Peers of older builds answer a full read as before; a router of an older build that loads a topic from a new peer gets 410 and reads the store.

Evidence: TestDeletionAfterReadOfEmptyTopic failed before ("router 1 holds map[c:ready], the store map[]") and passes.

--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -296,7 +296,7 @@
 
 // Newest implements feed.Source.
 func (source peerSource) Newest(ctx context.Context, topic string) (feed.Batch, error) {
-	return source.Read(ctx, topic, 0, shortPollWait)
+	return source.Read(ctx, topic, feed.FullRead, shortPollWait)
 }
 
 // Read implements feed.Source.
--- a/internal/fleet/gossip/feed.go
+++ b/internal/fleet/gossip/feed.go
@@ -123,7 +123,7 @@
 
 // Newest implements feed.Source.
 func (source Source) Newest(ctx context.Context, topic string) (feed.Batch, error) {
-	return source.Read(ctx, topic, 0, 0)
+	return source.Read(ctx, topic, feed.FullRead, 0)
 }
 
 // Read implements feed.Source.
--- a/internal/fleet/gossip/reload_test.go
+++ b/internal/fleet/gossip/reload_test.go
@@ -207,3 +207,16 @@
 	readers[1].readPeer(readers[0])
 	readers[1].checkView()
 }
+
+// Guards against a router that loaded an empty topic, and takes each later read from a peer for a full one, in which deleted keys do not
+// occur.
+func TestDeletionAfterReadOfEmptyTopic(t *testing.T) {
+	log := &topicLog{}
+	log.betweenPages = func() { log.write("c", "ready/1") }
+	readers := newFeedReaders(t, log, 2)
+	readers[1].read(log)
+	log.write("c", "")
+	readers[0].read(log)
+	readers[1].readPeer(readers[0])
+	readers[1].checkView()
+}
--- a/internal/store/feed/feed.go
+++ b/internal/store/feed/feed.go
@@ -27,6 +27,10 @@
 	Next int64
 }
 
+// FullRead is the offset with which a router reads the newest record of each key from another router. An offset of 0 is that of an
+// incremental read of a topic that was empty.
+const FullRead int64 = -1
+
 // Source reads topics from the store or from another router.
 type Source interface {
 	// Newest returns the newest record of each key, and the offset at which Read continues.
--- a/internal/store/feed/mirror.go
+++ b/internal/store/feed/mirror.go
@@ -65,12 +65,12 @@
 	return mirror.changed
 }
 
-// Since returns the current record of each key that changed at or after an offset, in the order of the offsets. From 0 it returns
-// all of them. It returns ErrTruncated if keys may have been deleted at or after the offset of which the mirror has no record.
+// Since returns the current record of each key that changed at or after an offset, in the order of the offsets. With FullRead
+// it returns all of them. It returns ErrTruncated if keys may have been deleted at or after the offset of which the mirror has no record.
 func (mirror *Mirror) Since(from int64) (Batch, error) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	if from > 0 && from < mirror.completeFrom {
+	if from != FullRead && from < mirror.completeFrom {
 		return Batch{}, ErrTruncated
 	}
 	batch := Batch{Next: mirror.next}
