Records that follow an unseen deletion are passed on to routers that saw it

Callers could be refused, or crowded onto fewer upstreams: a router that saw the entry of an upstream deleted, and then changed to a peer that had missed the deletion, never learned that the upstream was back.

Cause: a mirror takes a newer value that says the same as the known one for a heartbeat, keeps the older record, and does not pass the newer one on. In a full read, and in a read from a peer, earlier records of a key are left out, so that the key may have been deleted in between. Routers that saw the deletion asked for records after it and got none.

Change: a batch says whether it is compacted. In a compacted batch a record that says the same becomes the current one and is passed on to peers; the router itself still does not take it for a change, so that an upstream keeps its state.

Evidence: TestUnchangedRecordAfterUnseenDeletion failed before in both cases ("router 1 holds map[], the store map[a:ready]").

--- a/internal/fleet/gossip/feed.go
+++ b/internal/fleet/gossip/feed.go
@@ -159,7 +159,7 @@
 	if err := proto.Unmarshal(content, &encoded); err != nil {
 		return feed.Batch{}, errors.Wrap(err, "decode feed response")
 	}
-	batch := feed.Batch{Next: max(encoded.Next, from)}
+	batch := feed.Batch{Next: max(encoded.Next, from), Compacted: true}
 	for _, record := range encoded.Records {
 		batch.Records = append(batch.Records, feed.Record{Key: record.Key, Value: record.Value, Offset: record.Offset})
 	}
--- a/internal/fleet/gossip/reload_test.go
+++ b/internal/fleet/gossip/reload_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
 
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/store/feed"
@@ -220,3 +221,77 @@
 	readers[1].readPeer(readers[0])
 	readers[1].checkView()
 }
+
+// Guards against a router that never learns that an upstream is back: it saw the deletion of the entry, but its peer read the entry before
+// and after it only, and took the new one for a heartbeat.
+func TestUnchangedRecordAfterUnseenDeletion(t *testing.T) {
+	for name, catchUp := range map[string]func(log *topicLog, peer, other *feedReader){
+		"full read of the store": func(log *topicLog, peer, _ *feedReader) {
+			log.first = int64(len(log.records))
+			peer.read(log)
+		},
+		"read of a peer": func(log *topicLog, peer, other *feedReader) {
+			other.read(log)
+			peer.readPeer(other)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := &topicLog{}
+			log.write("a", "ready/1")
+			readers := newFeedReaders(t, log, 3)
+			for _, reader := range readers {
+				reader.read(log)
+			}
+			log.write("a", "")
+			readers[1].read(log)
+			log.write("a", "ready/1")
+			catchUp(log, readers[0], readers[2])
+			readers[1].readPeer(readers[0])
+			readers[1].checkView()
+		})
+	}
+}
+
+// Guards against a change that a router never learns of because the router from which it reads has restarted, or has lost a part of the
+// history itself: an upstream that left goes on getting requests, a zone stays out of service.
+func TestReadersChangeAroundDeletions(t *testing.T) {
+	rapid.Check(t, func(test *rapid.T) {
+		log := &topicLog{}
+		sequence := 0
+		write := func() {
+			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(test, "key")
+			if rapid.Bool().Draw(test, "delete") {
+				log.write(key, "")
+				return
+			}
+			sequence++
+			log.write(key, fmt.Sprintf("%s/%d", rapid.SampledFrom([]string{"ready", "leaving"}).Draw(test, "state"), sequence))
+		}
+		readers := newFeedReaders(test, log, 3)
+		reader := func(label string) *feedReader { return readers[rapid.IntRange(0, len(readers)-1).Draw(test, label)] }
+		actions := []string{"write", "write", "write", "read store", "read store", "read peer", "read peer", "read peer", "restart", "forget history", "write between pages"}
+		for range 80 {
+			switch rapid.SampledFrom(actions).Draw(test, "action") {
+			case "write":
+				write()
+			case "read store":
+				reader("reading").read(log)
+			case "read peer":
+				if reading, peer := reader("reading"), reader("peer"); reading != peer {
+					reading.readPeer(peer)
+				}
+			case "restart":
+				reader("restarting").restart()
+			case "forget history":
+				log.first = int64(len(log.records))
+			case "write between pages":
+				log.betweenPages = write
+			}
+		}
+		log.betweenPages = nil
+		for _, reader := range readers {
+			reader.read(log)
+			reader.checkView()
+		}
+	})
+}
--- a/internal/store/feed/feed.go
+++ b/internal/store/feed/feed.go
@@ -25,6 +25,8 @@
 	Records []Record
 	// Next is the offset at which the next read continues.
 	Next int64
+	// Compacted is set if earlier records of a key may be left out, so that a key may have been deleted before its record.
+	Compacted bool
 }
 
 // FullRead is the offset with which a router reads the newest record of each key from another router. An offset of 0 is that of an
--- a/internal/store/feed/mirror.go
+++ b/internal/store/feed/mirror.go
@@ -24,14 +24,16 @@
 	// completeFrom is the offset from which on the mirror knows each change. Keys that were deleted below it leave no trace in the
 	// full read from which the mirror was loaded.
 	completeFrom int64
-	// lastChange is the offset of the newest record that changed a key.
+	// lastChange is the offset of the newest current record.
 	lastChange int64
 	loaded     bool
-	changed    chan struct{}
+	// updated is set once a record was put in the current read, changed is closed at the end of such a read.
+	updated bool
+	changed chan struct{}
 }
 
 type entry struct {
-	// record is the oldest one whose value is still current, newestOffset the offset of the newest one seen.
+	// record is the oldest one since which the value is known not to have changed, newestOffset the offset of the newest one seen.
 	record       Record
 	newestOffset int64
 }
@@ -51,7 +53,7 @@
 	return mirror.next, mirror.loaded
 }
 
-// LastChange returns the offset of the newest record that changed a key, or -1 if there is none.
+// LastChange returns the offset of the newest record that changed a key, or may have, or -1 if there is none.
 func (mirror *Mirror) LastChange() int64 {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
@@ -87,8 +89,8 @@
 func (mirror *Mirror) Apply(batch Batch) []Record {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	changes := mirror.merge(batch.Records)
-	mirror.advance(batch.Next, changes)
+	changes := mirror.merge(batch.Records, batch.Compacted)
+	mirror.advance(batch.Next)
 	return changes
 }
 
@@ -101,11 +103,11 @@
 	for _, record := range batch.Records {
 		present[record.Key] = !record.Deleted()
 	}
-	changes := mirror.merge(batch.Records)
+	changes := mirror.merge(batch.Records, true)
 	for key, current := range mirror.entries {
 		if !present[key] && !current.record.Deleted() && current.newestOffset < batch.Next {
 			deletion := Record{Key: key, Offset: batch.Next - 1}
-			mirror.entries[key] = entry{record: deletion, newestOffset: deletion.Offset}
+			mirror.put(deletion)
 			changes = append(changes, deletion)
 		}
 	}
@@ -113,11 +115,13 @@
 		mirror.completeFrom = batch.Next
 	}
 	mirror.loaded = true
-	mirror.advance(batch.Next, changes)
+	mirror.advance(batch.Next)
 	return changes
 }
 
-func (mirror *Mirror) merge(records []Record) []Record {
+// merge merges records and returns those that changed a key. In a compacted read, a record that equals the known value may be that of a
+// key that was deleted and written again. It is passed on to routers that have seen the deletion.
+func (mirror *Mirror) merge(records []Record, compacted bool) []Record {
 	var changes []Record
 	for _, record := range slices.SortedFunc(slices.Values(records), byOffset) {
 		current, ok := mirror.entries[record.Key]
@@ -125,22 +129,32 @@
 			continue
 		}
 		if ok && !current.record.Deleted() && !record.Deleted() && mirror.config.Unchanged(current.record.Value, record.Value) {
+			if compacted {
+				mirror.put(record)
+				continue
+			}
 			current.newestOffset = record.Offset
 			mirror.entries[record.Key] = current
 			continue
 		}
-		mirror.entries[record.Key] = entry{record: record, newestOffset: record.Offset}
+		mirror.put(record)
 		changes = append(changes, record)
 	}
 	return changes
 }
 
-func (mirror *Mirror) advance(next int64, changes []Record) {
+// put makes a record the current one of its key.
+func (mirror *Mirror) put(record Record) {
+	mirror.entries[record.Key] = entry{record: record, newestOffset: record.Offset}
+	mirror.lastChange = max(mirror.lastChange, record.Offset)
+	mirror.updated = true
+}
+
+// advance ends a read that is complete below next.
+func (mirror *Mirror) advance(next int64) {
 	mirror.next = max(mirror.next, next)
-	for _, record := range changes {
-		mirror.lastChange = max(mirror.lastChange, record.Offset)
-	}
-	if len(changes) > 0 {
+	if mirror.updated {
+		mirror.updated = false
 		close(mirror.changed)
 		mirror.changed = make(chan struct{})
 	}
