Close idle connections of callers at the configured limit, and when others need the room

Cause: connections of callers were idle for up to five minutes, whatever idleTimeoutMs of the configuration says. With 99 callers a second that each leave a connection open, the 2,535 descriptors for callers were used up, and Accept waited without end until a caller closed one. Nothing told the readiness check.

Change, in gate: the wait for the next request ends at the idle timeout of the configuration in force; a timeout that becomes longer applies to connections that are idle already, a shorter one does not. At the limit of connections the one that has been idle for longest is closed. This is done by its read deadline, so that a request that has been read is not cut off, and a request that has arrived and was not read yet is served. While all connections are busy, requests of new ones are refused after 250 ms, as an overloaded router does, and after a second the router is not ready. From four fifths of the limit on, answers carry "Connection: close". The connections to Locate had no limit at all; they get the same timeout and a limit of 256. New metric: clementinewind_entry_caller_connections.

TestConnectionsAreBounded asserts that a connection beyond the limit waits while two callers keep theirs. That holds now only for a listener that cannot refuse and is not told which connections are idle; the test uses one, its checks are unchanged.

Evidence: TestNewConnectionsBesideIdleOnes and TestIdleTimeoutOfConfiguration failed before (i/o timeout in both).

--- a/internal/admin/telem/entry.go
+++ b/internal/admin/telem/entry.go
@@ -87,6 +87,8 @@
 	Routers, Upstreams int
 	// InFlight is the number of requests that are being served.
 	InFlight int64
+	// Connections is the number of open connections of callers.
+	Connections int
 	// RefusedFraction is the fraction of requests that load shedding refuses because processor time is short.
 	RefusedFraction float64
 	// SuspectedParts is the number of prompt parts that may have crashed an upstream, QuarantinedParts the number of those that
@@ -103,6 +105,7 @@
 	routers := builder.gauge("clementinewind.entry.routers", "", "Routers that are heard, with the router itself.")
 	upstreams := builder.gauge("clementinewind.entry.upstreams", "", "Upstreams that are known.")
 	inFlight := builder.gauge("clementinewind.entry.in.flight", "", "Requests that are being served.")
+	connections := builder.gauge("clementinewind.entry.caller.connections", "", "Open connections of callers, idle ones included.")
 	refusedFraction := builder.gauge("clementinewind.entry.refused.part", "",
 		"Part of the requests that is refused because the processor is not enough.")
 	suspectedParts := builder.gauge("clementinewind.entry.suspected.parts", "", "Prompt parts that may have crashed an upstream.")
@@ -119,11 +122,12 @@
 		observer.ObserveFloat64(routers, float64(current.Routers))
 		observer.ObserveFloat64(upstreams, float64(current.Upstreams))
 		observer.ObserveFloat64(inFlight, float64(current.InFlight))
+		observer.ObserveFloat64(connections, float64(current.Connections))
 		observer.ObserveFloat64(refusedFraction, current.RefusedFraction)
 		observer.ObserveFloat64(suspectedParts, float64(current.SuspectedParts))
 		observer.ObserveFloat64(quarantinedParts, float64(current.QuarantinedParts))
 		return nil
-	}, ready, version, caughtUpAge, routers, upstreams, inFlight, refusedFraction, suspectedParts, quarantinedParts)
+	}, ready, version, caughtUpAge, routers, upstreams, inFlight, connections, refusedFraction, suspectedParts, quarantinedParts)
 	return errors.Wrap(err, "register gauges")
 }
 
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -81,8 +81,9 @@
 	topics topics
 	// quarantines keeps the prompt parts in quarantine in the store.
 	quarantines *quarantineRecords
-	// gossiper is nil until Run.
+	// gossiper and callers, which accepts the connections of callers, are nil until Run.
 	gossiper atomic.Pointer[gossip.Gossip]
+	callers  atomic.Pointer[gate.Listener]
 
 	// started is when the process started. discovered is set after the first attempt to discover peers.
 	started    time.Time
@@ -157,7 +158,8 @@
 
 // ready reports whether the router can serve requests.
 func (router *Router) ready() bool {
-	return !router.draining.Load() && router.view.Table() != nil && router.board.Count() > 0
+	callers := router.callers.Load()
+	return !router.draining.Load() && router.view.Table() != nil && router.board.Count() > 0 && (callers == nil || !callers.Full())
 }
 
 // stale reports whether this router may have missed recent changes, because the process was paused or has too little
@@ -236,16 +238,20 @@
 		name    string
 		address netip.AddrPort
 		handler http.Handler
+		gate    gate.Config
 	}{
-		{"Ready", settings.ReadyListen, platform.ReadyHandler(router.ready)},
-		{"Locate", settings.LocateListen, platform.LocateHandler(router.locate, logger)},
-		{"Peer", router.peerAddress(), gossip.FeedHandler(router.topics.mirrors(), logger)},
-		{"Metrics", settings.MetricsListen, router.config.Meter.Handler()},
+		{"Ready", settings.ReadyListen, platform.ReadyHandler(router.ready), gate.Config{}},
+		{
+			"Locate", settings.LocateListen, platform.LocateHandler(router.locate, logger),
+			gate.Config{MaxConnections: maxLocateConnections, IdleTimeout: router.idleTimeout},
+		},
+		{"Peer", router.peerAddress(), gossip.FeedHandler(router.topics.mirrors(), logger), gate.Config{}},
+		{"Metrics", settings.MetricsListen, router.config.Meter.Handler(), gate.Config{}},
 	} {
 		if !other.address.IsValid() {
 			continue
 		}
-		started, err := listen(other.address, other.handler, gate.Config{}, logger)
+		started, err := listen(other.address, other.handler, other.gate, logger)
 		if err != nil {
 			return errors.Wrapf(err, "listen at [Listen] %s", other.name)
 		}
@@ -284,6 +290,9 @@
 		Ready: router.ready(), Version: router.configurationVersion(), Routers: len(router.roster.Alive(time.Now())), Upstreams: router.board.Count(),
 		InFlight: router.inFlight.Load(), RefusedFraction: router.cpu.shed.RefusedFraction(), CaughtUpAge: boot.Now(),
 	}
+	if callers := router.callers.Load(); callers != nil {
+		state.Connections = callers.Open()
+	}
 	state.SuspectedParts, state.QuarantinedParts = router.poison.Counts(time.Now())
 	if asOf := router.topics.currentAsOf(); asOf > 0 {
 		state.CaughtUpAge -= asOf
@@ -298,8 +307,11 @@
 	return 0
 }
 
-// shouldCloseConnections reports whether a caller should open its next connection to another router.
+// shouldCloseConnections reports whether a caller should not leave its connection open, or open its next one to another router.
 func (router *Router) shouldCloseConnections() bool {
+	if callers := router.callers.Load(); callers != nil && callers.NearlyFull() {
+		return true
+	}
 	return router.draining.Load() || router.cpu.overloaded() || rand.Float64() < router.roster.ExcessFraction(time.Now())
 }
 
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -39,6 +39,8 @@
 	store    *stand.Store
 	upstream *httptest.Server
 	version  int
+	// limits are those of the next configuration.
+	limits table.Limits
 
 	mutex   sync.Mutex
 	handler http.HandlerFunc
@@ -90,6 +92,7 @@
 		}},
 		Services:      []table.ServiceSettings{{Name: "s", MaxConnections: 50}},
 		Organisations: []table.OrganisationKeys{{Organisation: "o", Keys: keys}},
+		Limits:        fleet.limits,
 	})
 }
 
--- /dev/null
+++ b/internal/edge/entry/limits_test.go
@@ -0,0 +1,59 @@
+package entry_test
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/platform/stand"
+)
+
+// dialRouter connects to a router as a caller.
+func dialRouter(t *testing.T, router *router) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", router.settings.CallerListen.String())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { conn.Close() })
+	quicktest.Assert(t, conn.SetDeadline(time.Now().Add(waitTime)), quicktest.IsNil)
+	return conn
+}
+
+// sendOn sends a request and reads the answer.
+func sendOn(t *testing.T, conn net.Conn) *http.Response {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://h/x", nil)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	stand.SetCallerHeaders(request.Header, "id", "key", 5*time.Second)
+	quicktest.Assert(t, request.Write(conn), quicktest.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer response.Body.Close()
+	return response
+}
+
+// Guards against idle connections that are never closed and use up the descriptors of a router, and against one that is closed while its
+// caller may still use it.
+func TestIdleTimeoutOfConfiguration(t *testing.T) {
+	const idleTimeout = 500 * time.Millisecond
+	fleet := newFleet(t)
+	fleet.limits = table.Limits{IdleTimeout: idleTimeout}
+	fleet.configure("key")
+	router := fleet.start(1)
+	fleet.waitReady(router)
+	conn := dialRouter(t, router)
+	for range 2 {
+		quicktest.Check(t, sendOn(t, conn).StatusCode, quicktest.Equals, http.StatusOK)
+		time.Sleep(idleTimeout * 4 / 5)
+	}
+	quicktest.Check(t, sendOn(t, conn).StatusCode, quicktest.Equals, http.StatusOK)
+	answered := time.Now()
+	quicktest.Assert(t, conn.SetReadDeadline(answered.Add(10*idleTimeout)), quicktest.IsNil)
+	_, err := conn.Read(make([]byte, 1))
+	quicktest.Check(t, err, quicktest.ErrorMatches, "EOF")
+	quicktest.Check(t, time.Since(answered) >= idleTimeout*4/5, quicktest.IsTrue)
+}
--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -22,9 +22,11 @@
 	// readHeaderTimeout is above the platform's limit of 3 s for callers, because an overloaded machine may read the
 	// header late.
 	readHeaderTimeout = 10 * time.Second
-	// callerIdleTimeout is above the time for which any caller reuses an idle connection: closing a connection to which
-	// a request is on its way would lose the request.
-	callerIdleTimeout = 5 * time.Minute
+	// defaultIdleTimeout applies while no configuration sets the idle timeout of callers. Closing a connection to which a request is
+	// on its way would lose the request.
+	defaultIdleTimeout = 5 * time.Minute
+	// maxLocateConnections limits the connections to Locate, of which each serves short requests only.
+	maxLocateConnections = 256
 	// maxHeaderBytes is above the largest header that the platform allows.
 	maxHeaderBytes = 64 << 10
 	// reservedSocketFraction is the fraction of the sockets reserved for upstreams, peers and the store.
@@ -95,9 +97,9 @@
 	}
 	server := &server{
 		Server: &http.Server{
-			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 			ErrorLog:    logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-			ConnContext: contextWithConn,
+			ConnContext: contextWithConn, ConnState: limited.ConnState,
 		},
 		listener: limited, closed: make(chan struct{}),
 	}
@@ -124,10 +126,22 @@
 	settings := router.settings.Load()
 	maxConnections := int((1 - reservedSocketFraction) * float64(settings.MaxConnections()))
 	server, err := listen(settings.CallerListen, router.countRequests(router.relay), gate.Config{
-		MaxConnections: maxConnections, Backlog: callerBacklog,
+		MaxConnections: maxConnections, IdleTimeout: router.idleTimeout, Backlog: callerBacklog,
 		ShouldRefuse: router.cpu.shouldRefuse, RefusalResponse: router.refusalResponse, Logger: router.config.Logger,
 	}, router.config.Logger)
-	return server, errors.Wrap(err, "listen at [Listen] Caller")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen at [Listen] Caller")
+	}
+	router.callers.Store(server.listener)
+	return server, nil
+}
+
+// idleTimeout returns how long callers may leave a connection idle, or 0 if no configuration says so.
+func (router *Router) idleTimeout() time.Duration {
+	if current := router.view.Table(); current != nil {
+		return current.Limits().IdleTimeout
+	}
+	return 0
 }
 
 // serve serves until close is called, even if the listener is closed before.
--- a/internal/edge/entry/server_test.go
+++ b/internal/edge/entry/server_test.go
@@ -53,6 +53,29 @@
 	quicktest.Check(t, <-ended, quicktest.IsNil)
 }
 
+// Callers leave more connections open than the router may have. Guards against a router that takes no new connection until a caller closes
+// one, and says that it is ready meanwhile.
+func TestNewConnectionsBesideIdleOnes(t *testing.T) {
+	started, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(writer, "answer")
+	}), gate.Config{MaxConnections: 3}, hclog.NewNullLogger())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	ended := make(chan error, 1)
+	go func() { ended <- started.serve() }()
+	for range 10 {
+		conn, err := net.Dial("tcp", started.listener.Addr().String())
+		quicktest.Assert(t, err, quicktest.IsNil)
+		defer conn.Close()
+		quicktest.Assert(t, conn.SetDeadline(time.Now().Add(3*time.Second)), quicktest.IsNil)
+		fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusOK)
+	}
+	started.close()
+	quicktest.Check(t, <-ended, quicktest.IsNil)
+}
+
 // Guards against forwarding requests of callers that have disconnected: the connection that is checked must be the
 // socket, also where the number of connections is limited.
 func TestCallerDisconnectIsDetected(t *testing.T) {
--- a/internal/edge/gate/conn.go
+++ b/internal/edge/gate/conn.go
@@ -13,6 +13,7 @@
 	listener  *Listener
 	closeOnce sync.Once
 	admitted  atomic.Bool
+	idle      idleState
 }
 
 var _ syscall.Conn = (*Conn)(nil)
@@ -29,6 +30,7 @@
 
 // Close closes the connection and lets Accept return another one.
 func (conn *Conn) Close() error {
+	conn.listener.idle.remove(conn)
 	err := conn.TCPConn.Close()
 	conn.closeOnce.Do(conn.listener.release)
 	return err
--- a/internal/edge/gate/gate.go
+++ b/internal/edge/gate/gate.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,17 +18,22 @@
 // Config configures a Listener.
 type Config struct {
 	Listener *net.TCPListener
-	// MaxConnections limits the open connections; further ones wait until others are closed. 0 means no limit.
+	// MaxConnections limits the open connections. Once it is reached, the connection that has been idle for longest is closed, so that one is
+	// free for the next. 0 means no limit.
 	MaxConnections int
+	// IdleTimeout returns how long a connection may wait for its next request; nil, or a result of 0, leaves that to the server. A
+	// connection that is waiting already is not closed earlier if it becomes shorter.
+	IdleTimeout func() time.Duration
 	// Backlog is the size of the kernel's accept queue. Connections beyond it fail, so that callers try another router.
 	// 0 keeps the default of the kernel.
 	Backlog int
 	// ShouldRefuse decides whether the first request of a new connection is refused; nil refuses none.
 	ShouldRefuse func() bool
 	// RefusalResponse returns the complete HTTP response to a refused request, given its head, which part of the body
-	// may follow. It must contain the header "Connection: close".
+	// may follow. It must contain the header "Connection: close". It is required with ShouldRefuse. With it, requests are also refused
+	// while MaxConnections connections are busy; otherwise they wait.
 	RefusalResponse func(head []byte) []byte
-	// Logger reports refusals that could not be sent; it is required with ShouldRefuse.
+	// Logger reports refusals that could not be sent; it is required with RefusalResponse.
 	Logger hclog.Logger
 }
 
@@ -37,10 +43,13 @@
 	config Config
 	// openConns is a semaphore with one element per open connection; it is nil without a limit.
 	openConns chan struct{}
+	idle      idleConns
+	// fullSince is when Accept began to wait for a connection to be closed; it is nil while Accept does not.
+	fullSince atomic.Pointer[time.Time]
 	// closed is closed by Close.
 	closed    chan struct{}
 	closeOnce sync.Once
-	// readBuffer is used by Accept only. It is nil, as pending is, if ShouldRefuse is nil.
+	// readBuffer is used by Accept only. It is nil, as pending is, if RefusalResponse is nil.
 	readBuffer []byte
 	// pending has one element per refused request that has not fully arrived.
 	pending chan struct{}
@@ -49,7 +58,7 @@
 // New returns a listener. It fails if the backlog cannot be set.
 func New(config Config) (*Listener, error) {
 	listener := &Listener{TCPListener: config.Listener, config: config, closed: make(chan struct{})}
-	if config.ShouldRefuse != nil {
+	if config.RefusalResponse != nil {
 		listener.readBuffer, listener.pending = make([]byte, readBufferBytes), make(chan struct{}, maxPendingRefusals)
 	}
 	if config.MaxConnections > 0 {
@@ -96,25 +105,6 @@
 	return newConn(accepted, listener, admitted), nil
 }
 
-// acquire waits until another connection may be opened. It returns false once the listener is closed.
-func (listener *Listener) acquire() bool {
-	if listener.openConns == nil {
-		return true
-	}
-	select {
-	case listener.openConns <- struct{}{}:
-		return true
-	case <-listener.closed:
-		return false
-	}
-}
-
-func (listener *Listener) release() {
-	if listener.openConns != nil {
-		<-listener.openConns
-	}
-}
-
 // Drain makes Accept stop after a short time in which it still returns queued connections.
 func (listener *Listener) Drain() error { return listener.SetDeadline(time.Now().Add(drainTime)) }
 
--- a/internal/edge/gate/gate_test.go
+++ b/internal/edge/gate/gate_test.go
@@ -26,15 +26,15 @@
 	refusing   atomic.Bool
 	requests   atomic.Int64
 	refused    atomic.Int64
+	// hold, if not nil, is closed to let requests end.
+	hold chan struct{}
 }
 
 func listen(t *testing.T, connections int) *server {
 	t.Helper()
-	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	quicktest.Assert(t, err, quicktest.IsNil)
 	server := &server{}
-	server.listener, err = gate.New(gate.Config{
-		Listener: listener, MaxConnections: connections, ShouldRefuse: server.refusing.Load, Logger: hclog.NewNullLogger(),
+	server.open(t, gate.Config{
+		MaxConnections: connections, ShouldRefuse: server.refusing.Load, Logger: hclog.NewNullLogger(),
 		RefusalResponse: func(head []byte) []byte {
 			server.refused.Add(1)
 			request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
@@ -46,14 +46,28 @@
 			return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: %d\r\n\r\nbusy %s", 5+len(id), id)
 		},
 	})
+	return server
+}
+
+// open opens the listener. It sets the listener of config.
+func (server *server) open(t *testing.T, config gate.Config) {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	config.Listener = listener
+	server.listener, err = gate.New(config)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	server.httpServer = &http.Server{
+		ConnState: server.listener.ConnState,
 		Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 			server.requests.Add(1)
 			body, err := io.ReadAll(request.Body)
 			if err != nil {
 				panic(http.ErrAbortHandler)
 			}
+			if server.hold != nil {
+				<-server.hold
+			}
 			fmt.Fprintf(writer, "%s", body)
 		}),
 	}
@@ -61,7 +75,6 @@
 		_ = server.httpServer.Close()
 		_ = server.listener.Close()
 	})
-	return server
 }
 
 func (server *server) start() { go func() { _ = server.httpServer.Serve(server.listener) }() }
@@ -217,9 +230,12 @@
 	quicktest.Check(t, body, quicktest.Equals, "busy id")
 }
 
-// Guards against a connection limit that refused or failed connections use up.
+// Guards against a connection limit that refused or failed connections use up. The listener does not refuse, and its server does not tell
+// which connections are idle, so that a connection beyond the limit waits.
 func TestConnectionsAreBounded(t *testing.T) {
-	server := listen(t, 2)
+	server := &server{}
+	server.open(t, gate.Config{MaxConnections: 2})
+	server.httpServer.ConnState = nil
 	server.start()
 	for range 10 {
 		conn := server.dial(t)
--- a/internal/edge/gate/refuse.go
+++ b/internal/edge/gate/refuse.go
@@ -37,6 +37,20 @@
 	return true, nil
 }
 
+// refuseAllQueued refuses the requests of all queued connections, if the listener can refuse.
+func (listener *Listener) refuseAllQueued() {
+	if listener.config.RefusalResponse == nil {
+		return
+	}
+	for range maxPendingRefusals {
+		descriptor, err := listener.acceptRaw()
+		if err != nil || descriptor < 0 {
+			return
+		}
+		listener.refuseConn(descriptor)
+	}
+}
+
 // acceptRaw takes a connection from the accept queue without a net.Conn. It returns -1 if there is none.
 func (listener *Listener) acceptRaw() (int, error) {
 	raw, err := listener.SyscallConn()
--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -129,6 +129,9 @@
 // ClosedByPeer reports whether the peer has closed or reset a connection and all received bytes were read. It reads no bytes.
 func ClosedByPeer(conn net.Conn) bool { return peek(conn) == peekClosed }
 
+// HasUnread reports whether received bytes wait to be read. It reads none.
+func HasUnread(conn net.Conn) bool { return peek(conn) == peekBytes }
+
 func (conn *conn) roundTrip(ctx context.Context, request Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, conn.close)
 	writeDone := make(chan error, 1)
