Refuse a request whose body does not arrive by its deadline

Callers that never finish a body held a connection, a handler and memory of the router for as long as they liked; the timeout of the route passed without an answer.

Cause: the body was read without a time limit. The deadline of the request was checked only after it.

Change: the read of the body ends at the deadline of the request, after 30 s at most. The answer is 408, which says that the request has not run, and closes the connection.

Evidence: TestUnfinishedBodyIsRefused failed before (i/o timeout after 5 s for a request with 0.5 s) and passes with the race detector.

--- a/internal/edge/entry/limits_test.go
+++ b/internal/edge/entry/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -57,3 +58,22 @@
 	quicktest.Check(t, err, quicktest.ErrorMatches, "EOF")
 	quicktest.Check(t, time.Since(answered) >= idleTimeout*4/5, quicktest.IsTrue)
 }
+
+// Guards against a caller that never finishes the body of a request, and holds a connection of the router until it leaves.
+func TestUnfinishedBodyIsRefused(t *testing.T) {
+	fleet := newFleet(t)
+	fleet.startAll(1)
+	conn := dialRouter(t, fleet.routers[1])
+	header := http.Header{}
+	stand.SetCallerHeaders(header, "id", "key", 500*time.Millisecond)
+	fmt.Fprint(conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n")
+	quicktest.Assert(t, header.Write(conn), quicktest.IsNil)
+	fmt.Fprint(conn, "\r\nhalf")
+	quicktest.Assert(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)), quicktest.IsNil)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer response.Body.Close()
+	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusRequestTimeout)
+	quicktest.Check(t, response.Close, quicktest.IsTrue)
+}
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -234,17 +235,30 @@
 	exchange.deadline = exchange.arrived.Add(timeout)
 }
 
-// readBody reads the request body. If it returns false, it has answered the request.
+// readBody reads the request body, until the deadline of the request and for defaultTimeout at most. If it returns false, it has answered
+// the request.
 func (exchange *exchange) readBody() bool {
 	limit := exchange.table.Limits().BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	deadline := exchange.arrived.Add(defaultTimeout)
+	if exchange.deadline.Before(deadline) {
+		deadline = exchange.deadline
+	}
+	connection := http.NewResponseController(exchange.writer)
+	// It fails only for writers without a connection.
+	_ = connection.SetReadDeadline(deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.request.Body, limit))
 	if err == nil {
+		_ = connection.SetReadDeadline(time.Time{})
 		exchange.body = body
 		return true
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		exchange.writer.Header().Set("Connection", "close")
+		return exchange.reject(http.StatusRequestTimeout, clementinewind.ReasonDeadline, "the body did not arrive in time")
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return exchange.reject(http.StatusRequestEntityTooLarge, clementinewind.ReasonInvalid, "body too large")
