Registrations of routers that were forgotten do not count as alive

Callers of a router that is alone could be sent to lost routers again, for 2 s in each minute.

Cause: a router that hears no other looks the others up in the store every 3 s. Registrations outlive their processes; one that is not known counts as alive for 2 s. A lost router was forgotten after a minute, and was then not known.

Change: the roster remembers the incarnations of routers that it forgot, up to 4,096. A registration of the same incarnation is a member that gets heartbeats, and counts as alive when it is heard.

Evidence: TestForgottenRouterIsNotRevived failed before (the lost router is among the addresses) and passes.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -25,6 +25,8 @@
 	silenceTimeout = 2 * time.Second
 	// forgetTimeout is the time without a heartbeat after which a router is removed, and gets no more heartbeats itself.
 	forgetTimeout = time.Minute
+	// maxForgotten limits how many removed routers are remembered.
+	maxForgotten = 4096
 	// minZoneRouters is the number of serving routers that a zone needs for its callers to get only addresses of their own zone.
 	minZoneRouters = 2
 	// A router, or a zone, is hot if its load exceeds hotFactor times the mean of the fleet. Below minHotRPSPerCore the CPU is no
@@ -90,6 +92,8 @@
 	mutex   sync.Mutex
 	self    Member
 	members map[clementinewind.Instance]*memberState
+	// forgotten holds the incarnations of routers that were removed because they were silent.
+	forgotten map[clementinewind.Instance]int64
 	// instancesByHash maps the hash of a router's name to the name.
 	instancesByHash map[uint32]clementinewind.Instance
 	// peerReachedStoreAt is when another router last reported that it reaches the platform's store, selfReachedStoreAt when this one
@@ -112,11 +116,13 @@
 	return &Roster{
 		selfInstance: config.Self.Instance, self: config.Self,
 		members: map[clementinewind.Instance]*memberState{}, instancesByHash: map[uint32]clementinewind.Instance{},
+		forgotten: map[clementinewind.Instance]int64{},
 	}
 }
 
 // AddFromStore adds a router that is registered in the platform's store. Without a heartbeat it counts as alive only for
-// silenceTimeout, because registrations outlive the processes that wrote them.
+// silenceTimeout, because registrations outlive the processes that wrote them; one that was forgotten does not count as alive until it is
+// heard.
 func (roster *Roster) AddFromStore(member Member, now time.Time) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
@@ -128,7 +134,11 @@
 	}
 	member.Ready, member.StoreReachable = true, false
 	roster.instancesByHash[usage.Hash(member.Instance)] = member.Instance
-	roster.members[member.Instance] = &memberState{Member: member, heardAt: now}
+	heardAt := now
+	if incarnation, ok := roster.forgotten[member.Instance]; ok && member.Incarnation <= incarnation {
+		heardAt = now.Add(-2 * silenceTimeout)
+	}
+	roster.members[member.Instance] = &memberState{Member: member, heardAt: heardAt}
 	roster.currentSnapshot.Store(nil)
 }
 
@@ -224,6 +234,10 @@
 	for instance, member := range roster.members {
 		switch silentAt := member.heardAt.Add(silenceTimeout); {
 		case now.Sub(member.heardAt) > forgetTimeout:
+			if len(roster.forgotten) >= maxForgotten {
+				clear(roster.forgotten)
+			}
+			roster.forgotten[instance] = member.Incarnation
 			delete(roster.members, instance)
 			delete(roster.instancesByHash, usage.Hash(instance))
 			roster.currentSnapshot.Store(nil)
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -265,3 +265,26 @@
 	built.UpdateSelf(true, false, false, 0)
 	quicktest.Check(t, built.Addresses("b", "caller", now), quicktest.DeepEquals, []string{"10.0.0.2:80", "10.0.0.3:80"})
 }
+
+// A router that is alone looks others up in the store, where registrations outlive their processes. Guards against callers that are sent to
+// a lost router again once it was forgotten.
+func TestForgottenRouterIsNotRevived(t *testing.T) {
+	built := newFleet()
+	lost := member(2, "b")
+	built.UpdateSelf(true, false, true, 0)
+	later := start.Add(2 * time.Minute)
+	built.Sweep(later, start)
+	quicktest.Assert(t, built.Count(), quicktest.Equals, 1)
+	built.RecordStoreReached(later)
+	built.AddFromStore(lost, later)
+	quicktest.Check(t, built.Addresses("b", "caller", later), quicktest.DeepEquals, []string{"10.0.0.0:80"})
+	// It gets heartbeats all the same, and is used once it is heard.
+	quicktest.Check(t, built.Peers(), quicktest.HasLen, 1)
+	built.RecordHeartbeat(lost, later)
+	quicktest.Check(t, built.Addresses("b", "caller", later), quicktest.HasLen, 2)
+	// A new process of the router counts as alive, as at the start.
+	restarted := member(3, "b")
+	restarted.Incarnation = 2
+	built.AddFromStore(restarted, later)
+	quicktest.Check(t, built.Addresses("b", "caller", later), quicktest.DeepEquals, []string{"10.0.0.2:80", "10.0.0.3:80"})
+}
