What an upstream announced holds for its process, not for its entry

Callers got refusals that could be known before.

Cause: the state of an upstream was dropped with its entry, and with it the time until which it wants no requests. Of what it said only that it leaves was kept beside the entry, up to 1,024 times, and all of it was dropped when there were more. What an answer said while the entry was away went into the dropped state, as did what was said to an entry of another service. A service that left the configuration and came back dropped it too.

Change: the board keeps the state of removed upstreams, and it goes on when the same process (name and incarnation) registers again: its announcements, its requests, its cold allowance, its prompt cache. In another service only the announcements go on. A new process under the name starts without the requests of the old one, which counted at it before if it registered without being removed; it counts as cold for as long as the one before it. At most 1,024 are kept, those removed last, and for a minute only if they announced nothing that still holds.

--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -32,9 +32,6 @@
 // pauseSpread is the inverse of the part by which the time to return to paused upstreams varies.
 const pauseSpread = 4
 
-// maxLeft limits how many removed upstreams are remembered.
-const maxLeft = 1024
-
 // Placement records that a prompt with a prefix was sent to an upstream.
 type Placement struct {
 	// Upstream is the hash of the upstream's name.
@@ -68,8 +65,8 @@
 	zonesOut   map[clementinewind.Zone]bool
 	peers      map[usage.Source]peerReport
 	placements []Placement
-	// left holds the incarnation of removed upstreams that had said that they were leaving. Their entries may come back.
-	left map[clementinewind.Upstream]int64
+	// removed holds upstreams whose entries were removed.
+	removed map[clementinewind.Upstream]*upstream
 	// demand is the number of recent placements of each prefix by all routers.
 	demand *usage.Meter[uint32]
 	// eligible, candidates and topScores are buffers that each placement reuses.
@@ -99,7 +96,7 @@
 		estimates: map[table.Service]*serviceEstimates{},
 		zonesOut:  map[clementinewind.Zone]bool{},
 		peers:     map[usage.Source]peerReport{},
-		left:      map[clementinewind.Upstream]int64{},
+		removed:   map[clementinewind.Upstream]*upstream{},
 		demand:    usage.NewMeter[uint32](demandWindow),
 	}
 }
@@ -117,7 +114,12 @@
 		}
 		// Entries of its upstreams arrived before the settings of the service.
 		for _, upstream := range board.byService[service.Name] {
-			upstream.reset(service)
+			upstream.resetEstimates(service)
+		}
+		for _, upstream := range board.removed {
+			if upstream.entry.Service == service.Name {
+				upstream.resetEstimates(service)
+			}
 		}
 	}
 }
@@ -132,42 +134,36 @@
 		if !entry.Replaces(known.entry) {
 			return false
 		}
-		known.update(entry, settings, now)
-		return true
+		if known.entry.Incarnation == entry.Incarnation {
+			known.update(entry, now)
+			return true
+		}
 	}
 	if ok {
-		board.removeLocked(entry.Upstream)
+		board.removeLocked(entry.Upstream, now)
 	}
-	added := newUpstream(entry, settings)
+	added := board.recallLocked(entry, settings)
 	added.zoneOut = board.zonesOut[entry.Zone]
-	if incarnation, ok := board.left[entry.Upstream]; ok && incarnation == entry.Incarnation {
-		added.saidLeaving = true
-	}
-	added.update(entry, settings, now)
+	added.update(entry, now)
 	board.upstreams[entry.Upstream] = added
 	board.byHash[added.hash] = added
 	board.byService[entry.Service] = append(board.byService[entry.Service], added)
 	return true
 }
 
-// Remove removes an upstream.
-func (board *Board) Remove(name clementinewind.Upstream) {
+// Remove removes an upstream. What is known of it is kept for a while, because its process may go on running and register again.
+func (board *Board) Remove(name clementinewind.Upstream, now time.Time) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	board.removeLocked(name)
+	board.removeLocked(name, now)
 }
 
-func (board *Board) removeLocked(name clementinewind.Upstream) {
+func (board *Board) removeLocked(name clementinewind.Upstream, now time.Time) {
 	known, ok := board.upstreams[name]
 	if !ok {
 		return
 	}
-	if known.saidLeaving {
-		if len(board.left) >= maxLeft {
-			clear(board.left)
-		}
-		board.left[name] = known.entry.Incarnation
-	}
+	board.rememberLocked(known, now)
 	delete(board.upstreams, name)
 	delete(board.byHash, known.hash)
 	service := known.entry.Service
@@ -253,13 +249,14 @@
 }
 
 // LocalLoad returns the load of this router on the upstreams where it has any, keyed by their hashes, and its placements
-// since the last call. It also drops what is outdated: expired reports of peers and the demand for prefixes that are no
-// longer requested.
+// since the last call. It also drops what is outdated: expired reports of peers, the demand for prefixes that are no
+// longer requested and the state of removed upstreams.
 func (board *Board) LocalLoad(now time.Time) (map[uint32]Load, []Placement) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	board.sumRemoteLocked(now)
 	board.demand.Prune(now)
+	board.pruneRemovedLocked(now)
 	loads := map[uint32]Load{}
 	for _, upstream := range board.upstreams {
 		recent := int(upstream.recentTokens.Tokens(now))
--- a/internal/load/board/export_test.go
+++ b/internal/load/board/export_test.go
@@ -13,3 +13,6 @@
 func (board *Board) Overdue(name clementinewind.Upstream, now time.Time) time.Duration {
 	return board.upstreams[name].overdue(now)
 }
+
+// Removed returns the number of removed upstreams that are remembered.
+func (board *Board) Removed() int { return len(board.removed) }
--- a/internal/load/board/notice_test.go
+++ b/internal/load/board/notice_test.go
@@ -29,7 +29,7 @@
 	newer.Sequence = 9
 	upstreams.Set(newer, start)
 	refuses("newer entry that says ready")
-	upstreams.Remove("u")
+	upstreams.Remove("u", start)
 	upstreams.Set(newer, start)
 	refuses("entry that was removed and is back")
 	upstreams.Set(entry("u", 2), start)
--- a/internal/load/board/upstream.go
+++ b/internal/load/board/upstream.go
@@ -74,16 +74,17 @@
 	unanswered  map[*Ticket]struct{}
 	earliestDue time.Time
 
-	// saidLeaving is set once an answer of this incarnation said that it is leaving. No entry takes that back.
-	saidLeaving bool
-	// pausedUntil is until when the upstream wants no requests. After that, trial is the one request that shows whether it still
-	// wants none; it is nil while there is none, and onTrial is set until one was answered.
-	pausedUntil time.Time
-	onTrial     bool
-	trial       *Ticket
+	// announcement is what the process said of itself in its answers.
+	*announcement
+	// removedAt is when the entry was removed.
+	removedAt time.Time
 
 	connectFailures int
 	backoffUntil    time.Time
+	coldState
+}
+
+type coldState struct {
 	// coldAssumedAt is when this router last assumed that the upstream is cold, although its entry does not say so.
 	coldAssumedAt time.Time
 	coldUntil     time.Time
@@ -91,25 +92,34 @@
 	coldSends []time.Time
 }
 
+// announcement is what a process said of itself. It holds for the process, whatever its entry says and whatever service it is in.
+type announcement struct {
+	// saidLeaving is set once an answer said that the upstream is leaving. No entry takes that back.
+	saidLeaving bool
+	// pausedUntil is until when the upstream wants no requests. After that, trial is the one request that shows whether it still
+	// wants none; it is nil while there is none, and onTrial is set until one was answered.
+	pausedUntil time.Time
+	onTrial     bool
+	trial       *Ticket
+}
+
 func newUpstream(entry table.Entry, settings table.ServiceSettings) *upstream {
-	created := &upstream{entry: entry, hash: usage.Hash(entry.Upstream), unanswered: map[*Ticket]struct{}{}, recentTokens: usage.NewDecayingSum(pick.PrefillWindow)}
-	created.reset(settings)
+	created := &upstream{
+		entry: entry, hash: usage.Hash(entry.Upstream), unanswered: map[*Ticket]struct{}{}, recentTokens: usage.NewDecayingSum(pick.PrefillWindow),
+		announcement: &announcement{},
+	}
+	created.resetEstimates(settings)
 	return created
 }
 
-// reset drops what was learned of an earlier incarnation.
-func (upstream *upstream) reset(settings table.ServiceSettings) {
+// resetEstimates drops what was learned with other settings of the service.
+func (upstream *upstream) resetEstimates(settings table.ServiceSettings) {
 	upstream.timings = timings{}
 	memory := 0
 	if settings.Engine != nil {
 		memory = settings.Engine.MemoryTokens
 	}
 	upstream.prefixes = cache.New(int(cacheShare * float64(memory)))
-	upstream.failureAverage = 0
-	upstream.connectFailures = 0
-	upstream.backoffUntil = time.Time{}
-	upstream.saidLeaving = false
-	upstream.pausedUntil, upstream.onTrial, upstream.trial = time.Time{}, false, nil
 }
 
 // leaving reports whether the upstream is shutting down, by its entry or by its own word.
@@ -121,11 +131,8 @@
 	return trying || now.Before(upstream.pausedUntil)
 }
 
-// update applies a newer entry.
-func (upstream *upstream) update(entry table.Entry, settings table.ServiceSettings, now time.Time) {
-	if entry.Incarnation != upstream.entry.Incarnation {
-		upstream.reset(settings)
-	}
+// update applies a newer entry of the same process.
+func (upstream *upstream) update(entry table.Entry, now time.Time) {
 	upstream.entry = entry
 	switch {
 	case entry.ColdLeft > 0:
--- a/internal/store/view/view.go
+++ b/internal/store/view/view.go
@@ -174,7 +174,7 @@
 		return
 	}
 	delete(view.entries, name)
-	view.config.Board.Remove(name)
+	view.config.Board.Remove(name, time.Now())
 	view.config.Logger.Info("upstream gone", "Upstream", name, "Cause", cause)
 	if view.config.OnRemoved != nil {
 		view.config.OnRemoved(name)
