Bound the memory that unfinished answers of upstreams hold together

Reported by another operator: bytes without end from a faulty upstream filled the memory of the machine that called it, and the requests of all its other callers ended with the process. Here heads were bounded by 64 KiB, interim answers by three, chunk extensions and trailers by the read buffer, answers by 256 KiB and events by 1 MiB (link.TestEndlessHeader, relay.TestEndlessBody).

Change: each answer may hold 16 KiB, and what is more comes out of a budget of an eighth of the memory, shared by all answers of the router. An answer that finds it used up is forwarded as it arrives, like one above 256 KiB; a stream fails if an event is not complete by then. That counts as a failure of the upstream, not as a crash.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -44,6 +44,8 @@
 	exitFraction           = 0.92
 	// flushFraction is the fraction of the grace period reserved for flushing the last responses.
 	flushFraction = 0.05
+	// bufferMemoryFraction is the fraction of the memory that answers of upstreams may hold.
+	bufferMemoryFraction = 0.125
 	// drainPollInterval is how often a draining router checks whether it is idle. It exits after idlePollsBeforeExit
 	// idle polls in a row, because a request that has just been accepted is not counted yet.
 	drainPollInterval   = 50 * time.Millisecond
@@ -131,7 +133,8 @@
 	})
 	router.relay = relay.New(relay.Config{
 		Zone: settings.Zone, Board: router.board, Shares: router.shares, Poison: router.poison, Table: router.view.Table, RouterCount: router.roster.Count,
-		Closing: router.shouldCloseConnections, Draining: router.drainRefuses, Stale: router.stale, CallerDisconnected: callerDisconnected,
+		BufferBytes: int64(bufferMemoryFraction * float64(settings.MemoryBytes)),
+		Closing:     router.shouldCloseConnections, Draining: router.drainRefuses, Stale: router.stale, CallerDisconnected: callerDisconnected,
 		Overloaded: router.shouldShed, EventBatchDelay: router.eventBatchDelay,
 		Dial: dialer.DialContext, ProcessStalled: router.cpu.recentlyDelayed, RetryBudget: router.retryBudget,
 		Meter: config.Meter, Logger: config.Logger,
--- a/internal/route/relay/answer.go
+++ b/internal/route/relay/answer.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/route/link"
+	"github.com/clementinewind/clementinewind/internal/share/bound"
 	"github.com/clementinewind/clementinewind/platform"
 )
 
@@ -18,6 +20,8 @@
 	// by another upstream's answer. A larger answer is forwarded as it arrives.
 	maxBufferedBytes = 256 << 10
 	copyBufferBytes  = 32 << 10
+	// minBufferBytes is the initial size of the buffer for an answer.
+	minBufferBytes = 1 << 10
 	// writeDeadlineSlack extends the write deadline beyond the request deadline, for callers that are still reading.
 	writeDeadlineSlack = 500 * time.Millisecond
 )
@@ -25,7 +29,9 @@
 // relayAnswer forwards an answer that is not an event stream.
 func (exchange *exchange) relayAnswer(ctx context.Context, ticket *board.Ticket, answer *link.Answer) attemptResult {
 	exchange.recordAnswerStart(ticket, time.Now())
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBytes))
+	memory := exchange.relay.buffers.Reserve(freeBufferBytes)
+	defer memory.Release()
+	body, complete, err := readBuffered(answer, memory)
 	status := answer.Response.StatusCode
 	switch {
 	case err != nil && exchange.request.Context().Err() != nil:
@@ -38,7 +44,7 @@
 		}
 		exchange.logger.Info("answer broke off", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream, "Error", err)
 		return attemptFailed
-	case len(body) == maxBufferedBytes:
+	case !complete:
 		return exchange.copyRemainder(ctx, ticket, answer, body)
 	}
 	header := platform.ResponseHeader(answer.Response.Header)
@@ -58,6 +64,27 @@
 	return attemptDone
 }
 
+// readBuffered reads an answer up to maxBufferedBytes, or less while the buffers of all answers are full. It reports whether the answer
+// is complete.
+func readBuffered(answer io.Reader, memory *bound.Reservation) (body []byte, complete bool, err error) {
+	body = make([]byte, 0, minBufferBytes)
+	for {
+		count, err := answer.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		switch {
+		case err == io.EOF:
+			return body, true, nil
+		case err != nil:
+			return body, false, err
+		case len(body) < cap(body):
+			continue
+		case cap(body) >= maxBufferedBytes || !memory.Hold(2*cap(body)):
+			return body, false, nil
+		}
+		body = slices.Grow(body, cap(body))
+	}
+}
+
 // copyRemainder forwards an answer that is too large to buffer; buffered is what was read of it before.
 func (exchange *exchange) copyRemainder(ctx context.Context, ticket *board.Ticket, answer *link.Answer, buffered []byte) attemptResult {
 	exchange.setAnswerHeader(platform.ResponseHeader(answer.Response.Header))
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/internal/share/bound"
 	"github.com/clementinewind/clementinewind/platform"
 )
 
@@ -37,6 +38,9 @@
 	// which probably reaches another router.
 	overloadRetryAfter = 50 * time.Millisecond
 	overloadDetail     = "router is overloaded"
+	// defaultBufferBytes is the default of Config.BufferBytes. Each answer may hold freeBufferBytes beside it, which is more than an event.
+	defaultBufferBytes = 32 << 20
+	freeBufferBytes    = 16 << 10
 	// connectionFraction is the fraction of an upstream's connection limit that all routers together use. The rest is left for
 	// health checks and for closed connections that the upstream still counts.
 	connectionFraction = 0.8
@@ -55,6 +59,8 @@
 	Table func() *table.Table
 	// RouterCount returns the number of known routers, including this one and unreachable ones.
 	RouterCount func() int
+	// BufferBytes limits what the answers of all upstreams hold in memory together, beyond a small part of each; 0 means 32 MiB.
+	BufferBytes int64
 	// Closing reports whether answers close the caller's connection, so that the next one is opened to another router.
 	Closing func() bool
 	// Draining reports whether requests of a route kind are refused because the router is shutting down.
@@ -91,6 +97,7 @@
 type Relay struct {
 	config Config
 
+	buffers     *bound.Budget
 	overloadLog logLimiter
 	ledger      *usage.Ledger
 
@@ -107,8 +114,11 @@
 	if config.Poison == nil {
 		config.Poison = poison.New(poison.Config{Logger: config.Logger})
 	}
+	if config.BufferBytes == 0 {
+		config.BufferBytes = defaultBufferBytes
+	}
 	return &Relay{
-		config: config, ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*link.Pool{},
+		config: config, buffers: bound.NewBudget(config.BufferBytes), ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*link.Pool{},
 		retryBudgets: map[table.Service]*budget.Budget{}, crashChecks: map[incarnation]*crashCheck{},
 		waiting: map[*exchange]context.CancelCauseFunc{},
 	}
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -44,6 +44,8 @@
 	errStalled = errors.New("stream sent no event within the stall timeout")
 	// errNotContinued is the error of a resumed stream that does not go on after the last event that the caller has.
 	errNotContinued = errors.New("stream does not continue after the last event")
+	// errBuffersFull is the error of a stream whose event is not complete while unfinished answers use up the memory for them.
+	errBuffersFull = errors.New("memory for unfinished answers is used up")
 )
 
 // stallTimeout returns the time without an event after which a stream without a deadline is cut. A stream with a deadline is
@@ -114,6 +116,8 @@
 		defer stallTimer.Stop()
 	}
 	var pending []byte
+	memory := exchange.relay.buffers.Reserve(freeBufferBytes)
+	defer memory.Release()
 	eventsBefore, sound := exchange.progress.eventCount, false
 	buffer := make([]byte, readBufferBytes)
 	awaitingFirst, forwarded := true, false
@@ -167,6 +171,8 @@
 			ticket.End(board.ResultServed, time.Now())
 			exchange.recordEnd("Answered", "stream complete")
 			return attemptDone
+		case err == nil && !memory.Hold(len(pending)):
+			return exchange.handleBrokenStream(ctx, ticket, exchange.progress.eventCount-eventsBefore, errBuffersFull)
 		case err != nil || len(pending) > maxEventBytes:
 			return exchange.handleBrokenStream(ctx, ticket, exchange.progress.eventCount-eventsBefore, err)
 		}
@@ -199,7 +205,7 @@
 	switch {
 	case exchange.request.Context().Err() != nil:
 		result = board.ResultAbandoned
-	case ctx.Err() == nil && err != nil && !errors.Is(err, errStalled) && !errors.Is(err, errNotContinued):
+	case ctx.Err() == nil && err != nil && !errors.Is(err, errStalled) && !errors.Is(err, errNotContinued) && !errors.Is(err, errBuffersFull):
 		exchange.recordInterruption(ticket, true, events)
 	}
 	ticket.End(result, time.Now())
--- a/internal/route/relay/trouble_test.go
+++ b/internal/route/relay/trouble_test.go
@@ -29,6 +29,11 @@
 
 // addRawUpstream adds an upstream that passes the first request on each connection to answer, which writes raw bytes.
 func addRawUpstream(t *testing.T, router *testRouter, answer func(conn net.Conn, request *http.Request)) {
+	t.Helper()
+	addNamedRawUpstream(t, router, "u", answer)
+}
+
+func addNamedRawUpstream(t *testing.T, router *testRouter, name string, answer func(conn net.Conn, request *http.Request)) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	quicktest.Assert(t, err, quicktest.IsNil)
@@ -38,7 +43,7 @@
 			answer(conn, request)
 		}
 	})
-	router.board.Set(table.Entry{Upstream: "u", Service: "service", Address: listener.Addr().String()}, time.Now())
+	router.board.Set(table.Entry{Upstream: clementinewind.Upstream(name), Service: "service", Address: listener.Addr().String()}, time.Now())
 }
 
 // Guards against a truncated stream that looks complete to the caller, for each way in which HTTP/1.1 delimits a body.
--- a/internal/share/bound/bound_test.go
+++ b/internal/share/bound/bound_test.go
@@ -38,3 +38,14 @@
 	quicktest.Check(t, errors.Is(err, bound.ErrTooLong), quicktest.IsTrue)
 	quicktest.Check(t, source.read < 10_000, quicktest.IsTrue)
 }
+
+func ExampleBudget() {
+	budget := bound.NewBudget(100)
+	one, two := budget.Reserve(10), budget.Reserve(10)
+	fmt.Println(one.Hold(90), two.Hold(10), two.Hold(50), two.Hold(30))
+	one.Release()
+	fmt.Println(two.Hold(110), one.Hold(11))
+	// Output:
+	// true true false true
+	// true false
+}
