Refuse late in a stop what may not end in time, and answer what still runs at its end

Reported by another operator: requests that came late in a planned stop were taken, passed on and cut without an answer at its end, among them requests that may not be repeated. It happens here: requests that do not stream were taken until four fifths of the grace period, whatever time they had left, and all that ran at 92% of it were cut with their connections. With grace 8 s a request with a deadline of 1.5 s could be taken 0.96 s before the exit.

Change: once new streams are refused, a request is refused (503, not run) if it may not end before the exit: by its deadline if it may not be repeated, otherwise by the longest recent duration of its service, or its deadline if none is known. At the exit the relay ends what still runs: a request that was sent gets 504, one that was not 503. A stream that has begun is broken off as before.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -37,8 +37,7 @@
 	locateTTL = time.Second
 	// Fractions of the grace period after which new streams are refused, after which all new requests and connections
 	// are refused at the latest, and after which the process exits whatever still runs. The refusals begin late because
-	// some callers cache addresses for three times locateTTL and some stay with one router. Requests that don't stream
-	// end within a second.
+	// some callers cache addresses for three times locateTTL and some stay with one router.
 	streamRefusalFraction  = 0.35
 	requestRefusalFraction = 0.8
 	exitFraction           = 0.92
@@ -99,8 +98,10 @@
 	// draining.
 	refusingStreams atomic.Bool
 	refusingAll     atomic.Bool
-	stopRequested   chan struct{}
-	stopCalled      atomic.Bool
+	// exitAt is when a draining router stops at the latest; nil before.
+	exitAt        atomic.Pointer[time.Time]
+	stopRequested chan struct{}
+	stopCalled    atomic.Bool
 }
 
 // New returns a router that does not serve until Run is called.
@@ -171,9 +172,14 @@
 	return router.cpu.pauseDetector.Stale() || (router.cpu.overloaded() && router.topics.stale())
 }
 
-// drainRefuses reports whether requests of a kind are refused because the router is draining.
-func (router *Router) drainRefuses(kind table.RouteKind) bool {
-	return router.refusingAll.Load() || (kind == table.RouteStream && router.refusingStreams.Load())
+// drainRefuses reports whether requests of a kind are refused because the router is draining. Once streams are refused, so are requests
+// that may not end before the router exits.
+func (router *Router) drainRefuses(kind table.RouteKind, endsBy time.Time) bool {
+	if router.refusingAll.Load() || !router.refusingStreams.Load() {
+		return router.refusingAll.Load()
+	}
+	exitAt := router.exitAt.Load()
+	return kind == table.RouteStream || (exitAt != nil && endsBy.After(*exitAt))
 }
 
 // shouldShed decides whether a request is refused because the processor is overloaded. For the first request of a
@@ -345,10 +351,11 @@
 	}
 }
 
-// drain waits for Stop and then shuts down in steps. Callers are told to connect elsewhere at once, new streams are
-// refused after streamRefusalFraction, when they could no longer end in time. All requests are refused from then on if
-// the router is idle, and otherwise after requestRefusalFraction. Until then requests are served, because in a rolling
-// restart callers with cached addresses still arrive while the last streams run.
+// drain waits for Stop and then shuts down in steps. Callers are told to connect elsewhere at once. After streamRefusalFraction new
+// streams are refused, which could no longer end in time, and other requests that may not end before the exit. All requests are refused
+// from then on if the router is idle, and otherwise after requestRefusalFraction. Until then requests are served, because in a rolling
+// restart callers with cached addresses still arrive while the last streams run. What still runs at exitFraction gets an error as its
+// answer.
 func (router *Router) drain(ctx context.Context, callers *server) error {
 	select {
 	case <-ctx.Done():
@@ -361,6 +368,8 @@
 	router.updateSelf()
 	router.config.Logger.Info("stopping", "Grace", grace, "InFlight", router.inFlight.Load())
 	ofGrace := func(fraction float64) time.Duration { return time.Duration(fraction * float64(grace)) }
+	exitAt := drainStart.Add(ofGrace(exitFraction))
+	router.exitAt.Store(&exitAt)
 	callers.flushTimeoutNanos.Store(int64(ofGrace(flushFraction)))
 	refusingAll, idlePolls := false, 0
 	for ; ; time.Sleep(drainPollInterval) {
@@ -375,6 +384,7 @@
 			idlePolls = 0
 		}
 		if idlePolls >= idlePollsBeforeExit || elapsed >= ofGrace(exitFraction) {
+			router.relay.Stop()
 			return errDrained
 		}
 	}
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -40,7 +40,8 @@
 	store    *stand.Store
 	upstream *httptest.Server
 	version  int
-	// limits are those of the next configuration.
+	// kind and limits are those of the next configuration.
+	kind   table.RouteKind
 	limits table.Limits
 
 	mutex   sync.Mutex
@@ -59,7 +60,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	built := &fleet{t: t, store: stand.NewStore(), routers: map[int]*router{}, storeDenied: map[int]bool{}}
+	built := &fleet{t: t, store: stand.NewStore(), routers: map[int]*router{}, storeDenied: map[int]bool{}, kind: table.RouteIdempotent}
 	built.handler = func(writer http.ResponseWriter, _ *http.Request) { fmt.Fprint(writer, "answer") }
 	built.upstream = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		stand.EchoRequestID(writer, request)
@@ -88,7 +89,7 @@
 	configure(fleet.t, fleet.store, table.Configuration{
 		Version: table.Version(fleet.version),
 		Routes: []table.Route{{
-			Name: "r", Host: "h", PathPrefix: "/", Kind: table.RouteIdempotent, Timeout: 5 * time.Second, MaxAttempts: 1,
+			Name: "r", Host: "h", PathPrefix: "/", Kind: fleet.kind, Timeout: 5 * time.Second, MaxAttempts: 1,
 			TrafficSplit: []table.ServiceWeight{{Service: "s", Weight: 1}},
 		}},
 		Services:      []table.ServiceSettings{{Name: "s", MaxConnections: 50}},
--- a/internal/edge/entry/limits_test.go
+++ b/internal/edge/entry/limits_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,3 +78,45 @@
 	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusRequestTimeout)
 	quicktest.Check(t, response.Close, quicktest.IsTrue)
 }
+
+// Guards against requests that are taken late in a planned stop, passed on, and cut off without an answer at its end: what may not end in
+// time is refused, and what still runs at the end gets an answer.
+func TestStopAnswersLateRequests(t *testing.T) {
+	const (
+		work = 5 * time.Second
+		// late is well within the grace period of 2 s.
+		late = 900 * time.Millisecond
+	)
+	for name, kind := range map[string]table.RouteKind{"may be repeated": table.RouteIdempotent, "may not be repeated": table.RouteOnce} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newFleet(t)
+			fleet.kind = kind
+			fleet.configure("key")
+			var reached atomic.Int64
+			fleet.setHandler(func(_ http.ResponseWriter, request *http.Request) {
+				reached.Add(1)
+				select {
+				case <-request.Context().Done():
+				case <-time.After(work):
+				}
+			})
+			router := fleet.start(1)
+			fleet.waitReady(router)
+			fleet.waitUntil("new configuration", func() bool { return router.entry.State().Version == 2 })
+			kept := dialRouter(t, router)
+			early := make(chan int, 1)
+			go func() { status, _ := router.send("key"); early <- status }()
+			fleet.waitUntil("a request at the upstream", func() bool { return reached.Load() == 1 })
+			stopped := make(chan error, 1)
+			go func() { stopped <- fleet.stop(1) }()
+			time.Sleep(late)
+			onNew := make(chan int, 1)
+			go func() { status, _ := router.send("key"); onNew <- status }()
+			quicktest.Check(t, sendOn(t, kept).StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+			quicktest.Check(t, <-onNew, quicktest.Equals, http.StatusServiceUnavailable)
+			quicktest.Check(t, <-early, quicktest.Equals, http.StatusGatewayTimeout)
+			quicktest.Check(t, <-stopped, quicktest.IsNil)
+			quicktest.Check(t, reached.Load(), quicktest.Equals, int64(1))
+		})
+	}
+}
--- a/internal/route/relay/answer.go
+++ b/internal/route/relay/answer.go
@@ -58,6 +58,7 @@
 		exchange.relay.config.Meter.FirstEvent(exchange.service.Name, time.Since(exchange.arrived), ticket.Expected)
 		ticket.End(board.ResultServed, time.Now())
 		exchange.recordSound(status)
+		exchange.relay.durations.record(exchange.service.Name, time.Since(exchange.arrived), time.Now())
 	}
 	exchange.writeAnswer(status, header, body)
 	exchange.recordEnd("Answered", strconv.Itoa(status))
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -162,6 +162,7 @@
 	}
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.deadline)
 	defer cancel()
+	defer context.AfterFunc(exchange.relay.stopped, cancel)()
 	defer exchange.returnUnserved()
 	for range maxPlacements {
 		if exchange.sends > 0 && !retryBudget.TryRetry(time.Now()) {
@@ -406,9 +407,13 @@
 		exchange.recordEnd("Failed", fmt.Sprintf("upstream answered %d", exchange.fallback.status))
 	case exchange.possibleRuns == 0 && ctx.Err() == nil:
 		exchange.rejectUnserved()
+	case exchange.possibleRuns == 0 && exchange.relay.stopped.Err() != nil:
+		exchange.rejectUnavailable(clementinewind.ReasonShutdown, 0, "router stops")
 	case exchange.possibleRuns == 0:
 		exchange.countTokens(usage.PartLate)
 		exchange.rejectUnavailable(clementinewind.ReasonDeadline, 0, "no upstream took the request before the deadline")
+	case exchange.relay.stopped.Err() != nil:
+		exchange.writeRejection(http.StatusGatewayTimeout, clementinewind.ReasonShutdown, 0, "router stopped before the answer")
 	case ctx.Err() != nil:
 		exchange.countTokens(usage.PartLate)
 		exchange.writeRejection(http.StatusGatewayTimeout, clementinewind.ReasonDeadline, 0, "no answer before the deadline")
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -63,8 +63,8 @@
 	BufferBytes int64
 	// Closing reports whether answers close the caller's connection, so that the next one is opened to another router.
 	Closing func() bool
-	// Draining reports whether requests of a route kind are refused because the router is shutting down.
-	Draining func(kind table.RouteKind) bool
+	// Draining reports whether requests of a route kind that end by a time are refused because the router is shutting down.
+	Draining func(kind table.RouteKind, endsBy time.Time) bool
 	// Stale reports whether the process was paused and has not refreshed its state since. No request is sent then.
 	Stale func() bool
 	// CallerDisconnected reports whether the caller whose request has this context is known to have disconnected.
@@ -97,7 +97,11 @@
 type Relay struct {
 	config Config
 
+	// stopped ends at Stop.
+	stopped     context.Context
+	stop        context.CancelFunc
 	buffers     *bound.Budget
+	durations   durations
 	overloadLog logLimiter
 	ledger      *usage.Ledger
 
@@ -117,13 +121,17 @@
 	if config.BufferBytes == 0 {
 		config.BufferBytes = defaultBufferBytes
 	}
+	stopped, stop := context.WithCancel(context.Background())
 	return &Relay{
-		config: config, buffers: bound.NewBudget(config.BufferBytes), ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*link.Pool{},
+		config: config, stopped: stopped, stop: stop, durations: durations{byService: map[table.Service]longest{}}, buffers: bound.NewBudget(config.BufferBytes), ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*link.Pool{},
 		retryBudgets: map[table.Service]*budget.Budget{}, crashChecks: map[incarnation]*crashCheck{},
 		waiting: map[*exchange]context.CancelCauseFunc{},
 	}
 }
 
+// Stop ends all requests. Those without an answer get an error, which tells whether they may have run; streams are broken off.
+func (relay *Relay) Stop() { relay.stop() }
+
 // RemoveUpstream closes the connections to an upstream that no longer exists.
 func (relay *Relay) RemoveUpstream(upstream clementinewind.Upstream) {
 	relay.mutex.Lock()
@@ -224,7 +232,7 @@
 	}
 	exchange.service = current.Service(service)
 	exchange.setDeadline()
-	if exchange.relay.config.Draining(exchange.route.Kind) {
+	if exchange.relay.config.Draining(exchange.route.Kind, exchange.endsBy()) {
 		return exchange.rejectUnavailable(clementinewind.ReasonShutdown, 0, "router stops")
 	}
 	return true
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -126,7 +126,7 @@
 	neverForRequest := func(context.Context) bool { return false }
 	return relay.Config{
 		Board: upstreams, Shares: usage.NewShares(time.Second), Table: func() *table.Table { return current }, RouterCount: func() int { return 1 },
-		Closing: never, Draining: func(table.RouteKind) bool { return false }, Stale: never, CallerDisconnected: neverForRequest, Overloaded: neverForRequest,
+		Closing: never, Draining: func(table.RouteKind, time.Time) bool { return false }, Stale: never, CallerDisconnected: neverForRequest, Overloaded: neverForRequest,
 		EventBatchDelay: func() time.Duration { return 0 },
 		Dial:            new(net.Dialer).DialContext,
 		RetryBudget:     func() budget.Config { return budget.Config{Window: time.Second, Extra: 100} },
--- a/internal/tools/trial/site.go
+++ b/internal/tools/trial/site.go
@@ -70,7 +70,7 @@
 	}
 	testbed.router = relay.New(relay.Config{
 		Board: testbed.board, Shares: usage.NewShares(shareWindow), Table: func() *table.Table { return current },
-		RouterCount: func() int { return 1 }, Closing: never, Draining: func(table.RouteKind) bool { return false }, Stale: never,
+		RouterCount: func() int { return 1 }, Closing: never, Draining: func(table.RouteKind, time.Time) bool { return false }, Stale: never,
 		CallerDisconnected: func(context.Context) bool { return false }, Overloaded: func(context.Context) bool { return false },
 		EventBatchDelay: func() time.Duration { return 0 }, Dial: network.Dial,
 		RetryBudget: func() budget.Config { return budget.Config{Window: retryWindow, Ratio: retryRatio, Extra: retryExtra} },
