Connect to the address of the incarnation that is registered

Requests to an upstream that started again under its name at another address, before its old entry was removed, failed at that router until the entry was removed once: callers got refusals, and the upstream stayed idle.

Cause: the connection pool was kept by the name of the upstream, with the address of the incarnation for which it was made.

Change: a pool belongs to an address. An entry with another address replaces it, unless it is that of an older incarnation.

Evidence: TestUpstreamAtNewAddress failed before (503 after the restart) and passes.

--- a/internal/route/relay/heed_test.go
+++ b/internal/route/relay/heed_test.go
@@ -135,3 +135,25 @@
 	quicktest.Check(t, after > 20, quicktest.IsTrue, quicktest.Commentf("%d", after))
 	quicktest.Check(t, refused.Load() > 50, quicktest.IsTrue, quicktest.Commentf("%d", refused.Load()))
 }
+
+// Guards against an upstream that is never reached again: it started again under its name at another address before its entry was removed.
+func TestUpstreamAtNewAddress(t *testing.T) {
+	router := startRouter(t, table.Route{Kind: table.RouteIdempotent, MaxAttempts: 1, LatencyGoal: time.Second})
+	for incarnation, body := range []string{"first", "second"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		go stand.ServeConns(listener, func(conn net.Conn) {
+			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				io.WriteString(conn, stand.SealedResponse(stand.RequestID(request.Header), body))
+			}
+		})
+		router.board.Set(table.Entry{
+			Upstream: "u", Service: "service", Address: listener.Addr().String(), Incarnation: int64(incarnation + 1), Sequence: 1,
+		}, time.Now())
+		response, got, err := router.ask(t, http.MethodGet, "")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusOK)
+		quicktest.Check(t, got, quicktest.Equals, body)
+		listener.Close()
+	}
+}
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -106,7 +106,7 @@
 	ledger      *usage.Ledger
 
 	mutex        sync.Mutex
-	pools        map[clementinewind.Upstream]*link.Pool
+	pools        map[clementinewind.Upstream]*upstreamPool
 	retryBudgets map[table.Service]*budget.Budget
 	crashChecks  map[incarnation]*crashCheck
 	// waiting holds the attempts without a response header whose prompts have shared parts.
@@ -123,7 +123,7 @@
 	}
 	stopped, stop := context.WithCancel(context.Background())
 	return &Relay{
-		config: config, stopped: stopped, stop: stop, durations: durations{byService: map[table.Service]longest{}}, buffers: bound.NewBudget(config.BufferBytes), ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*link.Pool{},
+		config: config, stopped: stopped, stop: stop, durations: durations{byService: map[table.Service]longest{}}, buffers: bound.NewBudget(config.BufferBytes), ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*upstreamPool{},
 		retryBudgets: map[table.Service]*budget.Budget{}, crashChecks: map[incarnation]*crashCheck{},
 		waiting: map[*exchange]context.CancelCauseFunc{},
 	}
@@ -143,20 +143,31 @@
 	}
 }
 
+// upstreamPool is the connection pool of an upstream at the address of one of its incarnations.
+type upstreamPool struct {
+	*link.Pool
+	address     string
+	incarnation int64
+}
+
 // pool returns the connection pool of an upstream; others is the number of connections that other routers use.
 func (relay *Relay) pool(entry table.Entry, settings table.ServiceSettings, others int) *link.Pool {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
 	connections := max(int(connectionFraction*float64(settings.MaxConnections))-others, minConnections)
-	if pool, ok := relay.pools[entry.Upstream]; ok {
-		pool.SetMaxConnections(connections)
-		return pool
+	if known, ok := relay.pools[entry.Upstream]; ok {
+		if known.address == entry.Address || known.incarnation > entry.Incarnation {
+			known.incarnation = max(known.incarnation, entry.Incarnation)
+			known.SetMaxConnections(connections)
+			return known.Pool
+		}
+		known.Close()
 	}
 	pool := link.New(link.Config{
 		Address: entry.Address, Dial: relay.config.Dial, MaxConnections: connections,
 		Opened: func() { relay.config.Meter.Connected(entry.Service) }, ProcessStalled: relay.config.ProcessStalled,
 	})
-	relay.pools[entry.Upstream] = pool
+	relay.pools[entry.Upstream] = &upstreamPool{Pool: pool, address: entry.Address, incarnation: entry.Incarnation}
 	return pool
 }
 
