Test answers that end within their head

Reported by another operator: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. It is not possible here: the head must be complete before anything is passed on.

TestHeadCutOff cuts the head after each byte, with a length, chunks, neither, with Connection: close and after an interim answer, for GET and HEAD, streams and other requests: each gets 502.

--- a/internal/route/relay/faulty_test.go
+++ b/internal/route/relay/faulty_test.go
@@ -132,3 +132,45 @@
 		})
 	}
 }
+
+// Guards against a success with an empty or short body when an upstream closes the connection within the head of its answer.
+func TestHeadCutOff(t *testing.T) {
+	heads := map[string]string{
+		"length":        "Content-Length: 2\r\n",
+		"chunks":        "Transfer-Encoding: chunked\r\n",
+		"neither":       "",
+		"closing":       "Connection: close\r\n",
+		"after interim": "",
+	}
+	for name, framing := range heads {
+		for _, kind := range []table.RouteKind{table.RouteOnce, table.RouteStream} {
+			for _, method := range []string{http.MethodGet, http.MethodHead} {
+				t.Run(fmt.Sprintf("%s, %v, %s", name, kind, method), func(t *testing.T) {
+					router := startRouter(t, table.Route{Kind: kind, MaxAttempts: 1, LatencyGoal: time.Second})
+					var cut atomic.Int64
+					whole := make(chan int, 1)
+					addRawUpstream(t, router, func(conn net.Conn, request *http.Request) {
+						head := "HTTP/1.1 200 OK\r\n" + stand.SealedHeaderLines(stand.RequestID(request.Header)) + framing + "\r\n"
+						if name == "after interim" {
+							head = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head
+						}
+						select {
+						case whole <- len(head):
+						default:
+						}
+						_, _ = io.WriteString(conn, head[:min(int(cut.Load()), len(head)-1)])
+					})
+					for size := 1; cut.Load() < int64(size); cut.Add(1) {
+						response, err := router.send(t, method, "", 2*time.Second)
+						quicktest.Assert(t, err, quicktest.IsNil)
+						response.Body.Close()
+						quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusBadGateway, quicktest.Commentf("cut after %d bytes", cut.Load()))
+						if cut.Load() == 0 {
+							size = <-whole
+						}
+					}
+				})
+			}
+		}
+	}
+}
