--- a/internal/load/board/removed.go
+++ b/internal/load/board/removed.go
@@ -36,8 +36,8 @@
 }
 
 // recallLocked returns the state of the upstream with an entry. If the entry is that of a removed process, its state goes on, and in another
-// service at least what the process announced. A new process only counts as cold for as long as the one before it: how long it is cold
-// itself, only a later entry may tell.
+// service at least what the process announced. A new process counts as cold for as long as the one before it, until an entry says how long
+// it is cold itself.
 func (board *Board) recallLocked(entry table.Entry, settings table.ServiceSettings) *upstream {
 	known, ok := board.removed[entry.Upstream]
 	delete(board.removed, entry.Upstream)
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -123,7 +123,8 @@
 	}
 	stopped, stop := context.WithCancel(context.Background())
 	return &Relay{
-		config: config, stopped: stopped, stop: stop, durations: durations{byService: map[table.Service]longest{}}, buffers: bound.NewBudget(config.BufferBytes), ledger: usage.NewLedger(), pools: map[clementinewind.Upstream]*upstreamPool{},
+		config: config, stopped: stopped, stop: stop, buffers: bound.NewBudget(config.BufferBytes), ledger: usage.NewLedger(),
+		durations: durations{byService: map[table.Service]longest{}}, pools: map[clementinewind.Upstream]*upstreamPool{},
 		retryBudgets: map[table.Service]*budget.Budget{}, crashChecks: map[incarnation]*crashCheck{},
 		waiting: map[*exchange]context.CancelCauseFunc{},
 	}
