gate: count heads of requests, bound refusals, and close connections that stall

While all connections are busy, the caller that has stopped for longest loses its connection. The size of the receive buffers and the number of refusals on their way are settings of the listener.

--- a/internal/edge/gate/conn.go
+++ b/internal/edge/gate/conn.go
@@ -14,6 +14,7 @@
 	closeOnce sync.Once
 	admitted  atomic.Bool
 	idle      idleState
+	head      head
 }
 
 var _ syscall.Conn = (*Conn)(nil)
@@ -21,6 +22,7 @@
 func newConn(accepted *net.TCPConn, listener *Listener, admitted bool) *Conn {
 	conn := &Conn{TCPConn: accepted, listener: listener}
 	conn.admitted.Store(admitted)
+	conn.head.claim(conn)
 	return conn
 }
 
@@ -31,6 +33,7 @@
 // Close closes the connection and lets Accept return another one.
 func (conn *Conn) Close() error {
 	conn.listener.idle.remove(conn)
+	conn.head.release()
 	err := conn.TCPConn.Close()
 	conn.closeOnce.Do(conn.listener.release)
 	return err
--- a/internal/edge/gate/gate.go
+++ b/internal/edge/gate/gate.go
@@ -10,6 +10,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/clementinewind/clementinewind/internal/share/bound"
 )
 
 // drainTime is how long a draining listener still accepts queued connections. Closing it at once would reset them.
@@ -27,6 +29,14 @@
 	// Backlog is the size of the kernel's accept queue. Connections beyond it fail, so that callers try another router.
 	// 0 keeps the default of the kernel.
 	Backlog int
+	// ReceiveBuffer is the size of the receive buffer of each connection, which holds what the server has not read; 0 leaves it to the kernel.
+	ReceiveBuffer int
+	// MaxPendingRefusals limits the refused requests that have not fully arrived, each of which has a connection beyond MaxConnections; 0
+	// means maxPendingRefusals.
+	MaxPendingRefusals int
+	// Memory counts the heads of requests, which close their connection if there is no room for them. While MaxConnections connections are
+	// busy, those whose callers have stopped are closed by it. Nil counts nothing.
+	Memory *bound.Budget
 	// ShouldRefuse decides whether the first request of a new connection is refused; nil refuses none.
 	ShouldRefuse func() bool
 	// RefusalResponse returns the complete HTTP response to a refused request, given its head, which part of the body
@@ -59,11 +69,16 @@
 func New(config Config) (*Listener, error) {
 	listener := &Listener{TCPListener: config.Listener, config: config, closed: make(chan struct{})}
 	if config.RefusalResponse != nil {
-		listener.readBuffer, listener.pending = make([]byte, readBufferBytes), make(chan struct{}, maxPendingRefusals)
+		listener.readBuffer, listener.pending = make([]byte, readBufferBytes), make(chan struct{}, listener.maxPending())
 	}
 	if config.MaxConnections > 0 {
 		listener.openConns = make(chan struct{}, config.MaxConnections)
 	}
+	if config.ReceiveBuffer > 0 {
+		if err := listener.setReceiveBuffer(config.ReceiveBuffer); err != nil {
+			return nil, errors.Wrap(err, "set receive buffer")
+		}
+	}
 	if config.Backlog > 0 {
 		if err := listener.setBacklog(config.Backlog); err != nil {
 			return nil, errors.Wrap(err, "set listen backlog")
@@ -72,13 +87,31 @@
 	return listener, nil
 }
 
+func (listener *Listener) maxPending() int {
+	if listener.config.MaxPendingRefusals > 0 {
+		return min(listener.config.MaxPendingRefusals, maxPendingRefusals)
+	}
+	return maxPendingRefusals
+}
+
+// setReceiveBuffer sets the size that accepted connections inherit.
+func (listener *Listener) setReceiveBuffer(bytes int) error {
+	return listener.control(func(descriptor int) error {
+		return unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+	})
+}
+
 func (listener *Listener) setBacklog(connections int) error {
+	return listener.control(func(descriptor int) error { return unix.Listen(descriptor, connections) })
+}
+
+func (listener *Listener) control(change func(descriptor int) error) error {
 	raw, err := listener.SyscallConn()
 	if err != nil {
 		return err
 	}
 	var failure error
-	if err := raw.Control(func(descriptor uintptr) { failure = unix.Listen(int(descriptor), connections) }); err != nil {
+	if err := raw.Control(func(descriptor uintptr) { failure = change(int(descriptor)) }); err != nil {
 		return err
 	}
 	return failure
--- a/internal/edge/gate/idle.go
+++ b/internal/edge/gate/idle.go
@@ -49,7 +49,12 @@
 
 // ConnState tracks which connections are idle. It must be the ConnState of the http.Server.
 func (listener *Listener) ConnState(conn net.Conn, state http.ConnState) {
-	if caller, ok := conn.(*Conn); ok && state == http.StateIdle {
+	caller, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	caller.head.changed(caller, state)
+	if state == http.StateIdle {
 		listener.idle.mutex.Lock()
 		defer listener.idle.mutex.Unlock()
 		caller.idle.reported = true
@@ -78,9 +83,13 @@
 func (conn *Conn) Read(buffer []byte) (int, error) {
 	for {
 		count, err := conn.TCPConn.Read(buffer)
-		if !conn.readsOn(err) {
-			return count, err
+		if conn.readsOn(err) {
+			continue
+		}
+		if err == nil {
+			err = conn.head.read(count)
 		}
+		return count, err
 	}
 }
 
@@ -159,7 +168,7 @@
 	listener.fullSince.Store(&start)
 	defer listener.fullSince.Store(nil)
 	for {
-		if !listener.idle.closeLongest() && time.Since(start) > maxFullWait {
+		if !listener.idle.closeLongest() && !listener.evictStalled() && time.Since(start) > maxFullWait {
 			listener.refuseAllQueued()
 		}
 		select {
@@ -172,6 +181,11 @@
 	}
 }
 
+// evictStalled makes the caller lose its connection that has stopped for longest in the middle of a request, or does not read its answer.
+func (listener *Listener) evictStalled() bool {
+	return listener.config.Memory != nil && listener.config.Memory.EvictStalled(time.Now())
+}
+
 func (listener *Listener) release() {
 	if listener.openConns != nil {
 		<-listener.openConns
