relay, entry: take bodies in within one budget, and cut callers that do not read

Cause: readBody read each body whole with a limit each and none together; an answer above 256 KiB was written without a time limit; nothing bounded the connections to all upstreams; receive buffers of the kernel grew to several MB.

Bodies arrive in pieces of 64 KiB at most, which are also what is sent on. A declared length is counted before the body is read, so that bodies that have begun do not wait for each other, and memory is allocated as it arrives. Without room a body waits for half a second and is refused with 503 and a time to return; nothing was sent on. A body whose length is over the limit is refused without reading it. Each write to a caller can be ended while others need the memory or the connection; larger answers have a write deadline. An upstream holds a third of the budget at most in large bodies that it has not read, and half of the connections to upstreams. When all of these are used, idle ones and those of callers that do not read are closed.

The budget is a quarter of [Sizes] Memory. Receive buffers are 32 to 64 KiB. Callers get 65 in 100 of the sockets as before, refusals and Locate 5 each, upstreams 20. Metrics show what is held by kind, and a log line, once a second at most, that the limit acted.

--- a/internal/admin/telem/entry.go
+++ b/internal/admin/telem/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/internal/share/bound"
 )
 
 // EntryConfig configures an EntryMeter.
@@ -94,6 +95,8 @@
 	// SuspectedParts is the number of prompt parts that may have crashed an upstream, QuarantinedParts the number of those that
 	// requests are rejected for.
 	SuspectedParts, QuarantinedParts int
+	// Memory is what callers and upstreams make the router hold.
+	Memory bound.State
 }
 
 // ObserveState registers the gauges, which call state at each scrape. It must be called at most once.
@@ -111,6 +114,9 @@
 	suspectedParts := builder.gauge("clementinewind.entry.suspected.parts", "", "Prompt parts that may have crashed an upstream.")
 	quarantinedParts := builder.gauge("clementinewind.entry.quarantined.parts", "",
 		"Prompt parts that crashed several upstreams; requests with them are rejected.")
+	held := builder.gauge("clementinewind.entry.held", "By", "Memory that callers and upstreams make the router hold, by kind.")
+	heldLimit := builder.gauge("clementinewind.entry.held.limit", "By", "Limit of that memory.")
+	evictions := builder.observableCounter("clementinewind.entry.evictions", "Requests that lost their place because they stopped while others waited.")
 	if builder.err != nil {
 		return errors.Wrap(builder.err, "create instruments")
 	}
@@ -126,8 +132,13 @@
 		observer.ObserveFloat64(refusedFraction, current.RefusedFraction)
 		observer.ObserveFloat64(suspectedParts, float64(current.SuspectedParts))
 		observer.ObserveFloat64(quarantinedParts, float64(current.QuarantinedParts))
+		for kind, bytes := range current.Memory.Held {
+			observer.ObserveFloat64(held, float64(bytes), metric.WithAttributes(attribute.String("kind", bound.Kind(kind).String())))
+		}
+		observer.ObserveFloat64(heldLimit, float64(current.Memory.Limit))
+		observer.ObserveInt64(evictions, current.Memory.Evictions)
 		return nil
-	}, ready, version, caughtUpAge, routers, upstreams, inFlight, connections, refusedFraction, suspectedParts, quarantinedParts)
+	}, ready, version, caughtUpAge, routers, upstreams, inFlight, connections, refusedFraction, suspectedParts, quarantinedParts, held, heldLimit, evictions)
 	return errors.Wrap(err, "register gauges")
 }
 
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/clementinewind/clementinewind/internal/route/relay"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
+	"github.com/clementinewind/clementinewind/internal/share/bound"
 	"github.com/clementinewind/clementinewind/internal/store/view"
 	"github.com/clementinewind/clementinewind/platform"
 )
@@ -43,8 +44,9 @@
 	exitFraction           = 0.92
 	// flushFraction is the fraction of the grace period reserved for flushing the last responses.
 	flushFraction = 0.05
-	// bufferMemoryFraction is the fraction of the memory that answers of upstreams may hold.
-	bufferMemoryFraction = 0.125
+	// heldMemoryFraction is the fraction of the memory that callers and upstreams may hold. As much again may be garbage that was not
+	// collected yet.
+	heldMemoryFraction = 0.25
 	// drainPollInterval is how often a draining router checks whether it is idle. It exits after idlePollsBeforeExit
 	// idle polls in a row, because a request that has just been accepted is not counted yet.
 	drainPollInterval   = 50 * time.Millisecond
@@ -78,6 +80,8 @@
 	poison *poison.Registry
 	view   *view.View
 	relay  *relay.Relay
+	// memory limits what callers and upstreams make the router hold.
+	memory *bound.Budget
 	store  *platform.Store
 	topics topics
 	// quarantines keeps the prompt parts in quarantine in the store.
@@ -128,16 +132,17 @@
 		Board: router.board, Logger: config.Logger,
 		OnRemoved: func(upstream clementinewind.Upstream) { router.relay.RemoveUpstream(upstream) },
 	})
-	dialer := dialer()
+	router.memory = bound.NewBudget(int64(heldMemoryFraction * float64(settings.MemoryBytes)))
+	storeDialer, upstreamDialer := dialer(0), dialer(receiveBuffer(settings))
 	router.store = platform.NewStore(platform.StoreConfig{
-		Address: settings.StoreAddress.String(), Dial: dialer.DialContext, Observe: config.Meter.StoreCall,
+		Address: settings.StoreAddress.String(), Dial: storeDialer.DialContext, Observe: config.Meter.StoreCall,
 	})
 	router.relay = relay.New(relay.Config{
 		Zone: settings.Zone, Board: router.board, Shares: router.shares, Poison: router.poison, Table: router.view.Table, RouterCount: router.roster.Count,
-		BufferBytes: int64(bufferMemoryFraction * float64(settings.MemoryBytes)),
-		Closing:     router.shouldCloseConnections, Draining: router.drainRefuses, Stale: router.stale, CallerDisconnected: callerDisconnected,
+		Memory: router.memory, MaxConnections: socketsFor(settings, upstreamSocketFraction),
+		Closing: router.shouldCloseConnections, Draining: router.drainRefuses, Stale: router.stale, CallerDisconnected: callerDisconnected,
 		Overloaded: router.shouldShed, EventBatchDelay: router.eventBatchDelay,
-		Dial: dialer.DialContext, ProcessStalled: router.cpu.recentlyDelayed, RetryBudget: router.retryBudget,
+		Dial: upstreamDialer.DialContext, ProcessStalled: router.cpu.recentlyDelayed, RetryBudget: router.retryBudget,
 		Meter: config.Meter, Logger: config.Logger,
 	})
 	router.topics = newTopics(router)
@@ -253,7 +258,10 @@
 		{"Ready", settings.ReadyListen, platform.ReadyHandler(router.ready), gate.Config{}},
 		{
 			"Locate", settings.LocateListen, platform.LocateHandler(router.locate, logger),
-			gate.Config{MaxConnections: maxLocateConnections, IdleTimeout: router.idleTimeout},
+			gate.Config{
+				MaxConnections: min(maxLocateConnections, socketsFor(*settings, locateSocketFraction)), IdleTimeout: router.idleTimeout,
+				ReceiveBuffer: minReceiveBytes, Memory: router.memory,
+			},
 		},
 		{"Peer", router.peerAddress(), gossip.FeedHandler(router.topics.mirrors(), logger), gate.Config{}},
 		{"Metrics", settings.MetricsListen, router.config.Meter.Handler(), gate.Config{}},
@@ -298,7 +306,7 @@
 func (router *Router) State() telem.EntryState {
 	state := telem.EntryState{
 		Ready: router.ready(), Version: router.configurationVersion(), Routers: len(router.roster.Alive(time.Now())), Upstreams: router.board.Count(),
-		InFlight: router.inFlight.Load(), RefusedFraction: router.cpu.shed.RefusedFraction(), CaughtUpAge: boot.Now(),
+		InFlight: router.inFlight.Load(), RefusedFraction: router.cpu.shed.RefusedFraction(), CaughtUpAge: boot.Now(), Memory: router.memory.State(),
 	}
 	if callers := router.callers.Load(); callers != nil {
 		state.Connections = callers.Open()
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -94,7 +94,7 @@
 		store:     &storeSource{store: router.store},
 		operator:  &topic{mirror: feed.NewMirror(feed.MirrorConfig{})},
 		upstreams: &topic{mirror: feed.NewMirror(feed.MirrorConfig{Unchanged: view.UpstreamUnchanged})},
-		client:    gossip.NewFeedClient(dialer().DialContext),
+		client:    gossip.NewFeedClient(dialer(0).DialContext),
 	}
 	follow := func(topic *topic, name string, storePoll feed.PollOptions, apply func([]feed.Record, time.Time)) {
 		topic.follower = feed.NewFollower(feed.FollowerConfig{
--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -14,8 +14,10 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/clementinewind/clementinewind/internal/admin/conf"
 	"github.com/clementinewind/clementinewind/internal/edge/gate"
 	"github.com/clementinewind/clementinewind/internal/route/link"
+	"github.com/clementinewind/clementinewind/internal/route/relay"
 )
 
 const (
@@ -29,8 +31,16 @@
 	maxLocateConnections = 256
 	// maxHeaderBytes is above the largest header that the platform allows.
 	maxHeaderBytes = 64 << 10
-	// reservedSocketFraction is the fraction of the sockets reserved for upstreams, peers and the store.
-	reservedSocketFraction = 0.35
+	// Fractions of the sockets for the connections of callers, for callers that are refused before the HTTP server reads their request, for
+	// Locate, and for upstreams. The rest is for peers and the store. A router whose callers are all busy must still be able to dial.
+	callerSocketFraction   = 0.65
+	refusalSocketFraction  = 0.05
+	locateSocketFraction   = 0.05
+	upstreamSocketFraction = 0.2
+	// receiveFraction is the fraction of the memory that the receive buffers of all callers may use together, but each has
+	// minReceiveBytes at least: less than a few packets would slow down every body.
+	receiveFraction = 0.125
+	minReceiveBytes = 32 << 10
 	// dialTimeout is the timeout for dialling peers and the store. Dials of upstreams end sooner, after link.DialTimeout.
 	dialTimeout = 400 * time.Millisecond
 	// tcpUserTimeout closes a connection whose other side no longer acknowledges data.
@@ -46,8 +56,9 @@
 	defaultFlushTimeout = 100 * time.Millisecond
 )
 
-// dialer returns a dialer whose connections fail soon after a network partition.
-func dialer() *net.Dialer {
+// dialer returns a dialer whose connections fail soon after a network partition. Their receive buffers have the given size, or that of the
+// kernel if it is 0.
+func dialer(receiveBuffer int) *net.Dialer {
 	return &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -57,6 +68,9 @@
 			var failure error
 			if err := raw.Control(func(descriptor uintptr) {
 				failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+				if failure == nil && receiveBuffer > 0 {
+					failure = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+				}
 			}); err != nil {
 				return err
 			}
@@ -121,12 +135,23 @@
 	return ok && link.ClosedByPeer(conn)
 }
 
+// socketsFor returns how many sockets a fraction of all is.
+func socketsFor(settings conf.Entry, fraction float64) int {
+	return max(int(fraction*float64(settings.MaxConnections())), 1)
+}
+
+// receiveBuffer returns the size of the receive buffers of connections to callers and upstreams.
+func receiveBuffer(settings conf.Entry) int {
+	each := int(receiveFraction*float64(settings.MemoryBytes)) / socketsFor(settings, callerSocketFraction)
+	return min(max(each, minReceiveBytes), relay.ReceiveBufferBytes)
+}
+
 // callerServer opens the server for callers.
 func (router *Router) callerServer() (*server, error) {
 	settings := router.settings.Load()
-	maxConnections := int((1 - reservedSocketFraction) * float64(settings.MaxConnections()))
 	server, err := listen(settings.CallerListen, router.countRequests(router.relay), gate.Config{
-		MaxConnections: maxConnections, IdleTimeout: router.idleTimeout, Backlog: callerBacklog,
+		MaxConnections: socketsFor(*settings, callerSocketFraction), MaxPendingRefusals: socketsFor(*settings, refusalSocketFraction),
+		ReceiveBuffer: receiveBuffer(*settings), Memory: router.memory, IdleTimeout: router.idleTimeout, Backlog: callerBacklog,
 		ShouldRefuse: router.cpu.shouldRefuse, RefusalResponse: router.refusalResponse, Logger: router.config.Logger,
 	}, router.config.Logger)
 	if err != nil {
--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -136,12 +136,15 @@
 	stop := context.AfterFunc(ctx, conn.close)
 	writeDone := make(chan error, 1)
 	head := conn.requestHead(request)
-	if len(request.Body) <= maxInlineBodyBytes {
-		_, err := conn.raw.Write(append(head, request.Body...))
+	if bodyBytes(request.Body) <= maxInlineBodyBytes {
+		for _, piece := range request.Body {
+			head = append(head, piece...)
+		}
+		_, err := conn.raw.Write(head)
 		writeDone <- err
 	} else {
 		go func() {
-			buffers := net.Buffers{head, request.Body}
+			buffers := append(net.Buffers{head}, request.Body...)
 			_, err := buffers.WriteTo(conn.raw)
 			writeDone <- err
 		}()
@@ -157,6 +160,14 @@
 	return &Answer{Response: response, conn: conn, stopAfterFunc: stop, writeDone: writeDone}, nil
 }
 
+func bodyBytes(pieces [][]byte) int {
+	total := 0
+	for _, piece := range pieces {
+		total += len(piece)
+	}
+	return total
+}
+
 func (conn *conn) requestHead(request Request) []byte {
 	var head bytes.Buffer
 	head.Grow(512)
@@ -165,8 +176,8 @@
 	header.Del("Content-Length")
 	// A bytes.Buffer never fails.
 	_ = header.Write(&head)
-	if len(request.Body) > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
+	if length := bodyBytes(request.Body); length > 0 || (request.Method != http.MethodGet && request.Method != http.MethodHead) {
+		head.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	head.WriteString("\r\n")
 	return head.Bytes()
@@ -212,13 +223,17 @@
 
 	conn          *conn
 	stopAfterFunc func() bool
-	writeDone     chan error
-	complete      bool
-	closed        bool
+	// writeDone has the result of writing the request once it is written, until Close.
+	writeDone chan error
+	complete  bool
+	closed    bool
 	// abortCause is nil unless Abort was called.
 	abortCause atomic.Pointer[error]
 }
 
+// Sent reports whether the request has been written, so that its body is no longer used.
+func (answer *Answer) Sent() bool { return len(answer.writeDone) > 0 }
+
 // Abort closes the connection, so that the upstream stops working and a pending Read returns cause. It may be called
 // concurrently with Read.
 func (answer *Answer) Abort(cause error) {
--- a/internal/route/link/link_test.go
+++ b/internal/route/link/link_test.go
@@ -188,7 +188,7 @@
 	})
 	for range 2 {
 		outgoing := request()
-		outgoing.Body = make([]byte, 8<<20)
+		outgoing.Body = [][]byte{make([]byte, 8<<20)}
 		answer, err := pool.Do(t.Context(), outgoing)
 		quicktest.Assert(t, err, quicktest.IsNil)
 		body, err := io.ReadAll(answer)
--- a/internal/route/link/pool.go
+++ b/internal/route/link/pool.go
@@ -30,6 +30,8 @@
 	MaxConnections int
 	// Opened is called for each new connection; it may be nil.
 	Opened func()
+	// Limit limits the connections of all pools together; nil means no limit.
+	Limit *Limit
 	// ProcessStalled reports whether this process was not scheduled for so much of the last DialTimeout that a dial timeout
 	// says nothing about the upstream; nil means never.
 	ProcessStalled func() bool
@@ -76,6 +78,7 @@
 	for _, conn := range idle {
 		conn.close()
 	}
+	pool.config.Limit.release(len(idle))
 }
 
 // Request is one request to an upstream.
@@ -85,7 +88,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body has the pieces of the body.
+	Body [][]byte
 	// MaxIdle limits how long a reused connection may have been idle.
 	MaxIdle time.Duration
 	// Matches reports whether a response belongs to this request; nil accepts every response. An upstream may send the answer
@@ -132,6 +136,12 @@
 			return nil, err
 		}
 		if conn == nil {
+			if !pool.config.Limit.acquire() {
+				pool.mutex.Lock()
+				pool.openCount--
+				pool.mutex.Unlock()
+				return nil, ErrPoolExhausted
+			}
 			return pool.dial(ctx)
 		}
 		if conn.reusable() {
@@ -176,6 +186,7 @@
 		conn.close()
 	}
 	pool.openCount -= len(pool.idle)
+	pool.config.Limit.release(len(pool.idle))
 	pool.idle = nil
 }
 
@@ -187,6 +198,7 @@
 		pool.mutex.Lock()
 		pool.openCount--
 		pool.mutex.Unlock()
+		pool.config.Limit.release(1)
 		stalled := isTimeout(err) && pool.config.ProcessStalled != nil && pool.config.ProcessStalled()
 		if ctx.Err() != nil {
 			err = errors.Wrap(ctx.Err(), err.Error())
@@ -209,6 +221,7 @@
 	pool.mutex.Lock()
 	pool.openCount--
 	pool.mutex.Unlock()
+	pool.config.Limit.release(1)
 }
 
 func (pool *Pool) put(conn *conn) {
--- a/internal/route/relay/account.go
+++ b/internal/route/relay/account.go
@@ -6,6 +6,7 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
+	"github.com/clementinewind/clementinewind/internal/share/bound"
 	"github.com/clementinewind/clementinewind/internal/share/pause"
 )
 
@@ -23,13 +24,20 @@
 
 // LogLoad logs each second, until ctx ends, how many tokens the organisations with the most demand requested, and how many of
 // them were served, refused or late. It logs an organisation only if some of its tokens were refused or late, or if capacity is
-// scarce.
+// scarce. It also logs what holds the memory, if the limit acted.
 func (relay *Relay) LogLoad(ctx context.Context) error {
+	var logged bound.State
 	for {
 		if err := pause.For(ctx, loadLogInterval); err != nil {
 			return err
 		}
 		now := time.Now()
+		if state := relay.memory.State(); state.Evictions != logged.Evictions || state.Shortages != logged.Shortages {
+			logged = state
+			relay.config.Logger.Warn("memory limit acted", "Limit", state.Limit, "Evictions", state.Evictions, "Shortages", state.Shortages,
+				"Heads", state.Held[bound.KindHead], "Bodies", state.Held[bound.KindBody], "Uploads", state.Held[bound.KindUpload],
+				"Answers", state.Held[bound.KindAnswer], "Streams", state.Held[bound.KindStream])
+		}
 		for _, account := range relay.ledger.Take(maxLoggedOrganisations) {
 			standing, scarce := relay.config.Shares.Standing(account.Organisation, now)
 			if account.Refused() == 0 && !scarce {
--- a/internal/route/relay/answer.go
+++ b/internal/route/relay/answer.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/route/link"
@@ -26,11 +28,19 @@
 	writeDeadlineSlack = 500 * time.Millisecond
 )
 
+// errUnread is the error of an answer whose caller did not read while others needed its memory or connection.
+var errUnread = errors.New("caller did not read the answer while others needed its place")
+
 // relayAnswer forwards an answer that is not an event stream.
 func (exchange *exchange) relayAnswer(ctx context.Context, ticket *board.Ticket, answer *link.Answer) attemptResult {
 	exchange.recordAnswerStart(ticket, time.Now())
-	memory := exchange.relay.buffers.Reserve(freeBufferBytes)
-	defer memory.Release()
+	memory := exchange.claimAnswer(bound.KindAnswer)
+	kept := false
+	defer func() {
+		if !kept {
+			memory.Release()
+		}
+	}()
 	body, complete, err := readBuffered(answer, memory)
 	status := answer.Response.StatusCode
 	switch {
@@ -45,13 +55,16 @@
 		exchange.logger.Info("answer broke off", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream, "Error", err)
 		return attemptFailed
 	case !complete:
-		return exchange.copyRemainder(ctx, ticket, answer, body)
+		return exchange.copyRemainder(ctx, ticket, answer, body, memory)
 	}
 	header := platform.ResponseHeader(answer.Response.Header)
 	if status >= http.StatusInternalServerError {
 		ticket.End(board.ResultFailed, time.Now())
 		if exchange.retryable() {
-			exchange.fallback = &fallback{status: status, header: header, body: body}
+			if exchange.fallback != nil {
+				exchange.fallback.memory.Release()
+			}
+			exchange.fallback, kept = &fallback{status: status, header: header, body: body, memory: memory}, true
 			return attemptFailed
 		}
 	} else {
@@ -60,7 +73,7 @@
 		exchange.recordSound(status)
 		exchange.relay.durations.record(exchange.service.Name, time.Since(exchange.arrived), time.Now())
 	}
-	exchange.writeAnswer(status, header, body)
+	exchange.writeAnswer(status, header, body, memory)
 	exchange.recordEnd("Answered", strconv.Itoa(status))
 	return attemptDone
 }
@@ -87,24 +100,33 @@
 }
 
 // copyRemainder forwards an answer that is too large to buffer; buffered is what was read of it before.
-func (exchange *exchange) copyRemainder(ctx context.Context, ticket *board.Ticket, answer *link.Answer, buffered []byte) attemptResult {
+func (exchange *exchange) copyRemainder(ctx context.Context, ticket *board.Ticket, answer *link.Answer, buffered []byte, memory *bound.Reservation) attemptResult {
 	exchange.setAnswerHeader(platform.ResponseHeader(answer.Response.Header))
 	if length := answer.Response.ContentLength; length >= 0 {
 		exchange.writer.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	exchange.limitWriting()
 	exchange.writer.WriteHeader(answer.Response.StatusCode)
-	_, err := exchange.writer.Write(buffered)
-	buffer := make([]byte, copyBufferBytes)
-	for err == nil {
+	writeErr := exchange.write(buffered, memory)
+	size := copyBufferBytes
+	if !memory.Hold(size) {
+		// Others use up the budget, and the part that is free must do.
+		size = freeBufferBytes
+	}
+	buffer := make([]byte, size)
+	var err error
+	for err == nil && writeErr == nil {
 		var count int
 		count, err = answer.Read(buffer)
 		if count > 0 {
-			if _, writeErr := exchange.writer.Write(buffer[:count]); writeErr != nil {
-				err = writeErr
-			}
+			writeErr = exchange.write(buffer[:count], memory)
 		}
 	}
-	if err != io.EOF {
+	switch {
+	case writeErr != nil:
+		ticket.End(board.ResultAbandoned, time.Now())
+		exchange.abandon("caller did not read the answer")
+	case err != io.EOF:
 		ticket.End(board.ResultFailed, time.Now())
 		// The caller has part of the answer, so that fail must reset the connection.
 		exchange.progress.started = true
@@ -117,6 +139,33 @@
 	return attemptDone
 }
 
+// limitWriting keeps a caller that does not read from holding its part of the router beyond the deadline of the request. The server ends
+// that with the answer.
+func (exchange *exchange) limitWriting() {
+	// The process may have been stopped past the deadline.
+	deadline := later(exchange.deadline, time.Now()).Add(writeDeadlineSlack)
+	if err := http.NewResponseController(exchange.writer).SetWriteDeadline(deadline); err != nil {
+		exchange.logger.Debug("cannot set write deadline", "Request", exchange.call.RequestID, "Error", err)
+	}
+}
+
+func later(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return other
+	}
+	return one
+}
+
+// write writes to the caller, which may lose its place until that is done. Its error means that the connection cannot be used any more.
+func (exchange *exchange) write(content []byte, memory *bound.Reservation) error {
+	memory.Await(time.Now())
+	_, err := exchange.writer.Write(content)
+	if !memory.Settle() {
+		return errUnread
+	}
+	return err
+}
+
 func (exchange *exchange) setAnswerHeader(header http.Header) {
 	target := exchange.writer.Header()
 	for name, values := range header {
@@ -128,13 +177,20 @@
 	}
 }
 
-func (exchange *exchange) writeAnswer(status int, header http.Header, body []byte) {
+func (exchange *exchange) writeAnswer(status int, header http.Header, body []byte, memory *bound.Reservation) {
 	exchange.setAnswerHeader(header)
 	if exchange.request.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified {
 		exchange.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	if len(body) > freeBufferBytes {
+		exchange.limitWriting()
+	}
 	exchange.writer.WriteHeader(status)
-	if _, err := exchange.writer.Write(body); err != nil && exchange.request.Method != http.MethodHead {
+	err := exchange.write(body, memory)
+	if errors.Is(err, errUnread) {
+		exchange.abandon(err.Error())
+	}
+	if err != nil && exchange.request.Method != http.MethodHead {
 		exchange.logger.Debug("cannot write answer to caller", "Request", exchange.call.RequestID, "Error", err)
 	}
 }
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/internal/share/bound"
 	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/platform"
 )
@@ -59,7 +60,10 @@
 	deadline     time.Time
 	// noTimeLimit is set for a stream that neither the caller nor the route limits in time.
 	noTimeLimit bool
-	body        []byte
+	// body has the pieces of the request body, bodyBytes is its size and bodyMemory what it holds; nil without a body.
+	body       [][]byte
+	bodyBytes  int
+	bodyMemory *bound.Reservation
 	// parts are the shared parts of the prompt.
 	parts []prompt.PartHash
 
@@ -96,6 +100,7 @@
 	status int
 	header http.Header
 	body   []byte
+	memory *bound.Reservation
 }
 
 // attemptResult is the outcome of one attempt.
@@ -258,6 +263,11 @@
 	defer cancel()
 	sendCtx, withdraw := context.WithCancelCause(sendCtx)
 	defer withdraw(nil)
+	finish, ok := exchange.startUpload(ticket)
+	if !ok {
+		return attemptNotSent
+	}
+	defer finish()
 	pool := exchange.relay.pool(ticket.Entry, exchange.service, ticket.RemoteRunning)
 	exchange.relay.addWaiting(exchange, withdraw)
 	answer, err := pool.Do(sendCtx, exchange.upstreamRequest(ticket))
@@ -270,6 +280,9 @@
 		return exchange.handleNoResponse(ctx, ticket, pool, err)
 	}
 	defer answer.Close()
+	if answer.Sent() {
+		finish()
+	}
 	decoded := platform.DecodeResponse(answer.Response.StatusCode, answer.Response.Header)
 	switch {
 	case decoded.NotRun:
@@ -284,6 +297,11 @@
 		ticket.End(board.ResultFailed, time.Now())
 		exchange.logger.Warn("answer not sealed or content-encoded", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream)
 		return attemptFailed
+	case !exchange.retryable() && answer.Sent():
+		// The request is not sent again.
+		exchange.releaseBody()
+	}
+	switch {
 	case exchange.route.Kind == table.RouteStream && answer.Response.StatusCode == http.StatusOK:
 		return exchange.relayStream(ctx, ticket, answer)
 	case exchange.progress.started:
@@ -403,7 +421,7 @@
 	case exchange.progress.started:
 		exchange.abortAnswer("stream broke off")
 	case exchange.fallback != nil:
-		exchange.writeAnswer(exchange.fallback.status, exchange.fallback.header, exchange.fallback.body)
+		exchange.writeAnswer(exchange.fallback.status, exchange.fallback.header, exchange.fallback.body, exchange.fallback.memory)
 		exchange.recordEnd("Failed", fmt.Sprintf("upstream answered %d", exchange.fallback.status))
 	case exchange.possibleRuns == 0 && ctx.Err() == nil:
 		exchange.rejectUnserved()
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
@@ -38,12 +37,14 @@
 	// which probably reaches another router.
 	overloadRetryAfter = 50 * time.Millisecond
 	overloadDetail     = "router is overloaded"
-	// defaultBufferBytes is the default of Config.BufferBytes. Each answer may hold freeBufferBytes beside it, which is more than an event.
-	defaultBufferBytes = 32 << 20
+	// defaultMemoryBytes is the default of Config.Memory. Each answer may hold freeBufferBytes beside it, which is more than an event.
+	defaultMemoryBytes = 32 << 20
 	freeBufferBytes    = 16 << 10
 	// connectionFraction is the fraction of an upstream's connection limit that all routers together use. The rest is left for
 	// health checks and for closed connections that the upstream still counts.
 	connectionFraction = 0.8
+	// maxUpstreamDivisor divides the connections to all upstreams; the quotient is what a single one, which may not answer, can use.
+	maxUpstreamDivisor = 2
 	// minConnections is the connection limit of a router if the others use up the rest.
 	minConnections = 8
 )
@@ -59,8 +60,10 @@
 	Table func() *table.Table
 	// RouterCount returns the number of known routers, including this one and unreachable ones.
 	RouterCount func() int
-	// BufferBytes limits what the answers of all upstreams hold in memory together, beyond a small part of each; 0 means 32 MiB.
-	BufferBytes int64
+	// Memory limits what callers and upstreams make the router hold; nil is a budget of 32 MiB.
+	Memory *bound.Budget
+	// MaxConnections limits the connections to all upstreams together; 0 means no limit.
+	MaxConnections int
 	// Closing reports whether answers close the caller's connection, so that the next one is opened to another router.
 	Closing func() bool
 	// Draining reports whether requests of a route kind that end by a time are refused because the router is shutting down.
@@ -100,9 +103,15 @@
 	// stopped ends at Stop.
 	stopped     context.Context
 	stop        context.CancelFunc
-	buffers     *bound.Budget
+	memory      *bound.Budget
 	durations   durations
 	overloadLog logLimiter
+	// waitingBodies has one element per request body that waits for memory.
+	waitingBodies chan struct{}
+	// uploads limits the large bodies that an upstream has not read.
+	uploads *bound.Keyed[clementinewind.Upstream]
+	// connections limits the connections to all upstreams; nil means no limit.
+	connections *link.Limit
 	ledger      *usage.Ledger
 
 	mutex        sync.Mutex
@@ -118,16 +127,23 @@
 	if config.Poison == nil {
 		config.Poison = poison.New(poison.Config{Logger: config.Logger})
 	}
-	if config.BufferBytes == 0 {
-		config.BufferBytes = defaultBufferBytes
+	if config.Memory == nil {
+		config.Memory = bound.NewBudget(defaultMemoryBytes)
 	}
+	limit := config.Memory.State().Limit
 	stopped, stop := context.WithCancel(context.Background())
-	return &Relay{
-		config: config, stopped: stopped, stop: stop, buffers: bound.NewBudget(config.BufferBytes), ledger: usage.NewLedger(),
+	relay := &Relay{
+		config: config, stopped: stopped, stop: stop, memory: config.Memory, ledger: usage.NewLedger(),
 		durations: durations{byService: map[table.Service]longest{}}, pools: map[clementinewind.Upstream]*upstreamPool{},
 		retryBudgets: map[table.Service]*budget.Budget{}, crashChecks: map[incarnation]*crashCheck{},
-		waiting: map[*exchange]context.CancelCauseFunc{},
+		waiting:       map[*exchange]context.CancelCauseFunc{},
+		waitingBodies: make(chan struct{}, max(1, limit/waitingDivisor/ReceiveBufferBytes)),
+		uploads:       bound.NewKeyed[clementinewind.Upstream](limit / uploadDivisor),
 	}
+	if config.MaxConnections > 0 {
+		relay.connections = link.NewLimit(config.MaxConnections, relay.freeConnections)
+	}
+	return relay
 }
 
 // Stop ends all requests. Those without an answer get an error, which tells whether they may have run; streams are broken off.
@@ -144,6 +160,18 @@
 	}
 }
 
+// freeConnections closes the idle connections to all upstreams, and makes the caller that has read nothing for longest lose its answer,
+// whose connection is free soon.
+func (relay *Relay) freeConnections() {
+	relay.memory.EvictStalled(time.Now(), bound.KindAnswer, bound.KindStream)
+	relay.mutex.Lock()
+	pools := slices.Collect(maps.Values(relay.pools))
+	relay.mutex.Unlock()
+	for _, pool := range pools {
+		pool.CloseIdle()
+	}
+}
+
 // upstreamPool is the connection pool of an upstream at the address of one of its incarnations.
 type upstreamPool struct {
 	*link.Pool
@@ -156,6 +184,9 @@
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
 	connections := max(int(connectionFraction*float64(settings.MaxConnections))-others, minConnections)
+	if most := relay.config.MaxConnections / maxUpstreamDivisor; most > 0 {
+		connections = min(connections, most)
+	}
 	if known, ok := relay.pools[entry.Upstream]; ok {
 		if known.address == entry.Address || known.incarnation > entry.Incarnation {
 			known.incarnation = max(known.incarnation, entry.Incarnation)
@@ -165,7 +196,7 @@
 		known.Close()
 	}
 	pool := link.New(link.Config{
-		Address: entry.Address, Dial: relay.config.Dial, MaxConnections: connections,
+		Address: entry.Address, Dial: relay.config.Dial, MaxConnections: connections, Limit: relay.connections,
 		Opened: func() { relay.config.Meter.Connected(entry.Service) }, ProcessStalled: relay.config.ProcessStalled,
 	})
 	relay.pools[entry.Upstream] = &upstreamPool{Pool: pool, address: entry.Address, incarnation: entry.Incarnation}
@@ -206,6 +237,7 @@
 	if !exchange.admit() || !exchange.readBody() {
 		return
 	}
+	defer exchange.releaseMemory()
 	exchange.run()
 }
 
@@ -264,37 +296,3 @@
 	}
 	exchange.deadline = exchange.arrived.Add(timeout)
 }
-
-// readBody reads the request body, until the deadline of the request and for defaultTimeout at most. If it returns false, it has answered
-// the request.
-func (exchange *exchange) readBody() bool {
-	limit := exchange.table.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	deadline := exchange.arrived.Add(defaultTimeout)
-	if exchange.deadline.Before(deadline) {
-		deadline = exchange.deadline
-	}
-	connection := http.NewResponseController(exchange.writer)
-	// It fails only for writers without a connection.
-	_ = connection.SetReadDeadline(deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.request.Body, limit))
-	if err == nil {
-		_ = connection.SetReadDeadline(time.Time{})
-		exchange.body = body
-		return true
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		exchange.writer.Header().Set("Connection", "close")
-		return exchange.reject(http.StatusRequestTimeout, clementinewind.ReasonDeadline, "the body did not arrive in time")
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return exchange.reject(http.StatusRequestEntityTooLarge, clementinewind.ReasonInvalid, "body too large")
-	}
-	if exchange.request.Context().Err() != nil {
-		exchange.abandon("caller left while it sent the body")
-	}
-	return exchange.reject(http.StatusBadRequest, clementinewind.ReasonInvalid, err.Error())
-}
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -41,6 +41,7 @@
 	relay  *relay.Relay
 	server *httptest.Server
 	board  *board.Board
+	table  *table.Table
 	poison *poison.Registry
 
 	overloaded         atomic.Bool
@@ -88,6 +89,7 @@
 		},
 		Organisations: []table.OrganisationKeys{{Organisation: "Patel", Keys: []string{"key"}}},
 	})
+	started.table = current
 	started.board = board.New(board.Config{Owns: func(clementinewind.Upstream) bool { return true }})
 	started.board.SetServices(current.Services())
 	for i, handle := range upstreams {
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/route/link"
+	"github.com/clementinewind/clementinewind/internal/share/bound"
 	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/platform"
 )
@@ -106,17 +107,14 @@
 // relayStream forwards a stream by whole events, so that another upstream can resume it after the last one.
 func (exchange *exchange) relayStream(ctx context.Context, ticket *board.Ticket, answer *link.Answer) attemptResult {
 	controller := http.NewResponseController(exchange.writer)
-	// A caller that does not read must not keep its buffers in the router beyond the deadline.
-	if err := controller.SetWriteDeadline(exchange.deadline.Add(writeDeadlineSlack)); err != nil {
-		exchange.logger.Debug("cannot set write deadline", "Request", exchange.call.RequestID, "Error", err)
-	}
+	exchange.limitWriting()
 	var stallTimer *time.Timer
 	if exchange.noTimeLimit {
 		stallTimer = time.AfterFunc(exchange.stallTimeout(), func() { answer.Abort(errStalled) })
 		defer stallTimer.Stop()
 	}
 	var pending []byte
-	memory := exchange.relay.buffers.Reserve(freeBufferBytes)
+	memory := exchange.claimAnswer(bound.KindStream)
 	defer memory.Release()
 	eventsBefore, sound := exchange.progress.eventCount, false
 	buffer := make([]byte, readBufferBytes)
@@ -146,8 +144,11 @@
 		}
 		if complete > 0 || err == io.EOF {
 			countBefore := exchange.progress.eventCount
-			if writeErr := exchange.writeEvents(answer, pending[:complete], controller); writeErr != nil {
+			if writeErr := exchange.writeEvents(answer, pending[:complete], controller, memory); writeErr != nil {
 				ticket.End(board.ResultAbandoned, time.Now())
+				if errors.Is(writeErr, errUnread) {
+					exchange.abandon(writeErr.Error())
+				}
 				exchange.recordEnd("Abandoned", "caller left during the stream")
 				return attemptDone
 			}
@@ -180,7 +181,7 @@
 }
 
 // writeEvents writes complete events to the caller and flushes them.
-func (exchange *exchange) writeEvents(answer *link.Answer, events []byte, controller *http.ResponseController) error {
+func (exchange *exchange) writeEvents(answer *link.Answer, events []byte, controller *http.ResponseController, memory *bound.Reservation) error {
 	if !exchange.progress.started {
 		exchange.progress.started, exchange.progress.contentType = true, mediaType(answer.Response)
 		exchange.setAnswerHeader(platform.ResponseHeader(answer.Response.Header))
@@ -193,10 +194,15 @@
 			exchange.progress.eventCount++
 		}
 	}
-	if _, err := exchange.writer.Write(events); err != nil {
-		return err
+	memory.Await(time.Now())
+	_, err := exchange.writer.Write(events)
+	if err == nil {
+		err = controller.Flush()
+	}
+	if !memory.Settle() {
+		return errUnread
 	}
-	return controller.Flush()
+	return err
 }
 
 // handleBrokenStream records a stream that ended before it was complete, after a number of events in this attempt.
