--- a/internal/edge/gate/head.go
+++ b/internal/edge/gate/head.go
@@ -87,10 +87,9 @@
 	case state == http.StateActive:
 		head.setPhase(headArrived)
 		if !head.memory.Settle() {
-			// It arrived just before it lost its place. It fails only if the connection is closed already.
+			// It arrived just before it lost its place, and is not counted any more. It fails only if the connection is closed already.
 			_ = conn.TCPConn.SetReadDeadline(time.Time{})
 			head.memory.Release()
-			head.memory = nil
 		}
 	case state == http.StateIdle:
 		head.setPhase(headAwaited)
--- a/internal/route/relay/intake.go
+++ b/internal/route/relay/intake.go
@@ -94,7 +94,7 @@
 	}
 	if !exchange.relay.uploads.Add(upstream, bytes) {
 		ticket.End(board.ResultDeclined, time.Now())
-		exchange.logger.Info("declined", "Request", exchange.call.RequestID, "Upstream", upstream, "Cause", "it reads too slowly")
+		exchange.logger.Info("upstream reads too slowly", "Request", exchange.call.RequestID, "Upstream", upstream, "Bytes", bytes)
 		return nil, false
 	}
 	return sync.OnceFunc(func() { exchange.relay.uploads.Remove(upstream, bytes) }), true
--- a/internal/share/bound/budget.go
+++ b/internal/share/bound/budget.go
@@ -148,13 +148,17 @@
 	moved    int
 }
 
-// Hold reports whether the holder may keep a number of bytes. If it returns false, the budget is used up and the reservation is unchanged.
+// Hold reports whether the holder may keep a number of bytes. If it returns false, the budget is used up, or the reservation was released, and
+// it is unchanged.
 func (reservation *Reservation) Hold(bytes int) bool {
 	budget := reservation.budget
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	want := reservation.counted(bytes)
 	if want > reservation.held {
+		if reservation.released {
+			return false
+		}
 		if total, large := reservation.shortageLocked(want); total > 0 || large > 0 {
 			budget.shortages++
 			return false
