--- a/internal/edge/entry/server.go
+++ b/internal/edge/entry/server.go
@@ -68,8 +68,9 @@
 			var failure error
 			if err := raw.Control(func(descriptor uintptr) {
 				failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-				if failure == nil && receiveBuffer > 0 {
-					failure = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+				if receiveBuffer > 0 {
+					// A system that refuses it has a size of its own, and a connection is worth more than the size.
+					_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
 				}
 			}); err != nil {
 				return err
--- a/internal/edge/gate/gate.go
+++ b/internal/edge/gate/gate.go
@@ -75,9 +75,8 @@
 		listener.openConns = make(chan struct{}, config.MaxConnections)
 	}
 	if config.ReceiveBuffer > 0 {
-		if err := listener.setReceiveBuffer(config.ReceiveBuffer); err != nil {
-			return nil, errors.Wrap(err, "set receive buffer")
-		}
+		// A system that refuses it has a size of its own, and a listener is worth more than the size.
+		_ = listener.setReceiveBuffer(config.ReceiveBuffer)
 	}
 	if config.Backlog > 0 {
 		if err := listener.setBacklog(config.Backlog); err != nil {
