Choose upstreams of plain services by their own reports of load

Routers placed by their own count, by what other routers told up to 0.8 s ago, and by moving averages. Many routers chose the same upstream at the same moment, and nobody saw that a machine had turned slow for 0.6 s.

The newest report of an upstream, of whatever router, is a fact with a time. Own requests since then are added from a short history, so that none counts twice; the others' part loses its weight with age, the pace after 0.6 s. A slow pace stretches work only for as long as it is expected to last. Among nearly equal upstreams one is drawn at random. An upstream without reports is placed as before.

--- a/internal/load/board/bench_test.go
+++ b/internal/load/board/bench_test.go
@@ -10,9 +10,14 @@
 )
 
 // BenchmarkPlace measures a placement among 90 upstreams that have load.
-func BenchmarkPlace(b *testing.B) {
+func BenchmarkPlace(b *testing.B) { benchmarkPlace(b, 90) }
+
+// BenchmarkPlaceInLargeFleet measures a placement among 1,300 upstreams.
+func BenchmarkPlaceInLargeFleet(b *testing.B) { benchmarkPlace(b, 1300) }
+
+func benchmarkPlace(b *testing.B, count int) {
 	var names []clementinewind.Upstream
-	for number := range 90 {
+	for number := range count {
 		names = append(names, clementinewind.Upstream(fmt.Sprintf("u%d", number)))
 	}
 	upstreams := newBoard(true, names...)
@@ -30,3 +35,21 @@
 		}
 	}
 }
+
+// BenchmarkPlaceByReports measures a placement among 1,300 upstreams of a plain service that report their load.
+func BenchmarkPlaceByReports(b *testing.B) {
+	var names []clementinewind.Upstream
+	var facts []board.Fact
+	for number := range 1300 {
+		names = append(names, clementinewind.Upstream(fmt.Sprintf("u%d", number)))
+		facts = append(facts, fact(names[number], start, 3, 1))
+	}
+	upstreams := plainBoard(names...)
+	upstreams.AddFacts(facts, false, start)
+	b.ReportAllocs()
+	for b.Loop() {
+		if ticket, _ := upstreams.Place(board.Request{Service: "plain", Goal: time.Second}, start); ticket != nil {
+			ticket.End(board.ResultAbandoned, start)
+		}
+	}
+}
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -321,6 +321,7 @@
 		prefillTokens: decision.EffectiveTokens, backlogTokens: candidates[decision.Index].QueuedTokens + decision.EffectiveTokens,
 		residentTokens: decision.UncachedTokens + request.Prompt.OutputTokens,
 	}
+	ticket.describeFact(candidates[decision.Index].Running, board.estimatesLocked(request.Service).meanPace(), now)
 	board.startLocked(ticket, shared, now)
 	if sharedTokens >= pick.LargePrefixTokens {
 		board.estimatesLocked(request.Service).addOwnTokens(request.Prompt.InputTokens - sharedTokens)
@@ -351,6 +352,7 @@
 		chosen.trial = ticket
 	}
 	chosen.running++
+	chosen.facts.recordEvent(1, now)
 	chosen.queuedTokens += ticket.prefillTokens
 	chosen.residentTokens += ticket.residentTokens
 	chosen.recentTokens.Add(float64(ticket.prefillTokens), now)
@@ -417,6 +419,7 @@
 			ServiceTime:    upstream.timings.serviceTime.current(serviceTime, upstreamHalfLife, now),
 			FailureRate:    upstream.failureRate(now), Overdue: upstream.overdue(now),
 		}
+		upstream.applyFact(&candidate, estimates, now)
 		if settings.Engine != nil {
 			candidate.MemoryTokens = settings.Engine.MemoryTokens
 		}
--- a/internal/load/board/estimate.go
+++ b/internal/load/board/estimate.go
@@ -55,8 +55,20 @@
 	engine bool
 	// ownTokens is the mean size of the prompts with a large shared prefix, without that prefix.
 	ownTokens float64
+	// extraPace is the mean of the paces that the upstreams reported to this router, less 1.
+	extraPace float64
 }
 
+// addPace adds a reported pace to the mean; 0 is none.
+func (serviceEstimates *serviceEstimates) addPace(pace float64) {
+	if pace > 0 {
+		serviceEstimates.extraPace += serviceWeight * (pace - 1 - serviceEstimates.extraPace)
+	}
+}
+
+// meanPace returns the mean duration of work in multiples of the usual duration.
+func (serviceEstimates *serviceEstimates) meanPace() float64 { return 1 + serviceEstimates.extraPace }
+
 // addOwnTokens adds a prompt with the given number of tokens after its shared prefix to the mean.
 func (serviceEstimates *serviceEstimates) addOwnTokens(tokens int) {
 	if serviceEstimates.ownTokens == 0 {
--- a/internal/load/board/ticket.go
+++ b/internal/load/board/ticket.go
@@ -45,6 +45,11 @@
 	RemoteRunning int
 	// Cold is set if the upstream was cold.
 	Cold bool
+	// ReportAge is the age of the report of load by which the upstream was chosen, 0 if there was none. Pace is the expected duration
+	// of work there, in multiples of the usual duration. Corrected is set if the report differed from what was known without it.
+	ReportAge time.Duration
+	Pace      float64
+	Corrected bool
 
 	board    *Board
 	upstream *upstream
@@ -58,6 +63,8 @@
 	prefillTokens  int
 	backlogTokens  int
 	residentTokens int
+	// pace is what the answer said of the pace, 0 if it did not.
+	pace float64
 	// dequeued is set once the request no longer counts as queued and unanswered.
 	dequeued bool
 	ended    bool
@@ -117,6 +124,14 @@
 	ticket.upstream.observeLatency(ticket.board.estimatesLocked(ticket.Entry.Service), ticket, now.Sub(ticket.placedAt), now)
 }
 
+// atMeanPace returns how long an answer would have taken at the mean pace.
+func (ticket *Ticket) atMeanPace(took time.Duration, meanPace float64) time.Duration {
+	if ticket.pace == 0 {
+		return took
+	}
+	return time.Duration(float64(took) * meanPace / ticket.pace)
+}
+
 // dequeueLocked stops counting the request as queued and unanswered, when its first event arrives or it ends without
 // one.
 func (ticket *Ticket) dequeueLocked() {
@@ -138,6 +153,7 @@
 	ticket.dequeueLocked()
 	upstream := ticket.upstream
 	upstream.running--
+	upstream.facts.recordEvent(-1, now)
 	upstream.residentTokens -= ticket.residentTokens
 	switch result {
 	case ResultServed:
@@ -145,7 +161,7 @@
 		upstream.recordResult(false, now)
 		upstream.connectFailures = 0
 		estimates := ticket.board.estimatesLocked(ticket.Entry.Service)
-		serviceTime, baseValue := now.Sub(ticket.placedAt), estimates.serviceTime(now)
+		serviceTime, baseValue := ticket.atMeanPace(now.Sub(ticket.placedAt), estimates.meanPace()), estimates.serviceTime(now)
 		upstream.timings.serviceTime = upstream.timings.serviceTime.withSample(serviceTime, baseValue, upstreamHalfLife, upstreamWeight, now)
 		estimates.timings.serviceTime = estimates.timings.serviceTime.withSample(serviceTime, baseValue, serviceHalfLife, serviceWeight, now)
 	case ResultFailed:
--- a/internal/load/board/upstream.go
+++ b/internal/load/board/upstream.go
@@ -61,6 +61,8 @@
 	recentTokens usage.DecayingSum
 	// remote is the load of the other routers.
 	remote Load
+	// facts is nil until there was a report of load.
+	facts *factState
 
 	// score is the rendezvous score for the prefix that is being placed.
 	score uint64
@@ -214,6 +216,7 @@
 
 // observeLatency updates the estimates of the upstream and its service with the time to a first event.
 func (upstream *upstream) observeLatency(estimates *serviceEstimates, ticket *Ticket, latency time.Duration, now time.Time) {
+	latency = ticket.atMeanPace(latency, estimates.meanPace())
 	base, perToken := estimates.base(now), estimates.perToken(now)
 	switch tokens := ticket.backlogTokens; {
 	case !estimates.engine || tokens < maxBaseSampleTokens:
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -62,6 +62,8 @@
 	// Slots is the number of requests that the upstream runs concurrently; Running counts the requests of all routers.
 	Slots   int
 	Running int
+	// Reported is nil if the upstream does not report its load.
+	Reported *Reported
 	// QueuedTokens are prompt tokens of all routers that wait for prefill at the upstream.
 	QueuedTokens int
 	// CachedTokens are the prompt tokens of this request that the upstream is expected to have cached.
@@ -156,6 +158,9 @@
 			expected += candidate.ServiceTime * time.Duration(over) / time.Duration(memory)
 		}
 	}
+	if candidate.Reported != nil {
+		return candidate.Reported.slowedDown(expected)
+	}
 	return expected
 }
 
@@ -175,6 +180,9 @@
 	if candidate.Zone != request.Zone {
 		cost += crossZoneCost
 	}
+	if candidate.Reported != nil {
+		cost += candidate.Reported.jitter()
+	}
 	cost += time.Duration(failureWeight * candidate.FailureRate * float64(request.Goal))
 	return cost
 }
