Share reports of load between routers

A router of a fleet of 60 gets an answer of each upstream of a plain service about once a second, which is too seldom for a pace that changes every 0.6 s.

Heartbeats and digests carry new reports, those first that differ most from what the others expect, and a head passes on what its zone told. Their number follows from the datagrams of a router, so that a router sends at most 2 KB a second for them on average, in fleets of 6 and 60 routers (TestReportsReachAllZones). There are no further datagrams.

--- a/internal/fleet/gossip/encode.go
+++ b/internal/fleet/gossip/encode.go
@@ -13,7 +13,10 @@
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 )
 
-const milliCoresPerCore = 1000
+const (
+	milliCoresPerCore = 1000
+	percent           = 100
+)
 
 // EncodeMember returns a heartbeat that only describes a router. Routers register in the platform's store with it.
 func EncodeMember(member roster.Member) *fleetv1.Beat {
@@ -72,6 +75,36 @@
 	return loads
 }
 
+func encodeFacts(facts []board.Fact, now time.Time) *fleetv1.UpstreamReports {
+	encoded := &fleetv1.UpstreamReports{}
+	for _, fact := range facts {
+		encoded.Upstreams = append(encoded.Upstreams, fact.Upstream)
+		encoded.Running = append(encoded.Running, toUint32(fact.Report.Running))
+		encoded.Waiting = append(encoded.Waiting, toUint32(fact.Report.Waiting))
+		encoded.PacePercent = append(encoded.PacePercent, toPercent(fact.Report.Pace))
+		encoded.AgeMillis = append(encoded.AgeMillis, ageMillis(fact.At, now))
+	}
+	return encoded
+}
+
+// decodeFacts leaves out reports that lack an element.
+func decodeFacts(encoded *fleetv1.UpstreamReports, now time.Time) []board.Fact {
+	var facts []board.Fact
+	count := min(len(encoded.GetUpstreams()), len(encoded.GetRunning()), len(encoded.GetWaiting()), len(encoded.GetPacePercent()),
+		len(encoded.GetAgeMillis()))
+	for i := range count {
+		facts = append(facts, board.Fact{
+			Upstream: encoded.Upstreams[i], At: timeOfAge(encoded.AgeMillis[i], now),
+			Report: board.Report{
+				Running: int(encoded.Running[i]), Waiting: int(encoded.Waiting[i]), Pace: float64(encoded.PacePercent[i]) / percent,
+			},
+		})
+	}
+	return facts
+}
+
+func toPercent(ratio float64) uint32 { return toUint32(int(math.Round(percent * ratio))) }
+
 func encodePlacements(placements []board.Placement) []*fleetv1.Placement {
 	encoded := make([]*fleetv1.Placement, 0, min(len(placements), maxPlacements))
 	for _, placement := range placements[:min(len(placements), maxPlacements)] {
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -42,6 +42,9 @@
 	// maxPlacements limits the placements in a datagram, as a burst of requests may make more. A placement that is left out costs one
 	// more prefill of its prefix.
 	maxPlacements = 1500
+	// reportBytesPerSecond limits what a router sends for reports of upstreams in its datagrams, and reportBytes is the size of one.
+	reportBytesPerSecond = 2000
+	reportBytes          = 14
 	// maxDigestAge is the age up to which a digest replaces the heartbeats of the routers of its zone.
 	maxDigestAge = 2 * time.Second
 )
@@ -177,6 +180,7 @@
 	loads, placements := gossip.config.Board.LocalLoad(now)
 	heartbeat.Loads = encodeLoads(loads)
 	heartbeat.Placements = encodePlacements(placements)
+	heartbeat.Reports = encodeFacts(gossip.config.Board.TakeFacts(gossip.maxReports(), now), now)
 	heartbeat.Suspects = encodeSuspects(gossip.config.Poison.Reports(now), now)
 	var report usage.Report
 	if now.Sub(gossip.usageSentAt) >= usageInterval {
@@ -188,6 +192,16 @@
 	return heartbeat
 }
 
+// maxReports returns the number of reports in a heartbeat or digest. Each router sends heartbeats to all others of a small fleet. In a large
+// one it sends them to the heads of its zone, and on average as many digests as there are zones.
+func (gossip *Gossip) maxReports() int {
+	datagrams := gossip.config.Roster.Count() - 1
+	if datagrams > maxFullMeshPeers {
+		datagrams = headsPerZone + len(gossip.latestDigests) + 1
+	}
+	return reportBytesPerSecond * int(heartbeatInterval) / int(time.Second) / reportBytes / max(datagrams, 1)
+}
+
 // Receive handles datagrams of other routers until the connection is closed or the context ends.
 func (gossip *Gossip) Receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagramBytes)
@@ -244,6 +258,8 @@
 		}
 	}
 	gossip.config.Poison.Merge(decodeSuspects(heartbeat.Suspects, now), now)
+	// The head of a zone passes on what its routers tell.
+	gossip.config.Board.AddFacts(decodeFacts(heartbeat.Reports, now), gossip.isHead && member.Zone == gossip.config.Roster.Self().Zone, now)
 	// A recent digest of the zone already includes this router.
 	if !gossip.receiveState.hasRecentDigest(member.Zone, maxDigestAge, now) {
 		source := usage.Source{Instance: member.Instance, Zone: member.Zone}
--- a/internal/fleet/gossip/hub.go
+++ b/internal/fleet/gossip/hub.go
@@ -41,7 +41,7 @@
 		return
 	}
 	if gossip.aggregator.coversMajority(len(members)) || now.Sub(gossip.headSince) >= headTimeout {
-		gossip.sendDigests(self, heartbeat.Suspects, now)
+		gossip.sendDigests(self, heartbeat, now)
 	}
 }
 
@@ -129,10 +129,10 @@
 }
 
 // sendDigests sends the digest of the zone to the heads and standbys of the other zones, and to the routers of the own zone
-// together with the pending digests of the other zones. The suspects are those of its heartbeat.
-func (gossip *Gossip) sendDigests(self roster.Member, suspects []*fleetv1.Suspect, now time.Time) {
+// together with the pending digests of the other zones. The suspects and reports are those of its heartbeat.
+func (gossip *Gossip) sendDigests(self roster.Member, heartbeat *fleetv1.Beat, now time.Time) {
 	digest := gossip.aggregator.buildDigest(now)
-	digest.Suspects = suspects
+	digest.Suspects, digest.Reports = heartbeat.Suspects, heartbeat.Reports
 	gossip.setSender(digest, self)
 	gossip.aggregator.addPresences(digest, now)
 	peers := groupByZone(gossip.config.Roster.Peers())
@@ -204,8 +204,8 @@
 	for zone, latest := range gossip.latestDigests {
 		if gossip.receiveState.hasRecentDigest(zone, headTimeout, now) {
 			digest := proto.CloneOf(latest)
-			// Its presences, placements and suspects are outdated.
-			digest.Presences, digest.Placements, digest.Suspects = nil, nil, nil
+			// Its presences, placements, suspects and reports are outdated.
+			digest.Presences, digest.Placements, digest.Suspects, digest.Reports = nil, nil, nil, nil
 			digests = append(digests, digest)
 		}
 	}
@@ -243,6 +243,7 @@
 	}
 	gossip.applyPresences(digest, now)
 	gossip.config.Poison.Merge(decodeSuspects(digest.Suspects, now), now)
+	gossip.config.Board.AddFacts(decodeFacts(digest.Reports, now), false, now)
 	gossip.notifyIfBehind(digest.OperatorOffset, digest.UpstreamOffset)
 	loads, report := decodeLoads(digest.Loads), decodeReport(digest.Usages)
 	if zone == self.Zone {
--- a/internal/fleet/gossip/mesh_test.go
+++ b/internal/fleet/gossip/mesh_test.go
@@ -9,9 +9,11 @@
 
 	"github.com/frankban/quicktest"
 
+	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/poison"
+	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 )
 
@@ -280,3 +282,59 @@
 		})
 	}
 }
+
+// reportAll makes every router hear a new report from each of the upstreams.
+func (mesh *mesh) reportAll(upstreams int) {
+	for _, member := range mesh.running() {
+		var facts []board.Fact
+		for number := range upstreams {
+			facts = append(facts, board.Fact{
+				Upstream: usage.Hash(clementinewind.Upstream(fmt.Sprintf("u%d", number))), At: mesh.now, Report: board.Report{Running: 300, Waiting: 200, Pace: 2.5},
+			})
+		}
+		member.board.AddFacts(facts, true, mesh.now)
+	}
+}
+
+// Guards against reports that stay with the router that heard them, and against traffic for them that grows with the fleet: at most 2 KB a
+// second for each router on average.
+func TestReportsReachAllZones(t *testing.T) {
+	for _, routers := range []int{6, 60} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			const upstreams, seconds = 140, 4
+			bytesPerRouter := func(report bool) int {
+				fleet := newMesh(routers, 3, upstreams)
+				fleet.run(2 * time.Second)
+				before := 0
+				for _, member := range fleet.routers {
+					before += member.bytes
+				}
+				for range seconds * int(time.Second/meshStep) {
+					if report {
+						fleet.reportAll(upstreams)
+					}
+					fleet.step()
+				}
+				sum := -before
+				for _, member := range fleet.routers {
+					sum += member.bytes
+				}
+				// Each byte is counted where it is sent and where it arrives.
+				return sum / 2 / routers / seconds
+			}
+			extra := bytesPerRouter(true) - bytesPerRouter(false)
+			quicktest.Check(t, extra <= 2000, quicktest.IsTrue, quicktest.Commentf("%d bytes a second", extra))
+
+			fleet := newMesh(routers, 3, 1)
+			fleet.run(2 * time.Second)
+			first := fleet.routers[routers-1]
+			first.board.AddFacts([]board.Fact{{Upstream: usage.Hash(clementinewind.Upstream("u0")), At: fleet.now, Report: board.Report{Pace: 2}}}, true, fleet.now)
+			fleet.run(600 * time.Millisecond)
+			for _, member := range fleet.routers {
+				ticket, _ := member.board.Place(board.Request{Service: "s", Goal: time.Hour, MaxLatency: time.Hour}, fleet.now)
+				quicktest.Check(t, ticket.ReportAge > 0, quicktest.IsTrue, quicktest.Commentf("%s", member.name))
+				ticket.End(board.ResultAbandoned, fleet.now)
+			}
+		})
+	}
+}
