Take reports of load from all answers, and show what they did

Metrics count reports by result and record the age of the one that a choice was made by, and whether it corrected what was known. The placed line has ReportAge and Pace.

--- a/internal/admin/telem/entry.go
+++ b/internal/admin/telem/entry.go
@@ -39,6 +39,8 @@
 	connections   metric.Int64Counter
 	storeCalls    metric.Int64Counter
 	storeTime     metric.Float64Histogram
+	loadReports   metric.Int64Counter
+	reportAge     metric.Float64Histogram
 }
 
 // NewEntry returns a meter with its own registry.
@@ -62,6 +64,8 @@
 	meter.connections = builder.counter("clementinewind.entry.connections", "", "New connections to upstreams.")
 	meter.storeCalls = builder.counter("clementinewind.entry.store.calls", "", "Calls to the platform's store, by result.")
 	meter.storeTime = builder.histogram("clementinewind.entry.store.time", "Time of calls to the platform's store.")
+	meter.loadReports = builder.counter("clementinewind.entry.load.reports", "", "Reports of load by upstreams, by service and result.")
+	meter.reportAge = builder.histogram("clementinewind.entry.load.report.age", "Age of the report by which an upstream was chosen.")
 	droppedLines := builder.observableCounter("clementinewind.entry.lines.left.out", "Log lines that were left out.")
 	if builder.err == nil && config.DroppedLines != nil {
 		_, err := builder.meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
@@ -153,6 +157,18 @@
 	meter.connections.Add(context.Background(), 1, metric.WithAttributes(serviceLabel(service)))
 }
 
+// LoadReport counts a report of load in an answer of an upstream by what became of it.
+func (meter *EntryMeter) LoadReport(service table.Service, result string) {
+	meter.loadReports.Add(context.Background(), 1, metric.WithAttributes(serviceLabel(service), attribute.String("result", result)))
+}
+
+// ReportUsed records the age of the report by which an upstream was chosen; corrected is set if it said something else than was known
+// without it.
+func (meter *EntryMeter) ReportUsed(service table.Service, age time.Duration, corrected bool) {
+	labels := metric.WithAttributes(serviceLabel(service), attribute.Bool("corrected", corrected))
+	meter.reportAge.Record(context.Background(), age.Seconds(), labels)
+}
+
 // StoreCall records a call to the platform's store; status is the HTTP status, or 0 if there was no answer.
 func (meter *EntryMeter) StoreCall(call string, status int, took time.Duration) {
 	labels := metric.WithAttributes(attribute.String("call", call), attribute.String("status", strconv.Itoa(status)))
--- a/internal/admin/telem/telem_test.go
+++ b/internal/admin/telem/telem_test.go
@@ -110,6 +110,8 @@
 	meter.Ended("service", "Answered", time.Second)
 	meter.FirstEvent("service", time.Second, time.Millisecond)
 	meter.Connected("service")
+	meter.LoadReport("service", "Applied")
+	meter.ReportUsed("service", 100*time.Millisecond, true)
 	meter.StoreCall("/read", http.StatusOK, time.Millisecond)
 	recorder := httptest.NewRecorder()
 	meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -238,7 +238,11 @@
 		if ticket != nil {
 			exchange.logger.Info("placed", "Request", exchange.call.RequestID, "Upstream", ticket.Entry.Upstream,
 				"Route", exchange.route.Name, "Version", exchange.table.Version(), "Expected", ticket.Expected,
-				"Uncached", ticket.UncachedTokens, "Candidates", ticket.Candidates, "Cold", ticket.Cold, "Attempt", exchange.sends+1)
+				"Uncached", ticket.UncachedTokens, "Candidates", ticket.Candidates, "Cold", ticket.Cold, "Attempt", exchange.sends+1,
+				"ReportAge", ticket.ReportAge, "Pace", ticket.Pace)
+			if ticket.ReportAge > 0 {
+				exchange.relay.config.Meter.ReportUsed(exchange.service.Name, ticket.ReportAge, ticket.Corrected)
+			}
 			return ticket
 		}
 		// The backlog will not clear within the time that the request may wait.
@@ -350,6 +354,7 @@
 	}
 	notice := board.Notice{Leaving: decoded.Leaving}
 	if matches {
+		exchange.recordReport(ticket, decoded)
 		notice.Pause = decoded.RetryAfter
 	}
 	if (notice.Leaving || notice.Pause > 0) && ticket.Heed(notice, time.Now()) {
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -91,6 +91,11 @@
 	FirstEvent(service table.Service, took, expected time.Duration)
 	// Connected counts a new connection to an upstream.
 	Connected(service table.Service)
+	// LoadReport counts a report of load in an answer of an upstream by what became of it.
+	LoadReport(service table.Service, result string)
+	// ReportUsed records the age of the report by which an upstream was chosen; corrected is set if it said something else than was
+	// known without it.
+	ReportUsed(service table.Service, age time.Duration, corrected bool)
 }
 
 // Relay is an http.Handler that forwards the requests of callers to upstreams.
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -35,6 +35,8 @@
 func (noMeter) Ended(table.Service, string, time.Duration)             {}
 func (noMeter) FirstEvent(table.Service, time.Duration, time.Duration) {}
 func (noMeter) Connected(table.Service)                                {}
+func (noMeter) LoadReport(table.Service, string)                       {}
+func (noMeter) ReportUsed(table.Service, time.Duration, bool)          {}
 
 // testRouter is a router with upstreams whose handlers the test provides.
 type testRouter struct {
--- a/internal/tools/trial/site.go
+++ b/internal/tools/trial/site.go
@@ -178,6 +178,12 @@
 // Connected implements relay.Meter.
 func (meter *meter) Connected(table.Service) {}
 
+// LoadReport implements relay.Meter.
+func (meter *meter) LoadReport(table.Service, string) {}
+
+// ReportUsed implements relay.Meter.
+func (meter *meter) ReportUsed(table.Service, time.Duration, bool) {}
+
 // meanError returns the mean absolute difference between prediction and measurement.
 func (meter *meter) meanError() time.Duration {
 	meter.mutex.Lock()
