Refuse no organisation for its share beside idle upstreams

An organisation above its fair share was refused until its lead over the least served one that waits had decayed, also where upstreams had room.

An organisation that is ahead may now use an upstream with a short queue that spends little time on prefill. It pauses only beyond 1.6 times the least served one, or beside one whose requests are lost at its routers. Demand ends with the requests, and single refusals no longer count as scarcity. Routers report two more totals for each organisation. TestShareCountsPeers states the new total in the report of its peer; its checks are the same.

--- a/internal/fleet/gossip/bench_test.go
+++ b/internal/fleet/gossip/bench_test.go
@@ -14,6 +14,7 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/pick"
 	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
@@ -170,7 +171,7 @@
 
 // place makes a router place a request that runs for the rest of the test.
 func (member *meshMember) place(b testing.TB, subject string) {
-	ticket, _ := member.board.Place(board.Request{Service: "s", Goal: time.Hour, MaxLatency: time.Hour, Prompt: prompt.Prompt{
+	ticket, _ := member.board.Place(board.Request{Service: "s", Goal: time.Hour, Limit: pick.LatencyLimit(time.Hour), Prompt: prompt.Prompt{
 		InputTokens: 5000, Parts: []prompt.Part{{ID: subject, Tokens: 4000}, {ID: "own", Tokens: 1000}},
 	}}, member.mesh.now)
 	quicktest.Assert(b, ticket, quicktest.IsNotNil)
--- a/internal/fleet/gossip/encode.go
+++ b/internal/fleet/gossip/encode.go
@@ -95,7 +95,10 @@
 func encodeReport(report usage.Report) []*fleetv1.Usage {
 	usages := make([]*fleetv1.Usage, 0, len(report))
 	for organisation, sum := range report {
-		usages = append(usages, &fleetv1.Usage{Organisation: organisation, Asked: toUint32(int(sum.Requested)), Served: toUint32(int(sum.Served))})
+		usages = append(usages, &fleetv1.Usage{
+			Organisation: organisation, Asked: toUint32(int(sum.Requested)), Served: toUint32(int(sum.Served)), NoRoom: toUint32(int(sum.NoRoom)),
+			Recent: toUint32(int(sum.Recent)),
+		})
 	}
 	return usages
 }
@@ -103,7 +106,7 @@
 func decodeReport(usages []*fleetv1.Usage) usage.Report {
 	report := make(usage.Report, len(usages))
 	for _, sum := range usages {
-		report[sum.Organisation] = usage.TokenTotals{Requested: float64(sum.Asked), Served: float64(sum.Served)}
+		report[sum.Organisation] = usage.TokenTotals{Requested: float64(sum.Asked), Served: float64(sum.Served), NoRoom: float64(sum.NoRoom), Recent: float64(sum.Recent)}
 	}
 	return report
 }
--- a/internal/fleet/gossip/fuzz_test.go
+++ b/internal/fleet/gossip/fuzz_test.go
@@ -13,6 +13,7 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/pick"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/table"
@@ -55,7 +56,7 @@
 		// By now everything that the datagram reported must have expired.
 		later := now.Add(time.Minute)
 		if ticket, _ := upstreams.Place(board.Request{
-			Service: "s", Zone: "a", Prompt: prompt.Prompt{InputTokens: 100, OutputTokens: 10}, Goal: time.Second, MaxLatency: time.Second,
+			Service: "s", Zone: "a", Prompt: prompt.Prompt{InputTokens: 100, OutputTokens: 10}, Goal: time.Second, Limit: pick.LatencyLimit(time.Second),
 		}, later); ticket == nil {
 			t.Error("no upstream, a minute after the datagram")
 		}
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -16,6 +16,7 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/pick"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/table"
@@ -64,7 +65,7 @@
 // Guards against routers that do not learn of each other, of their load, of the organisations' usage, or of newer records.
 func TestHeartbeats(t *testing.T) {
 	behind, ahead := start(t, 1, 0), start(t, 2, 7)
-	request := board.Request{Service: "s", Goal: time.Second, MaxLatency: time.Minute, Prompt: prompt.Prompt{
+	request := board.Request{Service: "s", Goal: time.Second, Limit: pick.LatencyLimit(time.Minute), Prompt: prompt.Prompt{
 		InputTokens: 5000, Parts: []prompt.Part{{ID: "shared", Tokens: 4000}, {ID: "own", Tokens: 1000}},
 	}}
 	ticket, _ := ahead.board.Place(request, time.Now())
@@ -132,7 +133,7 @@
 	for number := range routers {
 		fleet = append(fleet, start(t, 100+number, 0))
 	}
-	request := board.Request{Service: "s", Goal: time.Second, MaxLatency: time.Minute, Prompt: prompt.Prompt{InputTokens: 100}}
+	request := board.Request{Service: "s", Goal: time.Second, Limit: pick.LatencyLimit(time.Minute), Prompt: prompt.Prompt{InputTokens: 100}}
 	for _, member := range fleet {
 		ticket, _ := member.board.Place(request, time.Now())
 		quicktest.Assert(t, ticket, quicktest.IsNotNil)
--- a/internal/fleet/gossip/mesh_test.go
+++ b/internal/fleet/gossip/mesh_test.go
@@ -11,13 +11,14 @@
 
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/pick"
 	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 )
 
 // peerRequests returns the number of requests that a router believes the others to run.
 func (member *meshMember) peerRequests() int {
-	ticket, _ := member.board.Place(board.Request{Service: "s", Goal: time.Hour, MaxLatency: time.Hour}, member.mesh.now)
+	ticket, _ := member.board.Place(board.Request{Service: "s", Goal: time.Hour, Limit: pick.LatencyLimit(time.Hour)}, member.mesh.now)
 	defer ticket.End(board.ResultAbandoned, member.mesh.now)
 	return ticket.RemoteRunning
 }
--- a/internal/load/board/bench_test.go
+++ b/internal/load/board/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/pick"
 )
 
 // BenchmarkPlace measures a placement among 90 upstreams that have load.
@@ -18,13 +19,13 @@
 	upstreams := newBoard(true, names...)
 	for subject := range 500 {
 		request := promptRequest(fmt.Sprint(subject))
-		request.MaxLatency = time.Hour
+		request.Limit = pick.LatencyLimit(time.Hour)
 		upstreams.Place(request, start)
 	}
 	b.ReportAllocs()
 	for step := 0; b.Loop(); step++ {
 		request := promptRequest(fmt.Sprint(step % 500))
-		request.MaxLatency = time.Hour
+		request.Limit = pick.LatencyLimit(time.Hour)
 		if ticket, _ := upstreams.Place(request, start); ticket != nil {
 			ticket.End(board.ResultAbandoned, start)
 		}
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -278,9 +278,8 @@
 	Prompt  prompt.Prompt
 	// Goal is the part of the latency goal that is left; the goal is the time from arrival to the first event.
 	Goal time.Duration
-	// MaxLatency is the longest expected time to the first event with which the request is placed. It applies only to
-	// prompts with shared prefixes.
-	MaxLatency time.Duration
+	// Limit bounds the expected time to the first event with which the request is placed. It applies only to prompts with shared prefixes.
+	Limit pick.Limit
 	// Tried are the upstreams that the request was sent to before.
 	Tried []clementinewind.Upstream
 }
@@ -310,7 +309,7 @@
 	if decision.Index < 0 {
 		return nil, board.pauseLeftLocked(request.Service, now)
 	}
-	if excess := pick.ExcessLatency(decision, request.MaxLatency); len(shared) > 0 && excess > 0 {
+	if excess := request.Limit.Excess(decision); len(shared) > 0 && excess > 0 {
 		return nil, excess
 	}
 	chosen := eligible[decision.Index]
--- a/internal/load/board/board_test.go
+++ b/internal/load/board/board_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/pick"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
 	"github.com/clementinewind/clementinewind/internal/route/table"
@@ -39,7 +40,7 @@
 
 func promptRequest(subject string) board.Request {
 	return board.Request{
-		Service: "engines", Zone: "zone", Goal: time.Second, MaxLatency: time.Second,
+		Service: "engines", Zone: "zone", Goal: time.Second, Limit: pick.LatencyLimit(time.Second),
 		Prompt: prompt.Prompt{
 			Model: "m", InputTokens: 17_000, OutputTokens: 100,
 			Parts: []prompt.Part{{ID: subject, Tokens: 13_000}, {ID: "own", Tokens: 4000}},
@@ -212,7 +213,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
 			if len(waiting) == 0 || rapid.Bool().Draw(t, "place") {
 				request := promptRequest("subject")
-				request.MaxLatency = time.Hour
+				request.Limit = pick.LatencyLimit(time.Hour)
 				if ticket, _ := upstreams.Place(request, now); ticket != nil {
 					waiting = append(waiting, ticket)
 				}
--- a/internal/load/pick/patience.go
+++ b/internal/load/pick/patience.go
@@ -25,8 +25,15 @@
 	// throttled. Users are promised that none gets more than twice as many in any six seconds. The margin is for new
 	// bursts: the shares, which decay over two seconds, lag behind what a burst has got.
 	maxLead = 1.25
-	// queueFactor is the part of the latency limit that a request may always wait in the queue, however long its own
-	// prefill takes.
+	// pauseLead is the same ratio above which the other organisation gets nothing, also where upstreams have room.
+	pauseLead = 1.6
+	// spareQueueFactor is the part of the latency goal that a request may wait in the queue of an upstream that counts as one with room to
+	// spare. The others find most of the goal left.
+	spareQueueFactor = 0.25
+	// sparePrefillShare is the part of its time that such an upstream spends on prefill at most. With more, the answers that it generates
+	// for others slow down and miss their deadlines.
+	sparePrefillShare = 0.25
+	// queueFactor is the ratio of Limit.Queue to Limit.Latency.
 	queueFactor = 0.5
 )
 
@@ -43,22 +50,62 @@
 	return time.Duration(factor * float64(goal))
 }
 
-// ThrottleTime returns how long an organisation above its fair share has to pause until waiting organisations come
-// close to it, or 0 if it is not far ahead of them. A lower MaxLatency alone does not help organisations whose callers
-// stay with a router that cannot serve them: the upstreams have room, so that their queues are short anyway. An
-// organisation within its share is never throttled, however little another one got.
+// ThrottleTime returns how long an organisation above its fair share has to give way until waiting organisations come
+// close to it, or 0 if it is not far ahead of them. An organisation within its share is never throttled, however little
+// another one got.
 func ThrottleTime(standing usage.Standing) time.Duration {
-	limit := max(1, maxLead*standing.LeastServed)
+	return timeUntilLead(standing, maxLead*standing.LeastServed)
+}
+
+// PauseTime is the part of ThrottleTime in which the organisation gets nothing, however much room upstreams have, because it would get ever
+// further ahead. That is so if the others cannot use the room: their callers stay with a router that cannot serve them, or they need
+// upstreams that are busy. For organisations whose requests are lost at their routers it begins at the lower lead, because only the pause
+// helps them.
+func PauseTime(standing usage.Standing) time.Duration {
+	return max(timeUntilLead(standing, maxLead*standing.LeastBlocked), timeUntilLead(standing, pauseLead*standing.LeastServed))
+}
+
+func timeUntilLead(standing usage.Standing, lead float64) time.Duration {
+	limit := max(1, lead)
 	if standing.Share <= limit {
 		return 0
 	}
 	return time.Duration(math.Log(standing.Share/limit) * float64(standing.TimeConstant))
 }
 
-// ExcessLatency returns by how much the expected time of a placement exceeds the limit; the request may be placed if
-// the result is not positive. A prompt that misses the goal even at an idle upstream may still wait in the queue for a
-// part of the limit, because otherwise it would never be served.
-func ExcessLatency(decision Decision, maxLatency time.Duration) time.Duration {
-	queueTime := time.Duration(queueFactor * float64(maxLatency))
-	return decision.Expected - max(maxLatency, decision.IdleLatency+queueTime)
+// Limit is the longest expected time to the first event with which a request is placed.
+type Limit struct {
+	// Latency applies to requests that an idle upstream would answer in less time.
+	Latency time.Duration
+	// Queue is the time that a request may always wait in the queue, however long its own prefill takes. Otherwise a prompt that misses
+	// Latency even at an idle upstream would never be served.
+	Queue time.Duration
+	// PrefillTime is the part of PrefillWindow that the upstream may spend on prefill; 0 means no limit.
+	PrefillTime time.Duration
+}
+
+// ShareLimit returns the limit for an organisation that got the given multiple of its fair share.
+func ShareLimit(goal time.Duration, shareRatio float64) Limit {
+	return LatencyLimit(MaxLatency(goal, shareRatio))
+}
+
+// LatencyLimit returns the limit that corresponds to a latency.
+func LatencyLimit(latency time.Duration) Limit {
+	return Limit{Latency: latency, Queue: time.Duration(queueFactor * float64(latency))}
+}
+
+// SpareLimit returns the limit for requests of an organisation that is far ahead of others. Upstreams within it have room that nobody else
+// needs, so that refusing the request would leave them idle. It limits the queue alone, so that large prompts are not refused more often
+// than small ones.
+func SpareLimit(goal time.Duration) Limit {
+	return Limit{Queue: time.Duration(spareQueueFactor * float64(goal)), PrefillTime: time.Duration(sparePrefillShare * float64(PrefillWindow))}
+}
+
+// Excess returns by how much the expected time of a placement exceeds the limit; the request may be placed if the result is not positive.
+func (limit Limit) Excess(decision Decision) time.Duration {
+	excess := decision.Expected - max(limit.Latency, decision.IdleLatency+limit.Queue)
+	if limit.PrefillTime > 0 {
+		excess = max(excess, decision.PrefillTime-limit.PrefillTime)
+	}
+	return excess
 }
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -120,21 +120,24 @@
 	// extra attention time of long prompts.
 	UncachedTokens  int
 	EffectiveTokens int
+	// PrefillTime is the part of PrefillWindow that the upstream spends on prefill.
+	PrefillTime time.Duration
 }
 
-// Best returns the candidate with the lowest cost. It weighs the prefill time that an upstream saves with a cached
-// prefix against shorter queues elsewhere.
+// Best returns the candidate with the lowest cost. It weighs the prefill time that an upstream saves with a cached prefix against shorter
+// queues elsewhere.
 func Best(candidates []Candidate, request Request) Decision {
 	best := Decision{Index: -1}
 	var bestCost time.Duration
 	for index, candidate := range candidates {
 		uncached, effective := PrefillTokens(candidate, request)
-		expected := ExpectedLatency(candidate, request)
-		cost := expected + penalty(candidate, request)
+		decision := Decision{
+			Index: index, Expected: ExpectedLatency(candidate, request), IdleLatency: candidate.BaseLatency + time.Duration(effective)*candidate.PerToken,
+			UncachedTokens: uncached, EffectiveTokens: effective, PrefillTime: time.Duration(candidate.RecentTokens) * candidate.PerToken,
+		}
+		cost := decision.Expected + penalty(candidate, request)
 		if best.Index < 0 || cost < bestCost {
-			idleLatency := candidate.BaseLatency + time.Duration(effective)*candidate.PerToken
-			best = Decision{Index: index, Expected: expected, IdleLatency: idleLatency, UncachedTokens: uncached, EffectiveTokens: effective}
-			bestCost = cost
+			best, bestCost = decision, cost
 		}
 	}
 	return best
--- a/internal/load/pick/pick_test.go
+++ b/internal/load/pick/pick_test.go
@@ -113,9 +113,9 @@
 	large := pick.Request{Goal: time.Second, InputTokens: 60_000}
 	idle := pick.Best([]pick.Candidate{engine(0, 0, 0, 0)}, large)
 	quicktest.Check(t, idle.Expected > time.Second, quicktest.IsTrue)
-	quicktest.Check(t, pick.ExcessLatency(idle, time.Second) <= 0, quicktest.IsTrue)
+	quicktest.Check(t, pick.LatencyLimit(time.Second).Excess(idle) <= 0, quicktest.IsTrue)
 	busy := pick.Best([]pick.Candidate{engine(0, 0, 100_000, 0)}, large)
-	quicktest.Check(t, pick.ExcessLatency(busy, time.Second) > 0, quicktest.IsTrue)
+	quicktest.Check(t, pick.LatencyLimit(time.Second).Excess(busy) > 0, quicktest.IsTrue)
 }
 
 // Guards against an estimate that falls when more work is queued.
@@ -207,3 +207,24 @@
 	}
 	quicktest.Check(t, windowTotal(bursting) >= windowTotal(starved), quicktest.IsTrue)
 }
+
+// Guards against idle upstreams beside refusals: only organisations far ahead of one that cannot use the room pause.
+func TestPauseTime(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		share          float64
+		least, blocked float64
+		paused         bool
+	}{
+		{"within its share", 1, 0.1, 0.1, false},
+		{"ahead of one that waits for upstreams", 1.2, 0.8, math.Inf(1), false},
+		{"far ahead of one that waits for upstreams", 1.5, 0.8, math.Inf(1), true},
+		{"ahead of one whose requests are lost at its router", 1.2, 0.8, 0.8, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			standing := usage.Standing{Share: test.share, LeastServed: test.least, LeastBlocked: test.blocked, TimeConstant: time.Second}
+			quicktest.Check(t, pick.PauseTime(standing) > 0, quicktest.Equals, test.paused)
+			quicktest.Check(t, pick.PauseTime(standing) <= pick.ThrottleTime(standing), quicktest.IsTrue)
+		})
+	}
+}
--- a/internal/load/usage/share.go
+++ b/internal/load/usage/share.go
@@ -20,6 +20,16 @@
 	refreshInterval = 100 * time.Millisecond
 	// outputWeight is the cost of a generated token, in prompt tokens.
 	outputWeight = 2
+	// scarcityFactor is the ratio of demand to served tokens from which capacity counts as scarce. Single refusals in a burst must not lower
+	// the limits of all organisations, which would cause further refusals.
+	scarcityFactor = 1.05
+	// blockedFraction is the fraction of its requested tokens that an organisation gets, or could get if upstreams had room, unless it is
+	// blocked. Users are promised half of what they ask for, or of what another organisation gets.
+	blockedFraction = 0.5
+	// recentDivisor is the ratio of the time constants of TokenTotals.Requested and TokenTotals.Recent. maxDemandGrowth is by how much the
+	// rate over the shorter one may fall below the other before the demand counts as falling; requests arrive unevenly.
+	recentDivisor   = 4
+	maxDemandGrowth = 2
 	// MaxReportedOrganisations bounds the size of a report; it holds the organisations that requested most.
 	MaxReportedOrganisations = 64
 )
@@ -27,20 +37,47 @@
 // TokenCost returns the cost of a request in prompt tokens.
 func TokenCost(input, output int) float64 { return float64(input + outputWeight*output) }
 
-// TokenTotals are the tokens that one organisation requested and was served.
+// TokenTotals are the tokens that one organisation requested, was served, and was refused because upstreams had no room for them.
 type TokenTotals struct {
 	Requested float64
 	Served    float64
+	NoRoom    float64
+	// Recent are the requested tokens over a shorter time, which show whether the organisation still asks.
+	Recent float64
+}
+
+// demand returns the tokens that the organisation asks for. Those of earlier requests that were not served count only while as many are
+// still asked for.
+func (tokenTotals TokenTotals) demand() float64 {
+	return max(tokenTotals.Served, min(tokenTotals.Requested, maxDemandGrowth*recentDivisor*tokenTotals.Recent))
+}
+
+// waits reports whether the organisation still asks for more than the fair share. Without new requests all totals decay alike, so that their
+// ratios alone would keep others throttled for ever.
+func (tokenTotals TokenTotals) waits(fairShare float64) bool {
+	return tokenTotals.demand() > fairShare
+}
+
+// blocked reports whether most of the requests are lost for another reason than the room at upstreams, for example because the router
+// that gets them is short of processor time.
+func (tokenTotals TokenTotals) blocked() bool {
+	return tokenTotals.Served+tokenTotals.NoRoom < blockedFraction*tokenTotals.Requested
 }
 
 // Plus returns the sum of two totals.
 func (tokenTotals TokenTotals) Plus(other TokenTotals) TokenTotals {
-	return TokenTotals{Requested: tokenTotals.Requested + other.Requested, Served: tokenTotals.Served + other.Served}
+	return TokenTotals{
+		Requested: tokenTotals.Requested + other.Requested, Served: tokenTotals.Served + other.Served, NoRoom: tokenTotals.NoRoom + other.NoRoom,
+		Recent: tokenTotals.Recent + other.Recent,
+	}
 }
 
 // Minus returns the totals without a part of them.
 func (tokenTotals TokenTotals) Minus(part TokenTotals) TokenTotals {
-	return TokenTotals{Requested: max(tokenTotals.Requested-part.Requested, 0), Served: max(tokenTotals.Served-part.Served, 0)}
+	return TokenTotals{
+		Requested: max(tokenTotals.Requested-part.Requested, 0), Served: max(tokenTotals.Served-part.Served, 0),
+		NoRoom: max(tokenTotals.NoRoom-part.NoRoom, 0), Recent: max(tokenTotals.Recent-part.Recent, 0),
+	}
 }
 
 // Report is the usage of a router, or of all routers of a zone, keyed by the hashes of the organisations.
@@ -51,13 +88,17 @@
 	mutex     sync.Mutex
 	requested *Meter[uint32]
 	served    *Meter[uint32]
+	noRoom    *Meter[uint32]
+	recent    *Meter[uint32]
 	peers     map[Source]peerReport
 
 	refreshedAt time.Time
 	fairShare   float64
 	// leastServed is the lowest number of served tokens among the organisations that request more than the fair share.
 	leastServed float64
-	totals      Report
+	// leastBlocked is the same among those of them that are blocked.
+	leastBlocked float64
+	totals       Report
 }
 
 // Standing is the usage of an organisation compared with that of the others.
@@ -66,6 +107,9 @@
 	Share float64
 	// LeastServed is the lowest Share among the organisations that request more than their fair share, at most 1.
 	LeastServed float64
+	// LeastBlocked is the lowest Share among those of them that are not served for another reason than the room at upstreams. What others
+	// leave does not help them. It is infinite if there are none.
+	LeastBlocked float64
 	// TimeConstant is the time in which the usage decays to 1/e if nothing more is served.
 	TimeConstant time.Duration
 }
@@ -78,7 +122,10 @@
 // NewShares returns shares over a sliding window. The time constant of their decay is half the window: then the tokens
 // in a decaying sum are on average as old as those in the window.
 func NewShares(window time.Duration) *Shares {
-	return &Shares{requested: NewMeter[uint32](window / 2), served: NewMeter[uint32](window / 2), peers: map[Source]peerReport{}}
+	return &Shares{
+		requested: NewMeter[uint32](window / 2), served: NewMeter[uint32](window / 2), noRoom: NewMeter[uint32](window / 2),
+		recent: NewMeter[uint32](window / 2 / recentDivisor), peers: map[Source]peerReport{},
+	}
 }
 
 // AddRequested adds the tokens of a request that arrived.
@@ -86,6 +133,7 @@
 	shares.mutex.Lock()
 	defer shares.mutex.Unlock()
 	shares.requested.Add(Hash(organisation), tokens, now)
+	shares.recent.Add(Hash(organisation), tokens, now)
 }
 
 // AddServed adds the tokens of a request that was handed to an upstream.
@@ -102,6 +150,13 @@
 	shares.served.Remove(Hash(organisation), tokens, addedAt, now)
 }
 
+// AddNoRoom adds the tokens of a request that was refused because upstreams had no room for it.
+func (shares *Shares) AddNoRoom(organisation clementinewind.Organisation, tokens float64, now time.Time) {
+	shares.mutex.Lock()
+	defer shares.mutex.Unlock()
+	shares.noRoom.Add(Hash(organisation), tokens, now)
+}
+
 // SetPeer replaces the report of another router or zone.
 func (shares *Shares) SetPeer(source Source, report Report, now time.Time) {
 	shares.mutex.Lock()
@@ -141,7 +196,13 @@
 		report[hash] = TokenTotals{Requested: tokens}
 	}
 	for hash, tokens := range shares.served.Snapshot(now) {
-		report[hash] = TokenTotals{Requested: report[hash].Requested, Served: tokens}
+		report[hash] = report[hash].Plus(TokenTotals{Served: tokens})
+	}
+	for hash, tokens := range shares.recent.Snapshot(now) {
+		report[hash] = report[hash].Plus(TokenTotals{Recent: tokens})
+	}
+	for hash, tokens := range shares.noRoom.Snapshot(now) {
+		report[hash] = report[hash].Plus(TokenTotals{NoRoom: tokens})
 	}
 	return report
 }
@@ -160,6 +221,7 @@
 	return Standing{
 		Share:        shares.totals[Hash(organisation)].Served / shares.fairShare,
 		LeastServed:  min(shares.leastServed/shares.fairShare, 1),
+		LeastBlocked: shares.leastBlocked / shares.fairShare,
 		TimeConstant: shares.served.timeConstant,
 	}, true
 }
@@ -173,21 +235,28 @@
 			continue
 		}
 		for hash, peerTotals := range peer.report {
-			total := shares.totals[hash]
-			shares.totals[hash] = TokenTotals{Requested: total.Requested + peerTotals.Requested, Served: total.Served + peerTotals.Served}
+			shares.totals[hash] = shares.totals[hash].Plus(peerTotals)
 		}
 	}
 	demands := make([]float64, 0, len(shares.totals))
-	served := 0.0
+	served, demanded := 0.0, 0.0
 	for _, total := range shares.totals {
-		demands = append(demands, max(total.Requested, total.Served))
+		demand := total.demand()
+		demands, demanded = append(demands, demand), demanded+demand
 		served += total.Served
 	}
-	shares.fairShare = FairShare(demands, served)
-	shares.leastServed = math.Inf(1)
+	shares.fairShare = math.Inf(1)
+	if demanded > scarcityFactor*served {
+		shares.fairShare = FairShare(demands, served)
+	}
+	shares.leastServed, shares.leastBlocked = math.Inf(1), math.Inf(1)
 	for _, total := range shares.totals {
-		if total.Requested > shares.fairShare {
-			shares.leastServed = min(shares.leastServed, total.Served)
+		if !total.waits(shares.fairShare) {
+			continue
+		}
+		shares.leastServed = min(shares.leastServed, total.Served)
+		if total.blocked() {
+			shares.leastBlocked = min(shares.leastBlocked, total.Served)
 		}
 	}
 }
--- a/internal/load/usage/usage_test.go
+++ b/internal/load/usage/usage_test.go
@@ -58,7 +58,7 @@
 	shares := usage.NewShares(4 * time.Second)
 	shares.AddRequested("a", 1000, now)
 	shares.AddServed("a", 500, now)
-	shares.SetPeer(usage.Source{Instance: "peer"}, usage.Report{usage.Hash("a"): {Requested: 9000, Served: 9000}, usage.Hash("b"): {Requested: 5000, Served: 400}}, now)
+	shares.SetPeer(usage.Source{Instance: "peer"}, usage.Report{usage.Hash("a"): {Requested: 9000, Served: 9000, Recent: 2250}, usage.Hash("b"): {Requested: 5000, Served: 400, Recent: 1250}}, now)
 	quicktest.Check(t, shareOf(shares, "a", now) > 1, quicktest.IsTrue)
 	// The report of a router that has stopped reporting expires.
 	later := now.Add(20 * time.Second)
@@ -84,3 +84,37 @@
 	shares.RemoveServed("a", 3000, now, later.Add(time.Minute))
 	quicktest.Check(t, shareOf(shares, "a", later.Add(time.Minute)) >= 0, quicktest.IsTrue)
 }
+
+// Guards against a pause that lasts after the flood that caused it: two seconds after its last request an organisation no longer waits.
+func TestDemandEndsWithRequests(t *testing.T) {
+	now := time.Now()
+	shares := usage.NewShares(4 * time.Second)
+	shares.AddRequested("flood", 100_000, now)
+	shares.AddServed("flood", 10_000, now)
+	shares.AddRequested("steady", 20_000, now)
+	shares.AddServed("steady", 20_000, now)
+	standing, scarce := shares.Standing("steady", now)
+	quicktest.Check(t, scarce, quicktest.IsTrue)
+	quicktest.Check(t, standing.LeastServed < standing.Share, quicktest.IsTrue)
+	_, scarce = shares.Standing("steady", now.Add(4*time.Second))
+	quicktest.Check(t, scarce, quicktest.IsFalse)
+}
+
+// Guards against taking an organisation whose requests find no room at upstreams for one whose requests are lost at its routers.
+func TestBlockedOrganisation(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		now := time.Now()
+		shares := usage.NewShares(4 * time.Second)
+		shares.AddRequested("ahead", 50_000, now)
+		shares.AddServed("ahead", 40_000, now)
+		shares.AddRequested("behind", 100_000, now)
+		shares.AddServed("behind", 10_000, now)
+		if !lost {
+			shares.AddNoRoom("behind", 90_000, now)
+		}
+		standing, scarce := shares.Standing("ahead", now)
+		quicktest.Check(t, scarce, quicktest.IsTrue)
+		quicktest.Check(t, standing.LeastServed < 0.5, quicktest.IsTrue)
+		quicktest.Check(t, math.IsInf(standing.LeastBlocked, 1), quicktest.Equals, !lost)
+	}
+}
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -145,6 +145,13 @@
 	}
 }
 
+// countNoRoom counts the tokens of a model request that is refused for want of room at upstreams in the fair shares.
+func (exchange *exchange) countNoRoom() {
+	if exchange.service.Engine != nil {
+		exchange.relay.config.Shares.AddNoRoom(exchange.organisation, exchange.tokenCost(), time.Now())
+	}
+}
+
 func (exchange *exchange) remaining() time.Duration { return time.Until(exchange.deadline) }
 
 // run places and sends the request until the caller has a final answer.
@@ -218,21 +225,14 @@
 			}
 			continue
 		}
-		latencyLimit := goal
-		if standing, scarce := exchange.relay.config.Shares.Standing(exchange.organisation, now); scarce {
-			exchange.shareRatio = standing.Share
-			latencyLimit = pick.MaxLatency(goal, standing.Share)
-			if exchange.service.Engine != nil && exchange.dispatchedAt.IsZero() {
-				exchange.throttleTime = pick.ThrottleTime(standing)
-			}
-			if exchange.throttleTime > 0 {
-				return nil
-			}
+		limit, ok := exchange.placementLimit(now)
+		if !ok {
+			return nil
 		}
 		ticket, excessLatency := exchange.relay.config.Board.Place(board.Request{
 			Service: exchange.service.Name, Zone: exchange.relay.config.Zone, Prompt: exchange.call.Prompt,
 			Goal: goal - now.Sub(exchange.arrived), Tried: exchange.tried,
-			MaxLatency: latencyLimit,
+			Limit: limit,
 		}, now)
 		exchange.excessLatency = excessLatency
 		if ticket != nil {
@@ -241,8 +241,8 @@
 				"Uncached", ticket.UncachedTokens, "Candidates", ticket.Candidates, "Cold", ticket.Cold, "Attempt", exchange.sends+1)
 			return ticket
 		}
-		// The backlog will not clear within the time that the request may wait.
-		if now.Add(excessLatency).After(placementDeadline) {
+		// The backlog will not clear within the time that the request may wait, or others need the room first.
+		if exchange.throttleTime > 0 || now.Add(excessLatency).After(placementDeadline) {
 			return nil
 		}
 		if pause.For(ctx, placementRetryInterval) != nil {
@@ -251,6 +251,25 @@
 	}
 }
 
+// placementLimit returns the limit for the placement of the request, by the standing of its organisation. The second result is false if
+// the organisation must pause.
+func (exchange *exchange) placementLimit(now time.Time) (pick.Limit, bool) {
+	exchange.throttleTime = 0
+	goal := exchange.route.LatencyGoal
+	standing, scarce := exchange.relay.config.Shares.Standing(exchange.organisation, now)
+	if !scarce {
+		return pick.LatencyLimit(goal), true
+	}
+	exchange.shareRatio = standing.Share
+	if exchange.service.Engine != nil && exchange.dispatchedAt.IsZero() {
+		exchange.throttleTime = pick.ThrottleTime(standing)
+	}
+	if exchange.throttleTime > 0 {
+		return pick.SpareLimit(goal), pick.PauseTime(standing) == 0
+	}
+	return pick.ShareLimit(goal, standing.Share), true
+}
+
 // attempt sends the request to one upstream and forwards the answer.
 func (exchange *exchange) attempt(ctx context.Context, ticket *board.Ticket) attemptResult {
 	exchange.tried = append(exchange.tried, ticket.Entry.Upstream)
@@ -435,9 +454,11 @@
 		exchange.rejectUnavailable(clementinewind.ReasonStale, minRetryAfter, "router does not know yet what changed while it did not run")
 	case exchange.throttleTime > 0:
 		exchange.countTokens(usage.PartAhead)
+		exchange.countNoRoom()
 		exchange.rejectUnavailable(clementinewind.ReasonNoCapacity, max(minRetryAfter, exchange.throttleTime), "organisation got far more than one that waits")
 	default:
 		exchange.countTokens(usage.PartQueued)
+		exchange.countNoRoom()
 		exchange.rejectUnavailable(clementinewind.ReasonNoCapacity, max(minRetryAfter, exchange.excessLatency), "no upstream took the request")
 	}
 }
--- a/internal/route/relay/load_test.go
+++ b/internal/route/relay/load_test.go
@@ -106,3 +106,26 @@
 		quicktest.Check(t, served >= 0.5, quicktest.IsTrue, quicktest.Commentf("%v", row))
 	})
 }
+
+// Guards against refusals for fairness beside idle engines, which end only long after their cause: a flood of three seconds, beside two
+// organisations of different size that ask for half of the capacity.
+func TestFloodLeavesNoRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// The shares look back over a window of four seconds.
+		const settled = 10 * time.Second
+		flood := promptLoad("flood", 120, 3*time.Second, 20)
+		flood.From = 3 * time.Second
+		report := simulate(t, 4, nil, promptLoad("large", 24, 16*time.Second, 20), promptLoad("small", 6, 16*time.Second, 20), flood)
+		sent, refused := 0, 0
+		for _, result := range report.Results {
+			if result.SentAt < settled {
+				continue
+			}
+			if sent++; result.Outcome == trial.OutcomeRefused {
+				refused++
+			}
+		}
+		quicktest.Check(t, sent > 100, quicktest.IsTrue)
+		quicktest.Check(t, 50*refused <= sent, quicktest.IsTrue, quicktest.Commentf("%d of %d refused", refused, sent))
+	})
+}
