Place requests of organisations that got little at any upstream with room

A request whose preferred upstreams exceeded its limit was refused, although others would have begun it in time. For an organisation below half of its fair share, upstreams within the limit now come before cheaper ones.

--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -304,7 +304,7 @@
 	decision := pick.Best(candidates, pick.Request{
 		Zone: request.Zone, Goal: request.Goal,
 		InputTokens: request.Prompt.InputTokens, SharedTokens: sharedTokens, OutputTokens: request.Prompt.OutputTokens,
-		Copies: copies,
+		Copies: copies, Limit: request.Limit,
 	})
 	if decision.Index < 0 {
 		return nil, board.pauseLeftLocked(request.Service, now)
--- a/internal/load/pick/patience.go
+++ b/internal/load/pick/patience.go
@@ -82,11 +82,16 @@
 	Queue time.Duration
 	// PrefillTime is the part of PrefillWindow that the upstream may spend on prefill; 0 means no limit.
 	PrefillTime time.Duration
+	// Anywhere is set if the request goes to any upstream within the limit before it is refused, also to one that has not cached its prefix.
+	// Copies of prefixes delay others, so that this is for organisations that got little.
+	Anywhere bool
 }
 
 // ShareLimit returns the limit for an organisation that got the given multiple of its fair share.
 func ShareLimit(goal time.Duration, shareRatio float64) Limit {
-	return LatencyLimit(MaxLatency(goal, shareRatio))
+	limit := LatencyLimit(MaxLatency(goal, shareRatio))
+	limit.Anywhere = shareRatio < goalRatio
+	return limit
 }
 
 // LatencyLimit returns the limit that corresponds to a latency.
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -94,6 +94,8 @@
 	OutputTokens int
 	// Copies is the number of preferred upstreams of the shared prefix.
 	Copies int
+	// Limit bounds the expected time to the first event.
+	Limit Limit
 }
 
 // tokensPerMillionPairs is the prefill time of a million pairs of tokens, in tokens. Because of attention, prefill time
@@ -125,10 +127,11 @@
 }
 
 // Best returns the candidate with the lowest cost. It weighs the prefill time that an upstream saves with a cached prefix against shorter
-// queues elsewhere.
+// queues elsewhere. With Limit.Anywhere, candidates within the limit come before cheaper ones.
 func Best(candidates []Candidate, request Request) Decision {
 	best := Decision{Index: -1}
 	var bestCost time.Duration
+	bestExceeds := false
 	for index, candidate := range candidates {
 		uncached, effective := PrefillTokens(candidate, request)
 		decision := Decision{
@@ -136,8 +139,9 @@
 			UncachedTokens: uncached, EffectiveTokens: effective, PrefillTime: time.Duration(candidate.RecentTokens) * candidate.PerToken,
 		}
 		cost := decision.Expected + penalty(candidate, request)
-		if best.Index < 0 || cost < bestCost {
-			best, bestCost = decision, cost
+		exceeds := request.Limit.Anywhere && request.Limit.Excess(decision) > 0
+		if best.Index < 0 || (bestExceeds && !exceeds) || (bestExceeds == exceeds && cost < bestCost) {
+			best, bestCost, bestExceeds = decision, cost, exceeds
 		}
 	}
 	return best
--- a/internal/load/pick/pick_test.go
+++ b/internal/load/pick/pick_test.go
@@ -90,6 +90,20 @@
 	}
 }
 
+// Guards against refusing an organisation that got little because the preferred upstreams of its prefix are busy, while others have room.
+func TestBestAnywhere(t *testing.T) {
+	busy := []pick.Candidate{engine(0, 20, 120_000, 13_000), engine(1, 20, 120_000, 13_000), engine(2, 0, 0, 0)}
+	request := sharedPrompt
+	request.Limit = pick.ShareLimit(time.Second, 1)
+	quicktest.Check(t, pick.Best(busy, request).Index, quicktest.Equals, 0)
+	request.Limit = pick.ShareLimit(time.Second, 0.45)
+	chosen := pick.Best(busy, request)
+	quicktest.Check(t, chosen.Index, quicktest.Equals, 2)
+	quicktest.Check(t, request.Limit.Excess(chosen) <= 0, quicktest.IsTrue)
+	// Preferred upstreams within the limit keep the prefix.
+	quicktest.Check(t, pick.Best([]pick.Candidate{engine(0, 20, 30_000, 13_000), engine(2, 0, 0, 0)}, request).Index, quicktest.Equals, 0)
+}
+
 func TestCopiesFor(t *testing.T) {
 	quicktest.Check(t, pick.CopiesFor(0), quicktest.Equals, pick.MinCopies)
 	quicktest.Check(t, pick.CopiesFor(0.6), quicktest.Equals, pick.MinCopies)
