--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -278,9 +278,8 @@
 	Prompt  prompt.Prompt
 	// Goal is the part of the latency goal that is left; the goal is the time from arrival to the first event.
 	Goal time.Duration
-	// MaxLatency is the longest expected time to the first event with which the request is placed. It applies only to
-	// prompts with shared prefixes.
-	MaxLatency time.Duration
+	// Limit bounds the expected time to the first event with which the request is placed. It applies only to prompts with shared prefixes.
+	Limit pick.Limit
 	// Tried are the upstreams that the request was sent to before.
 	Tried []clementinewind.Upstream
 }
@@ -305,12 +304,12 @@
 	decision := pick.Best(candidates, pick.Request{
 		Zone: request.Zone, Goal: request.Goal,
 		InputTokens: request.Prompt.InputTokens, SharedTokens: sharedTokens, OutputTokens: request.Prompt.OutputTokens,
-		Copies: copies,
+		Copies: copies, Limit: request.Limit,
 	})
 	if decision.Index < 0 {
 		return nil, board.pauseLeftLocked(request.Service, now)
 	}
-	if excess := pick.ExcessLatency(decision, request.MaxLatency); len(shared) > 0 && excess > 0 {
+	if excess := request.Limit.Excess(decision); len(shared) > 0 && excess > 0 {
 		return nil, excess
 	}
 	chosen := eligible[decision.Index]
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -96,6 +96,8 @@
 	OutputTokens int
 	// Copies is the number of preferred upstreams of the shared prefix.
 	Copies int
+	// Limit bounds the expected time to the first event.
+	Limit Limit
 }
 
 // tokensPerMillionPairs is the prefill time of a million pairs of tokens, in tokens. Because of attention, prefill time
@@ -122,21 +124,26 @@
 	// extra attention time of long prompts.
 	UncachedTokens  int
 	EffectiveTokens int
+	// PrefillTime is the part of PrefillWindow that the upstream spends on prefill.
+	PrefillTime time.Duration
 }
 
-// Best returns the candidate with the lowest cost. It weighs the prefill time that an upstream saves with a cached
-// prefix against shorter queues elsewhere.
+// Best returns the candidate with the lowest cost. It weighs the prefill time that an upstream saves with a cached prefix against shorter
+// queues elsewhere. With Limit.Anywhere, candidates within the limit come before cheaper ones.
 func Best(candidates []Candidate, request Request) Decision {
 	best := Decision{Index: -1}
 	var bestCost time.Duration
+	bestExceeds := false
 	for index, candidate := range candidates {
 		uncached, effective := PrefillTokens(candidate, request)
-		expected := ExpectedLatency(candidate, request)
-		cost := expected + penalty(candidate, request)
-		if best.Index < 0 || cost < bestCost {
-			idleLatency := candidate.BaseLatency + time.Duration(effective)*candidate.PerToken
-			best = Decision{Index: index, Expected: expected, IdleLatency: idleLatency, UncachedTokens: uncached, EffectiveTokens: effective}
-			bestCost = cost
+		decision := Decision{
+			Index: index, Expected: ExpectedLatency(candidate, request), IdleLatency: candidate.BaseLatency + time.Duration(effective)*candidate.PerToken,
+			UncachedTokens: uncached, EffectiveTokens: effective, PrefillTime: time.Duration(candidate.RecentTokens) * candidate.PerToken,
+		}
+		cost := decision.Expected + penalty(candidate, request)
+		exceeds := request.Limit.Anywhere && request.Limit.Excess(decision) > 0
+		if best.Index < 0 || (bestExceeds && !exceeds) || (bestExceeds == exceeds && cost < bestCost) {
+			best, bestCost, bestExceeds = decision, cost, exceeds
 		}
 	}
 	return best
