--- a/internal/fleet/gossip/mesh_test.go
+++ b/internal/fleet/gossip/mesh_test.go
@@ -332,7 +332,7 @@
 			first.board.AddFacts([]board.Fact{{Upstream: usage.Hash(clementinewind.Upstream("u0")), At: fleet.now, Report: board.Report{Pace: 2}}}, true, fleet.now)
 			fleet.run(600 * time.Millisecond)
 			for _, member := range fleet.routers {
-				ticket, _ := member.board.Place(board.Request{Service: "s", Goal: time.Hour, MaxLatency: time.Hour}, fleet.now)
+				ticket, _ := member.board.Place(board.Request{Service: "s", Goal: time.Hour, Limit: pick.LatencyLimit(time.Hour)}, fleet.now)
 				quicktest.Check(t, ticket.ReportAge > 0, quicktest.IsTrue, quicktest.Commentf("%s", member.name))
 				ticket.End(board.ResultAbandoned, fleet.now)
 			}
--- a/internal/load/board/replay_test.go
+++ b/internal/load/board/replay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/pick"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 )
@@ -160,7 +161,7 @@
 
 func (replay *replay) place(request *replayRequest) {
 	ticket, _ := replay.boards[request.router].Place(board.Request{
-		Service: "plain", Zone: zoneOf(request.router), Goal: replayGoal, MaxLatency: replayGoal, Tried: request.tried,
+		Service: "plain", Zone: zoneOf(request.router), Goal: replayGoal, Limit: pick.LatencyLimit(replayGoal), Tried: request.tried,
 	}, replay.time())
 	if ticket == nil || replay.now-request.arrived > 800*time.Millisecond {
 		if ticket != nil {
