Move a service to a version with a bounded share until it is known to be good

An order of a roll-out was not read: routers sent to all versions alike and wrote no status. Routers now keep the new version to a share of their own requests, judge its answers together, and store each step by a conditional append.

--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -58,6 +58,10 @@
 	// ColdRatio and ColdExtra limit the requests per second to a cold upstream: ColdRatio times its cold rate plus ColdExtra.
 	ColdRatio float64
 	ColdExtra float64
+	// RolloutShare is the part of a service's requests that a version may get before it is known to be good. RollbackTime
+	// is the time within which a bad version must get no requests any more.
+	RolloutShare float64
+	RollbackTime time.Duration
 	// ShareWindow is the period over which the usage of organisations is compared for fairness.
 	ShareWindow time.Duration
 }
@@ -82,6 +86,8 @@
 	defaultRetryRatio         = 0.2
 	defaultRetryWindow        = 10 * time.Second
 	defaultShareWindow        = 4 * time.Second
+	defaultRolloutShare       = 0.1
+	defaultRollbackTime       = 5 * time.Second
 )
 
 // DefaultEntry returns the defaults of the optional settings.
@@ -99,6 +105,8 @@
 		RetryWindow:        defaultRetryWindow,
 		ColdRatio:          1,
 		ShareWindow:        defaultShareWindow,
+		RolloutShare:       defaultRolloutShare,
+		RollbackTime:       defaultRollbackTime,
 	}
 }
 
@@ -144,6 +152,8 @@
 		{"Retry", "Extra", false, ratio(maxRetryExtra, func(entry *Entry) *float64 { return &entry.RetryExtra })},
 		{"Cold", "Ratio", false, ratio(maxRatio, func(entry *Entry) *float64 { return &entry.ColdRatio })},
 		{"Cold", "Extra", false, ratio(maxRatio, func(entry *Entry) *float64 { return &entry.ColdExtra })},
+		{"Rollout", "Share", false, ratio(1, func(entry *Entry) *float64 { return &entry.RolloutShare })},
+		{"Rollout", "Rollback", false, duration(func(entry *Entry) *time.Duration { return &entry.RollbackTime })},
 		{"Share", "Window", false, duration(func(entry *Entry) *time.Duration { return &entry.ShareWindow })},
 	}
 }
--- a/internal/admin/conf/show.go
+++ b/internal/admin/conf/show.go
@@ -43,6 +43,8 @@
 		{"Retry", "Extra"}:             number(entry.RetryExtra),
 		{"Cold", "Ratio"}:              number(entry.ColdRatio),
 		{"Cold", "Extra"}:              number(entry.ColdExtra),
+		{"Rollout", "Share"}:           number(entry.RolloutShare),
+		{"Rollout", "Rollback"}:        entry.RollbackTime.String(),
 		{"Share", "Window"}:            entry.ShareWindow.String(),
 	}
 }
--- a/internal/admin/telem/entry.go
+++ b/internal/admin/telem/entry.go
@@ -94,6 +94,8 @@
 	// SuspectedParts is the number of prompt parts that may have crashed an upstream, QuarantinedParts the number of those that
 	// requests are rejected for.
 	SuspectedParts, QuarantinedParts int
+	// RolloutsServing, RolloutsComplete and RolloutsRolledBack are the numbers of services by the state of their last roll-out.
+	RolloutsServing, RolloutsComplete, RolloutsRolledBack int
 }
 
 // ObserveState registers the gauges, which call state at each scrape. It must be called at most once.
@@ -111,6 +113,7 @@
 	suspectedParts := builder.gauge("clementinewind.entry.suspected.parts", "", "Prompt parts that may have crashed an upstream.")
 	quarantinedParts := builder.gauge("clementinewind.entry.quarantined.parts", "",
 		"Prompt parts that crashed several upstreams; requests with them are rejected.")
+	rollouts := builder.gauge("clementinewind.entry.rollouts", "", "Services by the state of their last roll-out.")
 	if builder.err != nil {
 		return errors.Wrap(builder.err, "create instruments")
 	}
@@ -126,8 +129,13 @@
 		observer.ObserveFloat64(refusedFraction, current.RefusedFraction)
 		observer.ObserveFloat64(suspectedParts, float64(current.SuspectedParts))
 		observer.ObserveFloat64(quarantinedParts, float64(current.QuarantinedParts))
+		for stateName, count := range map[string]int{
+			"serving": current.RolloutsServing, "complete": current.RolloutsComplete, "rolled_back": current.RolloutsRolledBack,
+		} {
+			observer.ObserveFloat64(rollouts, float64(count), metric.WithAttributes(attribute.String("state", stateName)))
+		}
 		return nil
-	}, ready, version, caughtUpAge, routers, upstreams, inFlight, connections, refusedFraction, suspectedParts, quarantinedParts)
+	}, ready, version, caughtUpAge, routers, upstreams, inFlight, connections, refusedFraction, suspectedParts, quarantinedParts, rollouts)
 	return errors.Wrap(err, "register gauges")
 }
 
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/load/canary"
 	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
@@ -82,6 +83,7 @@
 	topics topics
 	// quarantines keeps the prompt parts in quarantine in the store.
 	quarantines *quarantineRecords
+	rollouts    *rollouts
 	// gossiper and callers, which accepts the connections of callers, are nil until Run.
 	gossiper atomic.Pointer[gossip.Gossip]
 	callers  atomic.Pointer[gate.Listener]
@@ -124,6 +126,9 @@
 	})
 	router.poison.Allow(settings.AllowedParts)
 	router.quarantines = &quarantineRecords{router: router, stored: map[prompt.PartHash]bool{}}
+	router.rollouts = &rollouts{router: router, failures: map[table.Service]string{}, ordered: make(chan struct{}, 1), registry: canary.New(canary.Config{
+		Share: settings.RolloutShare, RollbackTime: settings.RollbackTime, Loads: router.board.Versions, Logger: config.Logger,
+	})}
 	router.view = view.New(view.Config{
 		Board: router.board, Logger: config.Logger,
 		OnRemoved: func(upstream clementinewind.Upstream) { router.relay.RemoveUpstream(upstream) },
@@ -133,7 +138,7 @@
 		Address: settings.StoreAddress.String(), Dial: dialer.DialContext, Observe: config.Meter.StoreCall,
 	})
 	router.relay = relay.New(relay.Config{
-		Zone: settings.Zone, Board: router.board, Shares: router.shares, Poison: router.poison, Table: router.view.Table, RouterCount: router.roster.Count,
+		Zone: settings.Zone, Board: router.board, Shares: router.shares, Poison: router.poison, Table: router.view.Table, Rollouts: router.rollouts.registry, RouterCount: router.roster.Count,
 		BufferBytes: int64(bufferMemoryFraction * float64(settings.MemoryBytes)),
 		Closing:     router.shouldCloseConnections, Draining: router.drainRefuses, Stale: router.stale, CallerDisconnected: callerDisconnected,
 		Overloaded: router.shouldShed, EventBatchDelay: router.eventBatchDelay,
@@ -163,7 +168,8 @@
 // ready reports whether the router can serve requests.
 func (router *Router) ready() bool {
 	callers := router.callers.Load()
-	return !router.draining.Load() && router.view.Table() != nil && router.board.Count() > 0 && (callers == nil || !callers.Full())
+	return !router.draining.Load() && router.view.Table() != nil && router.board.Count() > 0 &&
+		!router.rollouts.registry.Awaiting() && (callers == nil || !callers.Full())
 }
 
 // stale reports whether this router may have missed recent changes, because the process was paused or has too little
@@ -235,7 +241,7 @@
 	}
 	defer conn.Close()
 	gossiper := gossip.New(gossip.Config{
-		Conn: conn, Roster: router.roster, Board: router.board, Shares: router.shares, Poison: router.poison, Offsets: router.topics.offsets,
+		Conn: conn, Roster: router.roster, Board: router.board, Shares: router.shares, Poison: router.poison, Canary: router.rollouts.registry, Offsets: router.topics.offsets,
 		OnPeerAhead: router.topics.observePeerOffsets, ConfigurationVersion: router.configurationVersion, Refresh: router.updateSelf, Logger: logger,
 	})
 	router.gossiper.Store(gossiper)
@@ -280,6 +286,7 @@
 	actor(router.cpu.run)
 	actor(router.relay.LogLoad)
 	actor(router.quarantines.run)
+	actor(router.rollouts.run)
 	actor(gossiper.Send)
 	group.Add(func() error { return gossiper.Receive(ctx) }, func(error) { cancel(); conn.Close() })
 	for _, server := range servers {
@@ -304,6 +311,7 @@
 		state.Connections = callers.Open()
 	}
 	state.SuspectedParts, state.QuarantinedParts = router.poison.Counts(time.Now())
+	state.RolloutsServing, state.RolloutsComplete, state.RolloutsRolledBack = router.rollouts.registry.Counts()
 	if asOf := router.topics.currentAsOf(); asOf > 0 {
 		state.CaughtUpAge -= asOf
 	}
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -65,7 +65,9 @@
 	store     *storeSource
 	operator  *topic
 	upstreams *topic
-	client    *http.Client
+	// status is followed only while there are roll-outs without a result.
+	status *topic
+	client *http.Client
 }
 
 // topic is the state of one topic of the store.
@@ -94,6 +96,7 @@
 		store:     &storeSource{store: router.store},
 		operator:  &topic{mirror: feed.NewMirror(feed.MirrorConfig{})},
 		upstreams: &topic{mirror: feed.NewMirror(feed.MirrorConfig{Unchanged: view.UpstreamUnchanged})},
+		status:    &topic{mirror: feed.NewMirror(feed.MirrorConfig{})},
 		client:    gossip.NewFeedClient(dialer().DialContext),
 	}
 	follow := func(topic *topic, name string, storePoll feed.PollOptions, apply func([]feed.Record, time.Time)) {
@@ -103,14 +106,16 @@
 			LastReachedByPeer: router.roster.PeerReachedStoreAt, OnRead: topic.finishRead,
 		})
 	}
-	follow(built.operator, platform.TopicOperator, feed.PollOptions{Source: built.store, Wait: longPollWait}, router.view.ApplyOperator)
+	follow(built.operator, platform.TopicOperator, feed.PollOptions{Source: built.store, Wait: longPollWait}, router.rollouts.applyOperator)
 	follow(built.upstreams, platform.TopicUpstreams, feed.PollOptions{Source: built.store, Interval: upstreamPollInterval}, router.view.ApplyUpstreams)
+	follow(built.status, platform.TopicStatus, feed.PollOptions{Source: built.store, Wait: longPollWait}, router.rollouts.applyStatus)
 	return built
 }
 
 func (topics topics) mirrors() map[string]*feed.Mirror {
 	return map[string]*feed.Mirror{
 		platform.TopicOperator: topics.operator.mirror, platform.TopicUpstreams: topics.upstreams.mirror,
+		platform.TopicStatus: topics.status.mirror,
 	}
 }
 
@@ -207,9 +212,13 @@
 	return topic.asOf
 }
 
-// currentAsOf returns the time up to which all topics were read.
+// currentAsOf returns the time up to which all topics that matter now were read.
 func (topics topics) currentAsOf() time.Duration {
-	return min(topics.operator.currentAsOf(), topics.upstreams.currentAsOf())
+	asOf := min(topics.operator.currentAsOf(), topics.upstreams.currentAsOf())
+	if topics.router.rollouts.registry.Undecided() {
+		asOf = min(asOf, topics.status.currentAsOf())
+	}
+	return asOf
 }
 
 // stale reports whether this router has fallen behind on a topic although it can be read.
@@ -222,6 +231,7 @@
 func (topics topics) readNow() {
 	topics.operator.follower.TriggerRead()
 	topics.upstreams.follower.TriggerRead()
+	topics.status.follower.TriggerRead()
 }
 
 // alternateToPeer reports whether a topic that was never loaded is loaded from a peer: at every second attempt while the
--- a/internal/fleet/gossip/bench_test.go
+++ b/internal/fleet/gossip/bench_test.go
@@ -14,6 +14,7 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/canary"
 	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
@@ -47,6 +48,7 @@
 	board        *board.Board
 	shares       *usage.Shares
 	poison       *poison.Registry
+	canary       *canary.Registry
 	stopped      bool
 	offsets      gossip.Offsets
 	aheadOffsets gossip.Offsets
@@ -97,8 +99,9 @@
 		}, mesh.now)
 	}
 	member.poison = poison.New(poison.Config{})
+	member.canary = canary.New(canary.Config{})
 	member.gossip = gossip.New(gossip.Config{
-		Conn: member, Roster: member.roster, Board: member.board, Shares: member.shares, Poison: member.poison, Logger: hclog.NewNullLogger(),
+		Conn: member, Roster: member.roster, Board: member.board, Shares: member.shares, Poison: member.poison, Canary: member.canary, Logger: hclog.NewNullLogger(),
 		Offsets: func() gossip.Offsets { return member.offsets }, ConfigurationVersion: func() int64 { return 1 },
 		OnPeerAhead: func(offsets gossip.Offsets) { member.aheadOffsets = offsets }, Refresh: func() {},
 	})
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/head"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/load/board"
+	"github.com/clementinewind/clementinewind/internal/load/canary"
 	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
@@ -60,6 +61,8 @@
 	Shares *usage.Shares
 	// Poison holds the prompt parts that crash upstreams; nil is a registry of which nobody asks.
 	Poison *poison.Registry
+	// Canary holds the roll-outs; nil is a registry without any.
+	Canary *canary.Registry
 	// Refresh is called before each heartbeat and updates the router's own state in the roster.
 	Refresh func()
 	// Offsets returns how far this router has read, ConfigurationVersion the version of its configuration.
@@ -102,6 +105,9 @@
 	if config.Poison == nil {
 		config.Poison = poison.New(poison.Config{})
 	}
+	if config.Canary == nil {
+		config.Canary = canary.New(canary.Config{})
+	}
 	return &Gossip{
 		config: config, aggregator: newAggregator(), receiveState: newReceiveState(), pendingDigests: map[clementinewind.Zone]*fleetv1.Digest{},
 		latestDigests: map[clementinewind.Zone]*fleetv1.Digest{},
@@ -178,6 +184,10 @@
 	heartbeat.Loads = encodeLoads(loads)
 	heartbeat.Placements = encodePlacements(placements)
 	heartbeat.Suspects = encodeSuspects(gossip.config.Poison.Reports(now), now)
+	heartbeat.Rollouts = encodeRollouts(gossip.config.Canary.Reports(now))
+	if !gossip.receiveState.hasRecentDigest(self.Zone, maxDigestAge, now) {
+		gossip.mergeRollouts(usage.Source{Instance: self.Instance, Zone: self.Zone}, heartbeat.Rollouts, now)
+	}
 	var report usage.Report
 	if now.Sub(gossip.usageSentAt) >= usageInterval {
 		gossip.usageSentAt = now
@@ -247,6 +257,7 @@
 	// A recent digest of the zone already includes this router.
 	if !gossip.receiveState.hasRecentDigest(member.Zone, maxDigestAge, now) {
 		source := usage.Source{Instance: member.Instance, Zone: member.Zone}
+		gossip.mergeRollouts(source, heartbeat.Rollouts, now)
 		gossip.applyState(source, decodeLoads(heartbeat.Loads), heartbeat.Placements, decodeReport(heartbeat.Usages), now)
 	}
 	gossip.notifyIfBehind(heartbeat.OperatorOffset, heartbeat.UpstreamOffset)
--- a/internal/fleet/gossip/hub.go
+++ b/internal/fleet/gossip/hub.go
@@ -264,6 +264,7 @@
 		gossip.config.Shares.RemoveRouterReports(zone)
 	}
 	gossip.receiveState.recordDigest(zone, now)
+	gossip.mergeRollouts(usage.Source{Zone: zone}, digest.Rollouts, now)
 	gossip.applyState(usage.Source{Zone: zone}, loads, digest.Placements, report, now)
 }
 
--- a/internal/fleet/gossip/zone.go
+++ b/internal/fleet/gossip/zone.go
@@ -32,6 +32,7 @@
 	offsets    Offsets
 	loads      []*fleetv1.UpstreamLoad
 	usages     []*fleetv1.Usage
+	rollouts   []*fleetv1.Rollout
 	receivedAt time.Time
 	// changed is set until a digest announces a change that other routers must know at once.
 	changed bool
@@ -50,7 +51,7 @@
 func (aggregator *aggregator) collect(member roster.Member, heartbeat *fleetv1.Beat, now time.Time) {
 	previous, ok := aggregator.members[member.Instance]
 	added := &memberState{
-		member: member, sequence: heartbeat.Sequence, loads: heartbeat.Loads, usages: heartbeat.Usages, receivedAt: now, changed: true,
+		member: member, sequence: heartbeat.Sequence, loads: heartbeat.Loads, usages: heartbeat.Usages, rollouts: heartbeat.Rollouts, receivedAt: now, changed: true,
 		offsets: Offsets{Operator: heartbeat.OperatorOffset, Upstreams: heartbeat.UpstreamOffset},
 	}
 	if ok {
@@ -106,9 +107,11 @@
 		for organisation, sum := range decodeReport(member.usages) {
 			report[organisation] = report[organisation].Plus(sum)
 		}
+		digest.Rollouts = append(digest.Rollouts, member.rollouts...)
 		digest.OperatorOffset = max(digest.OperatorOffset, member.offsets.Operator)
 		digest.UpstreamOffset = max(digest.UpstreamOffset, member.offsets.Upstreams)
 	}
+	digest.Rollouts = sumRollouts(digest.Rollouts)
 	digest.Loads, digest.Usages = encodeLoads(loads), encodeReport(report)
 	return digest
 }
--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -204,6 +204,36 @@
 	return len(board.upstreams)
 }
 
+// VersionLoad is what is known of the upstreams of a service that run one version.
+type VersionLoad struct {
+	// Upstreams is the number of those that are not leaving, Running that of the requests of this router at any of them.
+	Upstreams, Running int
+}
+
+// Versions returns the loads of the versions of a service. Upstreams whose entries were removed count while requests run there.
+func (board *Board) Versions(service table.Service) map[string]VersionLoad {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	loads := map[string]VersionLoad{}
+	add := func(upstream *upstream, usable int) {
+		load := loads[upstream.entry.Version]
+		loads[upstream.entry.Version] = VersionLoad{Upstreams: load.Upstreams + usable, Running: load.Running + upstream.running}
+	}
+	for _, upstream := range board.byService[service] {
+		usable := 1
+		if upstream.leaving() {
+			usable = 0
+		}
+		add(upstream, usable)
+	}
+	for _, upstream := range board.removed {
+		if upstream.entry.Service == service {
+			add(upstream, 0)
+		}
+	}
+	return loads
+}
+
 // SetPeer replaces the load of another router or zone, keyed by the hashes of the upstreams.
 func (board *Board) SetPeer(source usage.Source, load map[uint32]Load, now time.Time) {
 	board.mutex.Lock()
@@ -281,6 +311,8 @@
 	// MaxLatency is the longest expected time to the first event with which the request is placed. It applies only to
 	// prompts with shared prefixes.
 	MaxLatency time.Duration
+	// Versions reports whether an upstream that runs a version may get the request; nil means that any may.
+	Versions func(version string) bool
 	// Tried are the upstreams that the request was sent to before.
 	Tried []clementinewind.Upstream
 }
@@ -389,6 +421,7 @@
 	for _, upstream := range board.byService[request.Service] {
 		switch {
 		case upstream.leaving() || upstream.zoneOut || now.Before(upstream.backoffUntil) || upstream.paused(now):
+		case request.Versions != nil && !request.Versions(upstream.entry.Version):
 		case slices.Contains(request.Tried, upstream.entry.Upstream):
 		case settings.ColdRate > 0 && upstream.isCold(now) &&
 			(!board.config.Owns(upstream.entry.Upstream) || upstream.coldAllowanceLeft(allowance, now) <= 0):
--- a/internal/load/board/board_test.go
+++ b/internal/load/board/board_test.go
@@ -231,3 +231,19 @@
 		}
 	})
 }
+
+// Guards against a request at a version that may not get it, and against requests at a version that ends and are not counted any more
+// when the entry of their upstream is removed.
+func TestVersions(t *testing.T) {
+	upstreams := newBoard(true)
+	upstreams.Set(table.Entry{Upstream: "old", Service: "s", Version: "v1", Slots: 8}, start)
+	upstreams.Set(table.Entry{Upstream: "new", Service: "s", Version: "v2", Slots: 8}, start)
+	for range 20 {
+		ticket := mustPlace(t, upstreams, board.Request{Service: "s", Versions: func(version string) bool { return version == "v1" }}, start)
+		quicktest.Check(t, ticket.Entry.Version, quicktest.Equals, "v1")
+	}
+	ticket, _ := upstreams.Place(board.Request{Service: "s", Versions: func(string) bool { return false }}, start)
+	quicktest.Check(t, ticket, quicktest.IsNil)
+	upstreams.Remove("old", start)
+	quicktest.Check(t, upstreams.Versions("s"), quicktest.DeepEquals, map[string]board.VersionLoad{"v1": {Running: 20}, "v2": {Upstreams: 1}})
+}
--- a/internal/load/board/ticket.go
+++ b/internal/load/board/ticket.go
@@ -31,6 +31,12 @@
 // it; a process that needs longer was paused.
 const sendTimeout = time.Second
 
+// Observer is told what became of a placed request. The board is locked meanwhile.
+type Observer interface {
+	FirstEvent(now time.Time)
+	End(result Result, now time.Time)
+}
+
 // Ticket is a request that is counted at an upstream. Each ticket must be ended.
 type Ticket struct {
 	// Entry is the upstream as it was when the request was placed.
@@ -45,6 +51,8 @@
 	RemoteRunning int
 	// Cold is set if the upstream was cold.
 	Cold bool
+	// Observer, if not nil, is told of the answer.
+	Observer Observer
 
 	board    *Board
 	upstream *upstream
@@ -114,6 +122,9 @@
 	defer ticket.board.mutex.Unlock()
 	ticket.dequeueLocked()
 	ticket.endTrialLocked()
+	if ticket.Observer != nil {
+		ticket.Observer.FirstEvent(now)
+	}
 	ticket.upstream.observeLatency(ticket.board.estimatesLocked(ticket.Entry.Service), ticket, now.Sub(ticket.placedAt), now)
 }
 
@@ -135,6 +146,9 @@
 		return
 	}
 	ticket.ended = true
+	if ticket.Observer != nil {
+		ticket.Observer.End(result, now)
+	}
 	ticket.dequeueLocked()
 	upstream := ticket.upstream
 	upstream.running--
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -229,7 +229,7 @@
 				return nil
 			}
 		}
-		ticket, excessLatency := exchange.relay.config.Board.Place(board.Request{
+		ticket, excessLatency := exchange.placeAtVersion(board.Request{
 			Service: exchange.service.Name, Zone: exchange.relay.config.Zone, Prompt: exchange.call.Prompt,
 			Goal: goal - now.Sub(exchange.arrived), Tried: exchange.tried,
 			MaxLatency: latencyLimit,
@@ -335,7 +335,7 @@
 		Observe: func(response *http.Response, matches bool) { exchange.heed(ticket, response, matches) },
 		Permitted: func() bool {
 			return !exchange.relay.config.CallerDisconnected(exchange.request.Context()) && !exchange.relay.config.Stale() &&
-				!exchange.inQuarantine() && ticket.Permitted()
+				!exchange.inQuarantine() && exchange.relay.config.Rollouts.Allows(ticket.Entry.Service, ticket.Entry.Version) && ticket.Permitted()
 		},
 	}
 }
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/budget"
+	"github.com/clementinewind/clementinewind/internal/load/canary"
 	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/link"
@@ -57,6 +58,8 @@
 	Poison *poison.Registry
 	// Table returns the configuration in force, or nil before the first one.
 	Table func() *table.Table
+	// Rollouts says which versions of a service may get requests; nil means all.
+	Rollouts *canary.Registry
 	// RouterCount returns the number of known routers, including this one and unreachable ones.
 	RouterCount func() int
 	// BufferBytes limits what the answers of all upstreams hold in memory together, beyond a small part of each; 0 means 32 MiB.
@@ -118,6 +121,9 @@
 	if config.Poison == nil {
 		config.Poison = poison.New(poison.Config{Logger: config.Logger})
 	}
+	if config.Rollouts == nil {
+		config.Rollouts = canary.New(canary.Config{})
+	}
 	if config.BufferBytes == 0 {
 		config.BufferBytes = defaultBufferBytes
 	}
--- a/internal/route/table/entry.go
+++ b/internal/route/table/entry.go
@@ -17,6 +17,8 @@
 	Leaving bool
 	// ColdLeft is how much longer the upstream stays cold, from the time when it wrote the entry.
 	ColdLeft time.Duration
+	// Version is the version of the software that the upstream runs; empty if it does not say.
+	Version string
 	// Incarnation is the start time in Unix milliseconds; 0 means unknown.
 	Incarnation int64
 	// Sequence orders the entries of one incarnation.
