Keep the sums of a zone's answers instead of adding up its routers at each report

With 76 routers that hear each other, a report took a sum over all of them: the tests of canary did not end in nine minutes.

--- a/internal/edge/entry/rollout_test.go
+++ b/internal/edge/entry/rollout_test.go
@@ -135,7 +135,7 @@
 	stop := versions.load(routers...)
 	defer stop()
 	var lost atomic.Int32
-	fleet.store.SetFault(func(writer http.ResponseWriter, request *http.Request) bool {
+	fleet.store.SetFault(func(_ http.ResponseWriter, request *http.Request) bool {
 		if request.URL.Path != "/api/log-append" || request.URL.Query().Get("topic") != platform.TopicStatus || lost.Add(1)%2 == 0 {
 			return false
 		}
--- a/internal/load/canary/evidence.go
+++ b/internal/load/canary/evidence.go
@@ -57,6 +57,14 @@
 	}
 }
 
+// minus takes the part of a router off a sum.
+func (count Count) minus(other Count) Count {
+	return Count{
+		Answers: count.Answers - other.Answers, Bad: count.Bad - other.Bad,
+		OldAnswers: count.OldAnswers - other.OldAnswers, OldBad: count.OldBad - other.OldBad,
+	}
+}
+
 // since returns what was added to an earlier count. A sum that fell, because a router left it, says nothing.
 func (count Count) since(earlier Count) Count {
 	if count.Answers < earlier.Answers || count.Bad < earlier.Bad || count.OldAnswers < earlier.OldAnswers || count.OldBad < earlier.OldBad {
--- a/internal/load/canary/order.go
+++ b/internal/load/canary/order.go
@@ -31,12 +31,15 @@
 
 //go:generate stringer -type Stage -trimprefix Stage -output stage_string.go
 
+// The stages of a roll-out.
 const (
 	// StageNone is that of an order of which nothing is decided.
 	StageNone Stage = iota
-	// StageCanary, StageLow and StageHigh are those in which a part of the requests goes to the target.
+	// StageCanary is the first stage in which a part of the requests goes to the target.
 	StageCanary
+	// StageLow is that of a low share.
 	StageLow
+	// StageHigh is that of a high share.
 	StageHigh
 	// StageMoved is the stage in which all requests go to the target while those at other versions end.
 	StageMoved
--- a/internal/load/canary/registry.go
+++ b/internal/load/canary/registry.go
@@ -88,6 +88,11 @@
 	sources  map[usage.Source]receivedReport
 	// counted is what the evidence has of each zone, by route.
 	counted map[clementinewind.Zone]map[uint32]Count
+	// routerSums are the sums of the reports of single routers, by zone and route.
+	routerSums map[clementinewind.Zone]map[uint32]Count
+	// upstreamSums are the counts of the upstreams of the target, as of summedAt.
+	upstreamSums map[uint32]UpstreamCount
+	summedAt     time.Time
 	// condemned is set since condemnedAt while the target counts as bad, and verdict is why.
 	condemned   bool
 	condemnedAt time.Time
@@ -341,7 +346,8 @@
 	rollout.credit, rollout.stageAnswers, rollout.condemned, rollout.others = 0, 0, false, nil
 	rollout.counts, rollout.upstreams, rollout.latencies = map[uint32]Count{}, map[uint32]*upstreamCounts{}, map[uint32]*latencies{}
 	rollout.evidence, rollout.total, rollout.sources = map[uint32]*routeEvidence{}, newRouteEvidence(), map[usage.Source]receivedReport{}
-	rollout.counted = map[clementinewind.Zone]map[uint32]Count{}
+	rollout.counted, rollout.routerSums = map[clementinewind.Zone]map[uint32]Count{}, map[clementinewind.Zone]map[uint32]Count{}
+	rollout.upstreamSums = nil
 }
 
 // open reports whether the roll-out has no result.
--- a/internal/load/canary/report.go
+++ b/internal/load/canary/report.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 )
@@ -14,6 +13,8 @@
 const (
 	// upstreamWindow is the time constant of the counts of single upstreams.
 	upstreamWindow = 5 * time.Second
+	// upstreamInterval is how long the sum of these counts is reused.
+	upstreamInterval = 200 * time.Millisecond
 	// reportTTL is the age at which a report no longer shows what its routers do. A digest holds heartbeats of the last 2 s.
 	reportTTL = 2 * time.Second
 	// maxReported is the number of upstreams that a report names, minReportedBad the count from which it does. otherUpstreams stands
@@ -141,41 +142,61 @@
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	for _, rollout := range registry.rollouts {
-		maps.DeleteFunc(rollout.sources, func(source usage.Source, _ receivedReport) bool { return remove(source) })
+		maps.DeleteFunc(rollout.sources, func(source usage.Source, _ receivedReport) bool {
+			if remove(source) {
+				rollout.replace(source, nil)
+				return true
+			}
+			return false
+		})
 	}
 }
 
 // merge records a report and adds what is new in the sum of its zone to the evidence.
 func (rollout *rollout) merge(source usage.Source, report Report, now time.Time) {
+	rollout.replace(source, report.Routes)
 	rollout.sources[source] = receivedReport{Report: report, at: now}
-	sum := rollout.zoneSum(source.Zone, now)
+	sum := rollout.routerSums[source.Zone]
+	if whole, ok := rollout.sources[usage.Source{Zone: source.Zone}]; ok && now.Sub(whole.at) <= reportTTL {
+		sum = whole.Routes
+	}
+	counted, ok := rollout.counted[source.Zone]
+	if !ok {
+		counted = map[uint32]Count{}
+		rollout.counted[source.Zone] = counted
+	}
 	var total Count
-	for route, count := range sum.Routes {
+	for route, count := range sum {
 		known, ok := rollout.evidence[route]
 		if !ok {
 			known = newRouteEvidence()
 			rollout.evidence[route] = known
 		}
-		added := count.since(rollout.counted[source.Zone][route])
+		added := count.since(counted[route])
+		counted[route] = count
 		known.add(added, now)
 		total = total.plus(added)
 	}
-	rollout.counted[source.Zone] = sum.Routes
 	rollout.total.add(total, now)
 }
 
-// zoneSum returns the sum of the last reports of a zone: that of the whole zone, or those of its routers once it is outdated.
-func (rollout *rollout) zoneSum(zone clementinewind.Zone, now time.Time) Report {
-	if whole, ok := rollout.sources[usage.Source{Zone: zone}]; ok && now.Sub(whole.at) <= reportTTL {
-		return whole.Report
+// replace replaces the part of a router in the sum of the routers of its zone. A sum over all of them at each report would take the head
+// of a large zone too long.
+func (rollout *rollout) replace(source usage.Source, routes map[uint32]Count) {
+	if source.Instance == "" {
+		return
 	}
-	var sum Report
-	for source, report := range rollout.sources {
-		if source.Zone == zone && source.Instance != "" {
-			sum = sum.Plus(report.Report)
-		}
+	sums, ok := rollout.routerSums[source.Zone]
+	if !ok {
+		sums = map[uint32]Count{}
+		rollout.routerSums[source.Zone] = sums
+	}
+	for route, count := range rollout.sources[source].Routes {
+		sums[route] = sums[route].minus(count)
+	}
+	for route, count := range routes {
+		sums[route] = sums[route].plus(count)
 	}
-	return sum
 }
 
 // current returns the reports that are recent, without those of single routers of a zone of which there is one of the whole.
@@ -204,11 +225,18 @@
 	return covered >= routers
 }
 
-// upstreamCounts returns the counts of the upstreams of the target at all routers.
+// upstreamCounts returns the counts of the upstreams of the target at all routers, as of the last upstreamInterval.
 func (rollout *rollout) upstreamCounts(now time.Time) map[uint32]UpstreamCount {
-	var sum Report
+	if rollout.upstreamSums != nil && now.Sub(rollout.summedAt) < upstreamInterval {
+		return rollout.upstreamSums
+	}
+	sum := Report{Upstreams: map[uint32]UpstreamCount{}}
 	for _, report := range rollout.current(now) {
-		sum = sum.Plus(report)
+		for upstream, count := range report.Upstreams {
+			known := sum.Upstreams[upstream]
+			sum.Upstreams[upstream] = UpstreamCount{Answers: known.Answers + count.Answers, Bad: known.Bad + count.Bad}
+		}
 	}
-	return sum.Upstreams
+	rollout.upstreamSums, rollout.summedAt = sum.condensed().Upstreams, now
+	return rollout.upstreamSums
 }
