--- a/internal/load/canary/evidence.go
+++ b/internal/load/canary/evidence.go
@@ -31,7 +31,7 @@
 	// "Probable inference", JASA 22, 1927) at boundDeviations standard deviations, from minBoundBad bad answers on. It is found before
 	// it gave 50 of them.
 	boundDeviations = 4.0
-	minBoundBad     = 20.0
+	minBoundBad     = 10.0
 	// minOldAnswers is the number of answers of the other versions without which nothing can be compared.
 	minOldAnswers = 10.0
 	// rateWindow and shortWindow are the time constants of the rate of the other versions; the higher rate counts, because a fault that
