--- a/internal/load/canary/latency.go
+++ b/internal/load/canary/latency.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// An answer is slow if its first event takes slowFactor times as long as the median of the other versions on the route.
+	// An answer is slow if its first event takes slowFactor times as long as the median of the other versions on the route, and slowExtra
+	// of baseTime more: requests at a version with few of them open connections, and processes wait for their processor.
 	slowFactor = 2.5
+	slowExtra  = 0.4
 	// latencySamples is the number of latencies of which the median is taken, minLatencySamples the number that is needed. In a large
 	// fleet a router has a few requests a second, and a short roll-out lasts for a few seconds.
 	latencySamples    = 48
@@ -45,5 +47,5 @@
 }
 
 func (latencies *latencies) slow(latency float64) bool {
-	return latencies.median > 0 && latency > slowFactor*latencies.median
+	return latencies.median > 0 && latency > slowFactor*latencies.median+slowExtra
 }
