--- a/internal/admin/telem/entry.go
+++ b/internal/admin/telem/entry.go
@@ -101,6 +101,8 @@
 	SuspectedParts, QuarantinedParts int
 	// Memory is what callers and upstreams make the router hold.
 	Memory bound.State
+	// RolloutsServing, RolloutsComplete and RolloutsRolledBack are the numbers of services by the state of their last roll-out.
+	RolloutsServing, RolloutsComplete, RolloutsRolledBack int
 }
 
 // ObserveState registers the gauges, which call state at each scrape. It must be called at most once.
@@ -121,6 +123,7 @@
 	held := builder.gauge("clementinewind.entry.held", "By", "Memory that callers and upstreams make the router hold, by kind.")
 	heldLimit := builder.gauge("clementinewind.entry.held.limit", "By", "Limit of that memory.")
 	evictions := builder.observableCounter("clementinewind.entry.evictions", "Requests that lost their place because they stopped while others waited.")
+	rollouts := builder.gauge("clementinewind.entry.rollouts", "", "Services by the state of their last roll-out.")
 	if builder.err != nil {
 		return errors.Wrap(builder.err, "create instruments")
 	}
@@ -141,8 +144,14 @@
 		}
 		observer.ObserveFloat64(heldLimit, float64(current.Memory.Limit))
 		observer.ObserveInt64(evictions, current.Memory.Evictions)
+		for stateName, count := range map[string]int{
+			"serving": current.RolloutsServing, "complete": current.RolloutsComplete, "rolled_back": current.RolloutsRolledBack,
+		} {
+			observer.ObserveFloat64(rollouts, float64(count), metric.WithAttributes(attribute.String("state", stateName)))
+		}
 		return nil
-	}, ready, version, caughtUpAge, routers, upstreams, inFlight, connections, refusedFraction, suspectedParts, quarantinedParts, held, heldLimit, evictions)
+	}, ready, version, caughtUpAge, routers, upstreams, inFlight, connections, refusedFraction, suspectedParts, quarantinedParts, held, heldLimit, evictions,
+		rollouts)
 	return errors.Wrap(err, "register gauges")
 }
 
