Bound the weight of reports of load, and the draw among upstreams with few slots

Found by review. A placement takes its time before it waits for the board, so that a report could lie in its future and weigh exponentially more than 1. The temperature of the draw grew with three places in the queue, which with one slot is three times the work.

Both tests are new; without the change TestSingleSlotsAreNotNearlyEqual fails.

--- a/internal/load/board/fact.go
+++ b/internal/load/board/fact.go
@@ -22,6 +22,11 @@
 	// routers that decide within one interval of reports meet at the same upstream; with 4 choices ignore the load too often when
 	// reports are lost.
 	temperatureSlots = 3
+	// maxTemperatureDivisor divides the time for which a request is there; the quotient is the highest temperature. With few slots a place
+	// in the queue is a clear difference.
+	maxTemperatureDivisor = 2
+	// minStay is the shortest time in which the reported number of requests is expected to change.
+	minStay = time.Millisecond
 	// minCorrection is the difference from the mean pace from which a choice counts as corrected by a report.
 	minCorrection = 0.1
 	// factResolution is the difference in time up to which two facts may be the same one. A router gets its own facts back by way of
@@ -99,12 +104,17 @@
 	return true
 }
 
+// age returns the age of the fact. A placement that waits for the board may have a time before a fact that arrived meanwhile.
+func (factState *factState) age(now time.Time) time.Duration {
+	return max(now.Sub(factState.fact.At), 0)
+}
+
 // paceWeight returns how much of a reported pace is expected to hold still at a time.
 func (factState *factState) paceWeight(now time.Time) float64 {
 	if factState.fact.Report.Pace == 0 {
 		return 0
 	}
-	return 1 - min(float64(now.Sub(factState.fact.At))/float64(paceTTL), 1)
+	return 1 - min(float64(factState.age(now))/float64(paceTTL), 1)
 }
 
 // pace returns the expected duration of work in multiples of the usual duration; mean is that of all upstreams of the service.
@@ -115,11 +125,11 @@
 
 // runningWeight returns how much of the reported number of requests is expected to hold still at a time. It changes within stay.
 func (factState *factState) runningWeight(stay time.Duration, now time.Time) float64 {
-	age := now.Sub(factState.fact.At)
+	age := factState.age(now)
 	if age >= factTTL {
 		return 0
 	}
-	return math.Exp(-float64(age) / float64(stay))
+	return math.Exp(-float64(age) / float64(max(stay, minStay)))
 }
 
 // applyFact corrects a candidate by what the upstream last said of its load. Nothing changes if it never said anything.
@@ -130,10 +140,12 @@
 	}
 	// The estimates of times hold at the mean pace. A change of the pace is as likely at any moment.
 	facts.reported = pick.Reported{
-		Slowdown: facts.pace(estimates.meanPace(), now) / estimates.meanPace(), SlowdownLeft: max(paceTTL-now.Sub(facts.fact.At), 0) / 2,
+		Slowdown: facts.pace(estimates.meanPace(), now) / estimates.meanPace(), SlowdownLeft: max(paceTTL-facts.age(now), 0) / 2,
 	}
 	if candidate.Slots > 0 {
-		facts.reported.Temperature = temperatureSlots * candidate.ServiceTime / time.Duration(candidate.Slots)
+		facts.reported.Temperature = min(
+			temperatureSlots*candidate.ServiceTime/time.Duration(candidate.Slots), candidate.ServiceTime/maxTemperatureDivisor,
+		)
 	}
 	candidate.Reported = &facts.reported
 	// The own requests are known. Those of the others are the rest of the report while it holds, and otherwise what they told.
--- a/internal/load/board/fact_test.go
+++ b/internal/load/board/fact_test.go
@@ -96,3 +96,25 @@
 	ticket.Report(board.Report{Running: 20, Pace: 2.5}, start.Add(time.Second))
 	quicktest.Check(t, upstreams.TakeFacts(2, start.Add(time.Second)), quicktest.HasLen, 0)
 }
+
+// Guards against a report that arrives while a placement waits for the board: its time is after that of the placement.
+func TestReportAfterPlacementTime(t *testing.T) {
+	upstreams := plainBoard("a", "b")
+	later := start.Add(100 * time.Millisecond)
+	upstreams.AddFacts([]board.Fact{fact("a", later, 20, 1), fact("b", later, 0, 1)}, false, later)
+	chosen := countChosen(t, upstreams, start)
+	quicktest.Check(t, chosen["a"] < 100, quicktest.IsTrue, quicktest.Commentf("%v", chosen))
+	ticket := mustPlace(t, upstreams, board.Request{Service: "plain", Goal: time.Second}, start)
+	quicktest.Check(t, ticket.Expected > 0 && ticket.Expected < time.Second, quicktest.IsTrue, quicktest.Commentf("%v", ticket.Expected))
+}
+
+// Guards against a draw between an idle upstream and one whose only slot is taken.
+func TestSingleSlotsAreNotNearlyEqual(t *testing.T) {
+	upstreams := plainBoard()
+	for _, name := range []clementinewind.Upstream{"a", "b"} {
+		upstreams.Set(table.Entry{Upstream: name, Service: "plain", Slots: 1, Incarnation: 1, Sequence: 1}, start)
+	}
+	upstreams.AddFacts([]board.Fact{fact("a", start, 1, 1), fact("b", start, 0, 1)}, false, start)
+	chosen := countChosen(t, upstreams, start)
+	quicktest.Check(t, chosen["a"] < 200, quicktest.IsTrue, quicktest.Commentf("%v", chosen))
+}
