bound: evict only bodies for a dominant owner

Cause: the steps of making room that go by dominance took any holder. An answer whose caller read at full speed was cut although its upstream had run the request, and heads, whose organisation is not known, were summed up as one organisation.

Change: the victims of both steps, and of the one among those that wait, are bodies; heads do not count in the sums.

Run: TestMakeRoom has a case for an answer and one for heads, both red before the change. go test -race -p 2 ./internal/share/bound ./internal/edge/gate ./internal/route/link ./internal/route/relay passes; scripts/lint passes.

--- a/internal/share/bound/budget_test.go
+++ b/internal/share/bound/budget_test.go
@@ -42,21 +42,41 @@
 		stalled, wanting []int
 		bytes            int
 		evicted          []int
+		// others are the clients that do not hold a body.
+		others map[int]bound.Kind
 	}{
-		"the longest stalled first":           {[2]bound.Owner{}, []int{3, 1}, nil, mebibyte, []int{3}},
-		"as many as needed":                   {[2]bound.Owner{}, []int{3, 1, 0}, nil, 2 * mebibyte, []int{1, 3}},
-		"nobody who keeps the rate":           {[2]bound.Owner{}, nil, nil, mebibyte, nil},
-		"the newest of the organisation":      {[2]bound.Owner{crowd("a", "1"), crowd("b", "1")}, nil, nil, mebibyte, []int{5}},
-		"the newest of the address":           {[2]bound.Owner{crowd("a", "1"), crowd("a", "2")}, nil, nil, mebibyte, []int{5}},
-		"a small holder uses its own part":    {[2]bound.Owner{}, []int{3}, nil, 1 << 10, nil},
-		"nobody older than the one who waits": {[2]bound.Owner{}, nil, []int{2, 4}, mebibyte, nil},
+		"the longest stalled first":           {[2]bound.Owner{}, []int{3, 1}, nil, mebibyte, []int{3}, nil},
+		"as many as needed":                   {[2]bound.Owner{}, []int{3, 1, 0}, nil, 2 * mebibyte, []int{1, 3}, nil},
+		"nobody who keeps the rate":           {[2]bound.Owner{}, nil, nil, mebibyte, nil, nil},
+		"the newest of the organisation":      {[2]bound.Owner{crowd("a", "1"), crowd("b", "1")}, nil, nil, mebibyte, []int{5}, nil},
+		"the newest of the address":           {[2]bound.Owner{crowd("a", "1"), crowd("a", "2")}, nil, nil, mebibyte, []int{5}, nil},
+		"a small holder uses its own part":    {[2]bound.Owner{}, []int{3}, nil, 1 << 10, nil, nil},
+		"nobody older than the one who waits": {[2]bound.Owner{}, nil, []int{2, 4}, mebibyte, nil, nil},
+		"no answer that its caller reads": {
+			[2]bound.Owner{crowd("a", "1"), crowd("b", "1")}, nil, nil, mebibyte, []int{4}, map[int]bound.Kind{5: bound.KindAnswer},
+		},
+		"no head that arrives": {
+			[2]bound.Owner{crowd("a", "1"), crowd("b", "1")},
+			nil, nil, mebibyte,
+			[]int{1},
+			map[int]bound.Kind{2: bound.KindHead, 3: bound.KindHead, 4: bound.KindHead, 5: bound.KindHead},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			budget := bound.NewBudget(limit)
 			var clients []*client
-			for range 6 {
-				clients = append(clients, newClient(budget, test.owners[0], mebibyte, now))
+			for number := range 6 {
+				owner, kind := test.owners[0], bound.KindBody
+				if other, ok := test.others[number]; ok {
+					kind = other
+				}
+				if kind == bound.KindHead {
+					owner.Organisation = ""
+				}
+				client := newClient(budget, owner, mebibyte, now)
+				client.SetKind(kind)
+				clients = append(clients, client)
 			}
 			later := now.Add(2 * time.Second)
 			for _, client := range clients {
--- a/internal/share/bound/evict.go
+++ b/internal/share/bound/evict.go
@@ -89,19 +89,21 @@
 	if victim := budget.longestStalledLocked(now, helps); victim != nil {
 		return victim
 	}
+	// Nothing was sent on for a body. An answer whose caller reads must not be lost after its upstream has worked for it.
+	body := func(other *Reservation) bool { return other.claim.Kind == KindBody && helps(other) }
 	own := reservation.claim.Owner
 	ofOrganisation := func(other *Reservation) string { return other.claim.Owner.Organisation }
-	if victim := newestOfDominantLocked(budget, ofOrganisation, own.Organisation, helps); victim != nil {
+	if victim := newestOfDominantLocked(budget, ofOrganisation, own.Organisation, body); victim != nil {
 		return victim
 	}
 	ofAddress := func(other *Reservation) netip.Addr { return other.claim.Owner.Address }
 	if victim := newestOfDominantLocked(budget, ofAddress, own.Address, func(other *Reservation) bool {
-		return helps(other) && other.claim.Owner.Organisation == own.Organisation
+		return body(other) && other.claim.Owner.Organisation == own.Organisation
 	}); victim != nil {
 		return victim
 	}
 	for other := budget.newest; other != nil && other != reservation; other = other.older {
-		if other.wants && other.evictable() && helps(other) {
+		if other.wants && other.evictable() && body(other) {
 			return other
 		}
 	}
@@ -123,7 +125,8 @@
 func newestOfDominantLocked[K comparable](budget *Budget, group func(*Reservation) K, own K, helps func(*Reservation) bool) *Reservation {
 	sums, newest := map[K]int64{}, map[K]*Reservation{}
 	for other := budget.oldest; other != nil; other = other.newer {
-		if other.Evicted() {
+		// The organisation of a head is not known yet.
+		if other.Evicted() || other.claim.Kind == KindHead {
 			continue
 		}
 		key := group(other)
