gate: keep a connection whose head arrived while it lost its place

Cause: the reservation of such a head is released, but later heads on the connection went on asking it for memory. It refuses, so that the next head above 4 KiB closed the connection.

Change: the connection counts no heads after that.

Run: TestHeadThatArrivesWhileEvictedKeepsItsConnection is red before the change, and passes 20 of 20 times after it with -race. go test -race -p 2 ./internal/share/bound ./internal/edge/gate ./internal/route/link ./internal/route/relay passes; scripts/lint passes.

--- a/internal/edge/gate/head.go
+++ b/internal/edge/gate/head.go
@@ -33,6 +33,8 @@
 	// memory is nil if nothing is counted.
 	memory *bound.Reservation
 	bytes  int
+	// uncounted is set when the head has lost its place, but its request is served. The connection counts no heads after that.
+	uncounted bool
 	// mutex protects phase, so that a head that has just arrived is not evicted.
 	mutex sync.Mutex
 	phase headPhase
@@ -61,7 +63,7 @@
 
 // read counts bytes that arrived. It fails if there is no room for them.
 func (head *head) read(count int) error {
-	if head.memory == nil || count <= 0 || head.phase == headArrived {
+	if head.memory == nil || head.uncounted || count <= 0 || head.phase == headArrived {
 		return nil
 	}
 	if head.phase == headAwaited {
@@ -83,13 +85,14 @@
 // changed follows the state that the server reports. What a head holds is given up at the end of its request.
 func (head *head) changed(conn *Conn, state http.ConnState) {
 	switch {
-	case head.memory == nil:
+	case head.memory == nil, head.uncounted:
 	case state == http.StateActive:
 		head.setPhase(headArrived)
 		if !head.memory.Settle() {
-			// It arrived just before it lost its place, and is not counted any more. It fails only if the connection is closed already.
+			// It arrived just before it lost its place, and is served. It fails only if the connection is closed already.
 			_ = conn.TCPConn.SetReadDeadline(time.Time{})
 			head.memory.Release()
+			head.uncounted = true
 		}
 	case state == http.StateIdle:
 		head.setPhase(headAwaited)
--- a/internal/edge/gate/head_test.go
+++ b/internal/edge/gate/head_test.go
@@ -64,3 +64,27 @@
 	quicktest.Check(t, response.StatusCode, quicktest.Equals, http.StatusOK)
 	quicktest.Check(t, body, quicktest.Equals, "body")
 }
+
+// Guards against a connection that is closed at a later request, because one of its heads arrived just when it lost its place.
+func TestHeadThatArrivesWhileEvictedKeepsItsConnection(t *testing.T) {
+	budget, server := bound.NewBudget(1<<20), &server{}
+	server.open(t, gate.Config{MaxConnections: 1, Memory: budget})
+	caller := server.dial(t)
+	accepted, err := server.listener.Accept()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer accepted.Close()
+	quicktest.Assert(t, budget.EvictStalled(time.Now().Add(time.Minute)), quicktest.IsTrue)
+	head := make([]byte, 16<<10)
+	for range 2 {
+		server.listener.ConnState(accepted, http.StateActive)
+		server.listener.ConnState(accepted, http.StateIdle)
+		_, err = caller.Write(head)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		for received := 0; received < len(head); {
+			count, err := accepted.Read(make([]byte, len(head)))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			received += count
+		}
+	}
+	quicktest.Check(t, budget.State().Held, quicktest.Equals, [bound.KindCount]int64{})
+}
