relay, link: close idle connections to upstreams before a caller loses its answer

Cause: at the limit of connections to upstreams, a caller that did not read was cut first, even if idle connections could be closed.

Change: idle connections of all upstreams are closed first, and a caller is cut only if the limit is still reached.

Run: go test -race -p 2 ./internal/share/bound ./internal/edge/gate ./internal/route/link ./internal/route/relay passes; scripts/lint passes.

--- a/internal/route/link/limit.go
+++ b/internal/route/link/limit.go
@@ -16,6 +16,9 @@
 // Open returns the number of open connections.
 func (limit *Limit) Open() int64 { return limit.open.Load() }
 
+// Full reports whether no further connection may be opened.
+func (limit *Limit) Full() bool { return limit.Open() >= limit.most }
+
 func (limit *Limit) acquire() bool {
 	if limit == nil || limit.tryAcquire() {
 		return true
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -160,16 +160,18 @@
 	}
 }
 
-// freeConnections closes the idle connections to all upstreams, and makes the caller that has read nothing for longest lose its answer,
-// whose connection is free soon.
+// freeConnections closes the idle connections to all upstreams. If the limit is still reached, it makes the caller that has read nothing
+// for longest lose its answer, whose connection is free soon.
 func (relay *Relay) freeConnections() {
-	relay.memory.EvictStalled(time.Now(), bound.KindAnswer, bound.KindStream)
 	relay.mutex.Lock()
 	pools := slices.Collect(maps.Values(relay.pools))
 	relay.mutex.Unlock()
 	for _, pool := range pools {
 		pool.CloseIdle()
 	}
+	if relay.connections.Full() {
+		relay.memory.EvictStalled(time.Now(), bound.KindAnswer, bound.KindStream)
+	}
 }
 
 // upstreamPool is the connection pool of an upstream at the address of one of its incarnations.
