--- a/internal/load/canary/canary_test.go
+++ b/internal/load/canary/canary_test.go
@@ -9,8 +9,10 @@
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/canary"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
+	"github.com/clementinewind/clementinewind/internal/route/table"
 )
 
 // The bounds of the platform for a version that is bad.
@@ -290,3 +292,33 @@
 	registry.Merge(usage.Source{}, []canary.Report{{Rollout: 1}}, time.Now())
 	quicktest.Check(t, registry.Undecided(), quicktest.IsFalse)
 }
+
+// Guards against a version that is complete without a roll-out while others still have upstreams or requests.
+func TestOnlyVersion(t *testing.T) {
+	only := map[string]board.VersionLoad{"v2": {Upstreams: 2}}
+	draining := map[string]board.VersionLoad{"v2": {Upstreams: 2}, "v1": {Running: 3}}
+	leaving := map[string]board.VersionLoad{"v2": {Upstreams: 2}, "v1": {}}
+	tests := map[string]struct {
+		atOrder, later map[string]board.VersionLoad
+		stage          canary.Stage
+	}{
+		"no other":             {only, only, canary.StageComplete},
+		"another drains":       {draining, draining, canary.StageCanary},
+		"another leaves":       {leaving, leaving, canary.StageCanary},
+		"another reappears":    {only, draining, canary.StageCanary},
+		"the target reappears": {only, map[string]board.VersionLoad{}, canary.StageComplete},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now, load := time.Unix(1_000_000, 0), test.atOrder
+			registry := canary.New(canary.Config{Loads: func(table.Service) map[string]board.VersionLoad { return load }})
+			registry.SetKnown(now)
+			registry.Order(canary.Order{Service: "s", Target: "v2", Period: time.Minute, Offset: 1}, false, now)
+			load = test.later
+			proposals := registry.Proposals(canary.Fleet{Alive: 1, Known: 1}, now)
+			quicktest.Assert(t, proposals, quicktest.HasLen, 1)
+			quicktest.Check(t, proposals[0].Decision.Stage, quicktest.Equals, test.stage)
+			quicktest.Check(t, registry.Allows("s", "v2"), quicktest.Equals, test.stage == canary.StageComplete)
+		})
+	}
+}
--- a/internal/load/canary/judge.go
+++ b/internal/load/canary/judge.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/clementinewind/clementinewind/internal/load/board"
 )
 
 const (
@@ -95,9 +97,7 @@
 		if !registry.known || !rollout.open() {
 			continue
 		}
-		if rollout.decision.Stage == StageNone && len(rollout.others) == 0 && now.Sub(rollout.orderedAt) > aloneTime &&
-			onlyVersion(loads[service], rollout.order.Target) && !rollout.alone {
-			rollout.alone = true
+		if rollout.updateAlone(loads[service], now) {
 			registry.refreshLocked(now)
 		}
 		if proposal, ok := registry.proposeLocked(rollout, fleet, now); ok {
@@ -107,6 +107,21 @@
 	return proposals
 }
 
+// updateAlone updates whether the target is the only version and reports whether that changed. Upstreams of the target that are missing
+// for a moment change nothing, because a part of the requests would have no version to go to.
+func (rollout *rollout) updateAlone(load map[string]board.VersionLoad, now time.Time) bool {
+	before := rollout.alone
+	_, known := load[rollout.order.Target]
+	switch {
+	case len(load) > 1 || (len(load) == 1 && !known):
+		rollout.alone = false
+	case rollout.decision.Stage == StageNone && len(rollout.others) == 0 && now.Sub(rollout.orderedAt) > aloneTime &&
+		onlyVersion(load, rollout.order.Target):
+		rollout.alone = true
+	}
+	return rollout.alone != before
+}
+
 func (registry *Registry) proposeLocked(rollout *rollout, fleet Fleet, now time.Time) (Proposal, bool) {
 	decision := rollout.decision
 	step := func(stage Stage, cause string) (Proposal, bool) {
--- a/internal/load/canary/registry.go
+++ b/internal/load/canary/registry.go
@@ -70,7 +70,7 @@
 	// orderedAt and stageAt are when this router learnt of the order and of the stage, stageAnswers the answers of the target until then.
 	orderedAt, stageAt time.Time
 	stageAnswers       float64
-	// alone is set if the target was the only version of the service when it was ordered. atStart is set if the order was there when
+	// alone is set while the target is the only version of the service and nothing is decided of the order. atStart is set if the order was there when
 	// the router started.
 	alone, atStart bool
 
@@ -368,12 +368,7 @@
 	return rolloutID(rollout.decision.Service, rollout.decision.Target)
 }
 
-// onlyVersion reports whether all upstreams run a version.
+// onlyVersion reports whether all upstreams run a version, those that are leaving and those with a running request included.
 func onlyVersion(load map[string]board.VersionLoad, version string) bool {
-	for other, known := range load {
-		if other != version && known.Upstreams > 0 {
-			return false
-		}
-	}
-	return load[version].Upstreams > 0
+	return len(load) == 1 && load[version].Upstreams > 0
 }
