Serve the only version that is left while the decisions are unknown

After a restart with the status topic unreadable for over 2 s a router held the target of an order although no other version was left, and served nothing of the service: the look whether the target is alone came after the wait for the decisions.

It comes before. The target is served then, and still no step is proposed until the decisions are known. When another version reappears the target is held again.

Run: go test -p 2 ./internal/load/canary -run 'OnlyVersion|OneOutcome|Without|Exposure'; without the change TestOnlyVersionWhileUnknown fails.

--- a/internal/load/canary/canary_test.go
+++ b/internal/load/canary/canary_test.go
@@ -322,3 +322,24 @@
 		})
 	}
 }
+
+// Guards against a router that starts while the decisions cannot be read and serves nothing of a service of which one version is left,
+// or serves the target while another version has upstreams or requests.
+func TestOnlyVersionWhileUnknown(t *testing.T) {
+	now, load := time.Unix(1_000_000, 0), map[string]board.VersionLoad{}
+	registry := canary.New(canary.Config{Loads: func(table.Service) map[string]board.VersionLoad { return load }})
+	registry.Order(canary.Order{Service: "s", Target: "v2", Period: time.Minute, Offset: 1}, true, now)
+	propose := func() {
+		quicktest.Check(t, registry.Proposals(canary.Fleet{Alive: 1, Known: 1}, now), quicktest.HasLen, 0)
+	}
+	load = map[string]board.VersionLoad{"v2": {Upstreams: 2}}
+	propose()
+	quicktest.Check(t, registry.Allows("s", "v2"), quicktest.IsFalse)
+	now = now.Add(2100 * time.Millisecond)
+	propose()
+	quicktest.Check(t, registry.Allows("s", "v2"), quicktest.IsTrue)
+	load = map[string]board.VersionLoad{"v2": {Upstreams: 2}, "v1": {Running: 1}}
+	propose()
+	quicktest.Check(t, registry.Allows("s", "v2"), quicktest.IsFalse)
+	quicktest.Check(t, registry.Allows("s", "v1"), quicktest.IsTrue)
+}
--- a/internal/load/canary/judge.go
+++ b/internal/load/canary/judge.go
@@ -94,12 +94,16 @@
 				rollout.others = bar(rollout.others, version)
 			}
 		}
-		if !registry.known || !rollout.open() {
+		if !rollout.open() {
 			continue
 		}
+		// The only version is served although the decisions are not known, because holding it would serve nobody.
 		if rollout.updateAlone(loads[service], now) {
 			registry.refreshLocked(now)
 		}
+		if !registry.known {
+			continue
+		}
 		if proposal, ok := registry.proposeLocked(rollout, fleet, now); ok {
 			proposals = append(proposals, proposal)
 		}
