Let the test fleet serve on after the result of a roll-out

fleet.run stops at the result, so that the search of TestGoodVersion for requests at the old version after the end ran no tick, and TestBadVersion counted nothing after the roll-back.

runOn goes on. TestWithoutOrder checks that nothing is recorded.

--- a/internal/load/canary/canary_test.go
+++ b/internal/load/canary/canary_test.go
@@ -63,13 +63,15 @@
 				fleet.run(2*time.Second, nil)
 				fleet.start(20 * time.Second)
 				took := fleet.run(40*time.Second, nil)
-				atResult, target := fleet.total, fleet.target
+				fleet.runOn(2*rollbackTime, nil)
+				total, target := fleet.total, fleet.target
 				rate := fleet.requests * 20
 				t.Logf("%v after %v: %d of %d requests at the target (%.3f of a period), %d bad, %d after the 50th bad answer, the last %v after it",
-					fleet.decision().Stage, took, target, atResult, float64(target)/rate, fleet.bad, fleet.late, fleet.lateBy)
+					fleet.decision().Stage, took, target, total, float64(target)/rate, fleet.bad, fleet.late, fleet.lateBy)
 				quicktest.Check(t, fleet.decision().Stage, quicktest.Equals, canary.StageRolledBack)
 				quicktest.Check(t, float64(target) <= exposureShare*rate+exposureSlack, quicktest.IsTrue)
 				quicktest.Check(t, fleet.lateBy < rollbackTime, quicktest.IsTrue)
+				quicktest.Check(t, fleet.lastTarget <= took+tick, quicktest.IsTrue, quicktest.Commentf("last at %v", fleet.lastTarget))
 			})
 		}
 	}
@@ -117,8 +119,9 @@
 				t.Logf("%v after %v, %d of %d requests at the target", fleet.decision().Stage, took, fleet.target, fleet.total)
 				quicktest.Check(t, fleet.decision().Stage, quicktest.Equals, canary.StageComplete)
 				quicktest.Check(t, took <= period, quicktest.IsTrue, quicktest.Commentf("took %v", took))
-				fleet.unsafe = 0
-				fleet.run(3*time.Second, nil)
+				total := fleet.total
+				fleet.runOn(3*time.Second, nil)
+				quicktest.Check(t, fleet.total > total, quicktest.IsTrue)
 				quicktest.Check(t, fleet.unsafe, quicktest.Equals, 0)
 			})
 		}
@@ -207,6 +210,7 @@
 			for _, router := range fleet.routers {
 				running += router.running["v1"]
 			}
+			fleet.runOn(5*time.Second, func() { each(fleet) })
 			t.Logf("%v after %v: %v", fleet.decision().Stage, took, fleet.log)
 			quicktest.Check(t, fleet.decision().Stage, quicktest.Equals, canary.StageComplete)
 			quicktest.Check(t, running, quicktest.Equals, 0)
@@ -288,6 +292,7 @@
 	registry := canary.New(canary.Config{})
 	quicktest.Check(t, registry.Choices("s", false, time.Now()), quicktest.HasLen, 0)
 	quicktest.Check(t, registry.Allows("s", "v2"), quicktest.IsTrue)
+	quicktest.Check(t, registry.Record(canary.Sent{Route: "chat", Entry: table.Entry{Service: "s", Version: "v2"}}, time.Now()), quicktest.IsNil)
 	quicktest.Check(t, registry.Reports(time.Now()), quicktest.HasLen, 0)
 	registry.Merge(usage.Source{}, []canary.Report{{Rollout: 1}}, time.Now())
 	quicktest.Check(t, registry.Undecided(), quicktest.IsFalse)
--- a/internal/load/canary/fleet_test.go
+++ b/internal/load/canary/fleet_test.go
@@ -107,8 +107,17 @@
 
 // run lets the fleet serve for a duration, or until the roll-out has a result.
 func (fleet *fleet) run(duration time.Duration, each func()) time.Duration {
+	return fleet.serve(duration, each, func() bool { return fleet.decision().Final() })
+}
+
+// runOn lets the fleet serve for a duration, whether or not the roll-out has a result.
+func (fleet *fleet) runOn(duration time.Duration, each func()) {
+	fleet.serve(duration, each, func() bool { return false })
+}
+
+func (fleet *fleet) serve(duration time.Duration, each func(), ended func() bool) time.Duration {
 	start := fleet.now
-	for step := 0; fleet.now.Sub(start) < duration && !fleet.decision().Final(); step++ {
+	for step := 0; fleet.now.Sub(start) < duration && !ended(); step++ {
 		if each != nil {
 			each()
 		}
