Log a step of a roll-out that cannot be stored once in 5 s at most

The reasons were compared as text, and network errors name another port each time, so that a router logged up to five lines a second in an outage of the store.

Another reason of the same stage is logged 5 s after the last line at the earliest; the same reason still once.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -126,7 +126,7 @@
 	})
 	router.poison.Allow(settings.AllowedParts)
 	router.quarantines = &quarantineRecords{router: router, stored: map[prompt.PartHash]bool{}}
-	router.rollouts = &rollouts{router: router, failures: map[table.Service]string{}, ordered: make(chan struct{}, 1), registry: canary.New(canary.Config{
+	router.rollouts = &rollouts{router: router, failures: map[table.Service]failure{}, ordered: make(chan struct{}, 1), registry: canary.New(canary.Config{
 		Share: settings.RolloutShare, RollbackTime: settings.RollbackTime, Loads: router.board.Versions, Logger: config.Logger,
 	})}
 	router.view = view.New(view.Config{
--- a/internal/edge/entry/rollout.go
+++ b/internal/edge/entry/rollout.go
@@ -24,6 +24,8 @@
 	decisionKeyPrefix = "decision/"
 	// rolloutInterval is the interval at which due steps are looked for.
 	rolloutInterval = 200 * time.Millisecond
+	// failureInterval is the shortest time between logged failures of one step. Network errors differ each time, by their ports.
+	failureInterval = 5 * time.Second
 )
 
 // rollouts follows the orders of roll-outs and stores decisions about them. Nothing of the status topic is read before the first order.
@@ -36,8 +38,14 @@
 	mutex sync.Mutex
 	// loaded is set once the operators' topic was read.
 	loaded bool
-	// failures has the last reason for which a step of a service was not stored, so that each is logged once.
-	failures map[table.Service]string
+	// failures has the last logged reason for which a step of a service was not stored.
+	failures map[table.Service]failure
+}
+
+type failure struct {
+	stage    canary.Stage
+	reason   string
+	loggedAt time.Time
 }
 
 // applyOperator applies records of the operators' topic: orders first, because requests are served from the first configuration on.
@@ -132,7 +140,7 @@
 			continue
 		}
 		if !router.configures(proposal.Decision) {
-			if rollouts.news(proposal.Decision, "unknown service") {
+			if rollouts.news(proposal.Decision, "unknown service", now) {
 				router.config.Logger.Warn("rollout of an unknown service, nothing moves", "Service", proposal.Decision.Service)
 			}
 			continue
@@ -143,7 +151,7 @@
 			"Stage", proposal.Decision.Stage, "Cause", proposal.Cause, "Answers", verdict.Answers, "Bad", verdict.Bad,
 			"OldAnswers", verdict.OldAnswers, "OldBad", verdict.OldBad, "Score", verdict.Score, "Routers", fleet.Alive, "Known", fleet.Known)
 		if err != nil {
-			if rollouts.news(proposal.Decision, err.Error()) {
+			if rollouts.news(proposal.Decision, err.Error(), now) {
 				logger.Warn("rollout step not stored", "Error", err)
 			}
 			continue
@@ -152,14 +160,17 @@
 	}
 }
 
-// news reports whether a reason for which a decision was not stored differs from the last one.
-func (rollouts *rollouts) news(decision canary.Decision, reason string) bool {
+// news reports whether a reason for which a decision was not stored is to be logged: it differs from the last one, and is not one of many
+// of the same stage.
+func (rollouts *rollouts) news(decision canary.Decision, reason string, now time.Time) bool {
 	rollouts.mutex.Lock()
 	defer rollouts.mutex.Unlock()
-	reason = decision.Stage.String() + " " + reason
 	last := rollouts.failures[decision.Service]
-	rollouts.failures[decision.Service] = reason
-	return last != reason
+	if last.stage == decision.Stage && (last.reason == reason || now.Sub(last.loggedAt) < failureInterval) {
+		return false
+	}
+	rollouts.failures[decision.Service] = failure{stage: decision.Stage, reason: reason, loggedAt: now}
+	return true
 }
 
 // configures reports whether the configuration in force has the service of a decision.
