Let any router store a step of a roll-out that is overdue

An owner that hears the others and does not reach the store stopped every step but the end of a bad version, until the operators found out.

A router remembers since when the next step has been due. After 2 s and a random wait of up to 0.1 s for each router of the fleet it may store the step itself, and waits again if that fails. The conditional append and Decision.Follows keep two writers apart.

--- a/internal/load/canary/canary_test.go
+++ b/internal/load/canary/canary_test.go
@@ -348,3 +348,51 @@
 	quicktest.Check(t, registry.Allows("s", "v2"), quicktest.IsFalse)
 	quicktest.Check(t, registry.Allows("s", "v1"), quicktest.IsTrue)
 }
+
+// Guards against a roll-out that stands still because the router that proposes its steps does not reach the store.
+func TestOwnerWithoutStore(t *testing.T) {
+	for _, routers := range []int{6, 76} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			fleet := newFleet(routers, 185, good)
+			fleet.run(2*time.Second, nil)
+			const period = 20 * time.Second
+			fleet.start(period)
+			fleet.run(period, func() { fleet.routers[0].noStore = fleet.now.Sub(fleet.ordered) > 3*time.Second })
+			t.Logf("%v", fleet.log)
+			quicktest.Check(t, fleet.decision().Stage, quicktest.Equals, canary.StageMoved)
+			fleet.routers[0].noStore = false
+			fleet.run(period, nil)
+			quicktest.Check(t, fleet.decision().Stage, quicktest.Equals, canary.StageComplete)
+			quicktest.Check(t, fleet.unsafe, quicktest.Equals, 0)
+		})
+	}
+}
+
+// Guards against the routers of a large fleet that all write at once while nobody stores a step.
+func TestOverdueStepsAreSpread(t *testing.T) {
+	const routers = 300
+	now, random := time.Unix(1_000_000, 0), rand.New(rand.NewPCG(1, 1))
+	var registries []*canary.Registry
+	for range routers {
+		registry := canary.New(canary.Config{Random: random.Float64})
+		registry.SetKnown(now)
+		registry.Order(canary.Order{Service: "s", Target: "v2", Period: time.Minute, Offset: 1}, false, now)
+		registries = append(registries, registry)
+	}
+	most, all := 0, 0
+	for range 300 {
+		overdue := 0
+		for _, registry := range registries {
+			for _, proposal := range registry.Proposals(canary.Fleet{Alive: routers, Known: routers}, now) {
+				if proposal.Overdue {
+					overdue++
+				}
+			}
+		}
+		most, all = max(most, overdue), all+overdue
+		now = now.Add(200 * time.Millisecond)
+	}
+	t.Logf("%d in a minute, %d at most in 200 ms", all, most)
+	quicktest.Check(t, all >= routers, quicktest.IsTrue)
+	quicktest.Check(t, most < 15, quicktest.IsTrue)
+}
--- a/internal/load/canary/judge.go
+++ b/internal/load/canary/judge.go
@@ -30,6 +30,10 @@
 	// steps has a part, and then any router may propose the end of the target.
 	defaultRollbackTime = 5 * time.Second
 	ownerPart           = 4
+	// overdueTime is the time after which any router may propose a due step, and each waits up to overdueSpread longer for each router
+	// of the fleet, so that they do not all write at once.
+	overdueTime   = 2 * time.Second
+	overdueSpread = 100 * time.Millisecond
 )
 
 // Verdict is why a version counts as bad.
@@ -104,13 +108,47 @@
 		if !registry.known {
 			continue
 		}
-		if proposal, ok := registry.proposeLocked(rollout, fleet, now); ok {
-			proposals = append(proposals, proposal)
+		proposal, ok := registry.proposeLocked(rollout, fleet, now)
+		if !ok {
+			rollout.due = dueStep{}
+			continue
+		}
+		if rollout.overdue(proposal.Decision, fleet, registry.config.Random, now) {
+			proposal.Overdue = true
 		}
+		proposals = append(proposals, proposal)
 	}
 	return proposals
 }
 
+// dueStep is a step that is due since a time, or since this router tried it; delay is its random part of the wait, 0 before it is drawn.
+type dueStep struct {
+	target string
+	stage  Stage
+	since  time.Time
+	delay  time.Duration
+}
+
+// overdue reports whether the owner has not stored a step in time and it is the turn of this router, once for each wait.
+func (rollout *rollout) overdue(step Decision, fleet Fleet, random func() float64, now time.Time) bool {
+	due := &rollout.due
+	if due.target != step.Target || due.stage != step.Stage {
+		*due = dueStep{target: step.Target, stage: step.Stage, since: now}
+	}
+	waited := now.Sub(due.since)
+	if waited < overdueTime {
+		return false
+	}
+	if due.delay == 0 {
+		due.delay = 1 + time.Duration(random()*float64(fleet.Known)*float64(overdueSpread))
+	}
+	if waited < overdueTime+due.delay {
+		return false
+	}
+	due.since, due.delay = now, 0
+	return true
+}
+
 // updateAlone updates whether the target is the only version and reports whether that changed. Upstreams of the target that are missing
 // for a moment change nothing, because a part of the requests would have no version to go to.
 func (rollout *rollout) updateAlone(load map[string]board.VersionLoad, now time.Time) bool {
--- a/internal/load/canary/registry.go
+++ b/internal/load/canary/registry.go
@@ -97,6 +97,8 @@
 	condemned   bool
 	condemnedAt time.Time
 	verdict     Verdict
+	// due is the step that is due and not stored.
+	due dueStep
 	// others are the other versions that were seen during the roll-out.
 	others []string
 }
