--- a/internal/load/canary/canary_test.go
+++ b/internal/load/canary/canary_test.go
@@ -9,8 +9,10 @@
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/clementinewind/clementinewind/internal/load/board"
 	"github.com/clementinewind/clementinewind/internal/load/canary"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
+	"github.com/clementinewind/clementinewind/internal/route/table"
 )
 
 // The bounds of the platform for a version that is bad.
@@ -61,13 +63,15 @@
 				fleet.run(2*time.Second, nil)
 				fleet.start(20 * time.Second)
 				took := fleet.run(40*time.Second, nil)
-				atResult, target := fleet.total, fleet.target
+				fleet.runOn(2*rollbackTime, nil)
+				total, target := fleet.total, fleet.target
 				rate := fleet.requests * 20
 				t.Logf("%v after %v: %d of %d requests at the target (%.3f of a period), %d bad, %d after the 50th bad answer, the last %v after it",
-					fleet.decision().Stage, took, target, atResult, float64(target)/rate, fleet.bad, fleet.late, fleet.lateBy)
+					fleet.decision().Stage, took, target, total, float64(target)/rate, fleet.bad, fleet.late, fleet.lateBy)
 				quicktest.Check(t, fleet.decision().Stage, quicktest.Equals, canary.StageRolledBack)
 				quicktest.Check(t, float64(target) <= exposureShare*rate+exposureSlack, quicktest.IsTrue)
 				quicktest.Check(t, fleet.lateBy < rollbackTime, quicktest.IsTrue)
+				quicktest.Check(t, fleet.lastTarget <= took+tick, quicktest.IsTrue, quicktest.Commentf("last at %v", fleet.lastTarget))
 			})
 		}
 	}
@@ -115,8 +119,9 @@
 				t.Logf("%v after %v, %d of %d requests at the target", fleet.decision().Stage, took, fleet.target, fleet.total)
 				quicktest.Check(t, fleet.decision().Stage, quicktest.Equals, canary.StageComplete)
 				quicktest.Check(t, took <= period, quicktest.IsTrue, quicktest.Commentf("took %v", took))
-				fleet.unsafe = 0
-				fleet.run(3*time.Second, nil)
+				total := fleet.total
+				fleet.runOn(3*time.Second, nil)
+				quicktest.Check(t, fleet.total > total, quicktest.IsTrue)
 				quicktest.Check(t, fleet.unsafe, quicktest.Equals, 0)
 			})
 		}
@@ -205,6 +210,7 @@
 			for _, router := range fleet.routers {
 				running += router.running["v1"]
 			}
+			fleet.runOn(5*time.Second, func() { each(fleet) })
 			t.Logf("%v after %v: %v", fleet.decision().Stage, took, fleet.log)
 			quicktest.Check(t, fleet.decision().Stage, quicktest.Equals, canary.StageComplete)
 			quicktest.Check(t, running, quicktest.Equals, 0)
@@ -286,7 +292,107 @@
 	registry := canary.New(canary.Config{})
 	quicktest.Check(t, registry.Choices("s", false, time.Now()), quicktest.HasLen, 0)
 	quicktest.Check(t, registry.Allows("s", "v2"), quicktest.IsTrue)
+	quicktest.Check(t, registry.Record(canary.Sent{Route: "chat", Entry: table.Entry{Service: "s", Version: "v2"}}, time.Now()), quicktest.IsNil)
 	quicktest.Check(t, registry.Reports(time.Now()), quicktest.HasLen, 0)
 	registry.Merge(usage.Source{}, []canary.Report{{Rollout: 1}}, time.Now())
 	quicktest.Check(t, registry.Undecided(), quicktest.IsFalse)
 }
+
+// Guards against a version that is complete without a roll-out while others still have upstreams or requests.
+func TestOnlyVersion(t *testing.T) {
+	only := map[string]board.VersionLoad{"v2": {Upstreams: 2}}
+	draining := map[string]board.VersionLoad{"v2": {Upstreams: 2}, "v1": {Running: 3}}
+	leaving := map[string]board.VersionLoad{"v2": {Upstreams: 2}, "v1": {}}
+	tests := map[string]struct {
+		atOrder, later map[string]board.VersionLoad
+		stage          canary.Stage
+	}{
+		"no other":             {only, only, canary.StageComplete},
+		"another drains":       {draining, draining, canary.StageCanary},
+		"another leaves":       {leaving, leaving, canary.StageCanary},
+		"another reappears":    {only, draining, canary.StageCanary},
+		"the target reappears": {only, map[string]board.VersionLoad{}, canary.StageComplete},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now, load := time.Unix(1_000_000, 0), test.atOrder
+			registry := canary.New(canary.Config{Loads: func(table.Service) map[string]board.VersionLoad { return load }})
+			registry.SetKnown(now)
+			registry.Order(canary.Order{Service: "s", Target: "v2", Period: time.Minute, Offset: 1}, false, now)
+			load = test.later
+			proposals := registry.Proposals(canary.Fleet{Alive: 1, Known: 1}, now)
+			quicktest.Assert(t, proposals, quicktest.HasLen, 1)
+			quicktest.Check(t, proposals[0].Decision.Stage, quicktest.Equals, test.stage)
+			quicktest.Check(t, registry.Allows("s", "v2"), quicktest.Equals, test.stage == canary.StageComplete)
+		})
+	}
+}
+
+// Guards against a router that starts while the decisions cannot be read and serves nothing of a service of which one version is left,
+// or serves the target while another version has upstreams or requests.
+func TestOnlyVersionWhileUnknown(t *testing.T) {
+	now, load := time.Unix(1_000_000, 0), map[string]board.VersionLoad{}
+	registry := canary.New(canary.Config{Loads: func(table.Service) map[string]board.VersionLoad { return load }})
+	registry.Order(canary.Order{Service: "s", Target: "v2", Period: time.Minute, Offset: 1}, true, now)
+	propose := func() {
+		quicktest.Check(t, registry.Proposals(canary.Fleet{Alive: 1, Known: 1}, now), quicktest.HasLen, 0)
+	}
+	load = map[string]board.VersionLoad{"v2": {Upstreams: 2}}
+	propose()
+	quicktest.Check(t, registry.Allows("s", "v2"), quicktest.IsFalse)
+	now = now.Add(2100 * time.Millisecond)
+	propose()
+	quicktest.Check(t, registry.Allows("s", "v2"), quicktest.IsTrue)
+	load = map[string]board.VersionLoad{"v2": {Upstreams: 2}, "v1": {Running: 1}}
+	propose()
+	quicktest.Check(t, registry.Allows("s", "v2"), quicktest.IsFalse)
+	quicktest.Check(t, registry.Allows("s", "v1"), quicktest.IsTrue)
+}
+
+// Guards against a roll-out that stands still because the router that proposes its steps does not reach the store.
+func TestOwnerWithoutStore(t *testing.T) {
+	for _, routers := range []int{6, 76} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			fleet := newFleet(routers, 185, good)
+			fleet.run(2*time.Second, nil)
+			const period = 20 * time.Second
+			fleet.start(period)
+			fleet.run(period, func() { fleet.routers[0].noStore = fleet.now.Sub(fleet.ordered) > 3*time.Second })
+			t.Logf("%v", fleet.log)
+			quicktest.Check(t, fleet.decision().Stage, quicktest.Equals, canary.StageMoved)
+			fleet.routers[0].noStore = false
+			fleet.run(period, nil)
+			quicktest.Check(t, fleet.decision().Stage, quicktest.Equals, canary.StageComplete)
+			quicktest.Check(t, fleet.unsafe, quicktest.Equals, 0)
+		})
+	}
+}
+
+// Guards against the routers of a large fleet that all write at once while nobody stores a step.
+func TestOverdueStepsAreSpread(t *testing.T) {
+	const routers = 300
+	now, random := time.Unix(1_000_000, 0), rand.New(rand.NewPCG(1, 1))
+	var registries []*canary.Registry
+	for range routers {
+		registry := canary.New(canary.Config{Random: random.Float64})
+		registry.SetKnown(now)
+		registry.Order(canary.Order{Service: "s", Target: "v2", Period: time.Minute, Offset: 1}, false, now)
+		registries = append(registries, registry)
+	}
+	most, all := 0, 0
+	for range 300 {
+		overdue := 0
+		for _, registry := range registries {
+			for _, proposal := range registry.Proposals(canary.Fleet{Alive: routers, Known: routers}, now) {
+				if proposal.Overdue {
+					overdue++
+				}
+			}
+		}
+		most, all = max(most, overdue), all+overdue
+		now = now.Add(200 * time.Millisecond)
+	}
+	t.Logf("%d in a minute, %d at most in 200 ms", all, most)
+	quicktest.Check(t, all >= routers, quicktest.IsTrue)
+	quicktest.Check(t, most < 15, quicktest.IsTrue)
+}
--- a/internal/load/canary/judge.go
+++ b/internal/load/canary/judge.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/clementinewind/clementinewind/internal/load/board"
 )
 
 const (
@@ -28,6 +30,10 @@
 	// steps has a part, and then any router may propose the end of the target.
 	defaultRollbackTime = 5 * time.Second
 	ownerPart           = 4
+	// overdueTime is the time after which any router may propose a due step, and each waits up to overdueSpread longer for each router
+	// of the fleet, so that they do not all write at once.
+	overdueTime   = 2 * time.Second
+	overdueSpread = 100 * time.Millisecond
 )
 
 // Verdict is why a version counts as bad.
@@ -92,21 +98,72 @@
 				rollout.others = bar(rollout.others, version)
 			}
 		}
-		if !registry.known || !rollout.open() {
+		if !rollout.open() {
 			continue
 		}
-		if rollout.decision.Stage == StageNone && len(rollout.others) == 0 && now.Sub(rollout.orderedAt) > aloneTime &&
-			onlyVersion(loads[service], rollout.order.Target) && !rollout.alone {
-			rollout.alone = true
+		// The only version is served although the decisions are not known, because holding it would serve nobody.
+		if rollout.updateAlone(loads[service], now) {
 			registry.refreshLocked(now)
 		}
-		if proposal, ok := registry.proposeLocked(rollout, fleet, now); ok {
-			proposals = append(proposals, proposal)
+		if !registry.known {
+			continue
+		}
+		proposal, ok := registry.proposeLocked(rollout, fleet, now)
+		if !ok {
+			rollout.due = dueStep{}
+			continue
+		}
+		if rollout.overdue(proposal.Decision, fleet, registry.config.Random, now) {
+			proposal.Overdue = true
 		}
+		proposals = append(proposals, proposal)
 	}
 	return proposals
 }
 
+// dueStep is a step that is due since a time, or since this router tried it; delay is its random part of the wait, 0 before it is drawn.
+type dueStep struct {
+	target string
+	stage  Stage
+	since  time.Time
+	delay  time.Duration
+}
+
+// overdue reports whether the owner has not stored a step in time and it is the turn of this router, once for each wait.
+func (rollout *rollout) overdue(step Decision, fleet Fleet, random func() float64, now time.Time) bool {
+	due := &rollout.due
+	if due.target != step.Target || due.stage != step.Stage {
+		*due = dueStep{target: step.Target, stage: step.Stage, since: now}
+	}
+	waited := now.Sub(due.since)
+	if waited < overdueTime {
+		return false
+	}
+	if due.delay == 0 {
+		due.delay = 1 + time.Duration(random()*float64(fleet.Known)*float64(overdueSpread))
+	}
+	if waited < overdueTime+due.delay {
+		return false
+	}
+	due.since, due.delay = now, 0
+	return true
+}
+
+// updateAlone updates whether the target is the only version and reports whether that changed. Upstreams of the target that are missing
+// for a moment change nothing, because a part of the requests would have no version to go to.
+func (rollout *rollout) updateAlone(load map[string]board.VersionLoad, now time.Time) bool {
+	before := rollout.alone
+	_, known := load[rollout.order.Target]
+	switch {
+	case len(load) > 1 || (len(load) == 1 && !known):
+		rollout.alone = false
+	case rollout.decision.Stage == StageNone && len(rollout.others) == 0 && now.Sub(rollout.orderedAt) > aloneTime &&
+		onlyVersion(load, rollout.order.Target):
+		rollout.alone = true
+	}
+	return rollout.alone != before
+}
+
 func (registry *Registry) proposeLocked(rollout *rollout, fleet Fleet, now time.Time) (Proposal, bool) {
 	decision := rollout.decision
 	step := func(stage Stage, cause string) (Proposal, bool) {
