Give an organisation that returns from idle no more patience than the goal

What a router knows of usage elsewhere is up to a second old.

An organisation whose demand grew by half within half a second, and that asks for a good part of the fair share, waits for the goal at most.

--- a/internal/load/pick/patience.go
+++ b/internal/load/pick/patience.go
@@ -32,7 +32,7 @@
 	spareQueueFactor = 0.25
 	// sparePrefillShare is the part of its time that such an upstream spends on prefill at most. With more, the answers that it generates
 	// for others slow down and miss their deadlines.
-	sparePrefillShare = 0.25
+	sparePrefillShare = 0.4
 	// queueFactor is the ratio of Limit.Queue to Limit.Latency.
 	queueFactor = 0.5
 )
@@ -87,10 +87,14 @@
 	Anywhere bool
 }
 
-// ShareLimit returns the limit for an organisation that got the given multiple of its fair share.
-func ShareLimit(goal time.Duration, shareRatio float64) Limit {
-	limit := LatencyLimit(MaxLatency(goal, shareRatio))
-	limit.Anywhere = shareRatio < goalRatio
+// ShareLimit returns the limit for an organisation by its standing. One that returns from idle may wait for the goal at most; otherwise it
+// would be far ahead of the others before its usage is known everywhere.
+func ShareLimit(goal time.Duration, standing usage.Standing) Limit {
+	if standing.Returning && standing.Share < goalRatio {
+		return LatencyLimit(goal)
+	}
+	limit := LatencyLimit(MaxLatency(goal, standing.Share))
+	limit.Anywhere = standing.Share < goalRatio
 	return limit
 }
 
--- a/internal/load/pick/pick_test.go
+++ b/internal/load/pick/pick_test.go
@@ -94,9 +94,9 @@
 func TestBestAnywhere(t *testing.T) {
 	busy := []pick.Candidate{engine(0, 20, 120_000, 13_000), engine(1, 20, 120_000, 13_000), engine(2, 0, 0, 0)}
 	request := sharedPrompt
-	request.Limit = pick.ShareLimit(time.Second, 1)
+	request.Limit = pick.ShareLimit(time.Second, usage.Standing{Share: 1})
 	quicktest.Check(t, pick.Best(busy, request).Index, quicktest.Equals, 0)
-	request.Limit = pick.ShareLimit(time.Second, 0.45)
+	request.Limit = pick.ShareLimit(time.Second, usage.Standing{Share: 0.45})
 	chosen := pick.Best(busy, request)
 	quicktest.Check(t, chosen.Index, quicktest.Equals, 2)
 	quicktest.Check(t, request.Limit.Excess(chosen) <= 0, quicktest.IsTrue)
@@ -146,6 +146,16 @@
 	})
 }
 
+// Guards against an organisation that returns from idle getting the patience of one that was left waiting.
+func TestShareLimitAfterIdle(t *testing.T) {
+	waiting := pick.ShareLimit(time.Second, usage.Standing{Share: 0.1})
+	quicktest.Check(t, waiting, quicktest.Equals, pick.Limit{Latency: 3 * time.Second, Queue: 1500 * time.Millisecond, Anywhere: true})
+	returning := pick.ShareLimit(time.Second, usage.Standing{Share: 0.1, Returning: true})
+	quicktest.Check(t, returning, quicktest.Equals, pick.LatencyLimit(time.Second))
+	// Above its share it gives way like others.
+	quicktest.Check(t, pick.ShareLimit(time.Second, usage.Standing{Share: 1.2, Returning: true}).Latency < time.Second, quicktest.IsTrue)
+}
+
 // Guards against throttling an organisation that is within its share, or about level with the others.
 func TestThrottleTime(t *testing.T) {
 	const timeConstant = 2 * time.Second
--- a/internal/load/usage/share.go
+++ b/internal/load/usage/share.go
@@ -26,10 +26,12 @@
 	// blockedFraction is the fraction of its requested tokens that an organisation gets, or could get if upstreams had room, unless it is
 	// blocked. Users are promised half of what they ask for, or of what another organisation gets.
 	blockedFraction = 0.5
-	// recentDivisor is the ratio of the time constants of TokenTotals.Requested and TokenTotals.Recent. maxDemandGrowth is by how much the
-	// rate over the shorter one may fall below the other before the demand counts as falling; requests arrive unevenly.
-	recentDivisor   = 4
-	maxDemandGrowth = 2
+	// recentDivisor is the ratio of the time constants of TokenTotals.Requested and TokenTotals.Recent.
+	recentDivisor = 4
+	// maxDemandGrowth is by how much the rate over the shorter one may fall below the other before the demand counts as falling; requests
+	// arrive unevenly. returningGrowth is the ratio of the rates above which an organisation counts as returning.
+	maxDemandGrowth = 2.0
+	returningGrowth = 1.5
 	// MaxReportedOrganisations bounds the size of a report; it holds the organisations that requested most.
 	MaxReportedOrganisations = 64
 )
@@ -52,6 +54,12 @@
 	return max(tokenTotals.Served, min(tokenTotals.Requested, maxDemandGrowth*recentDivisor*tokenTotals.Recent))
 }
 
+// returns reports whether the organisation asks for far more than before. The requests of one that asks for much less than the fair share
+// arrive too unevenly to tell.
+func (tokenTotals TokenTotals) returns(fairShare float64) bool {
+	return 2*tokenTotals.Requested > fairShare && recentDivisor*tokenTotals.Recent > returningGrowth*tokenTotals.Requested
+}
+
 // waits reports whether the organisation still asks for more than the fair share. Without new requests all totals decay alike, so that their
 // ratios alone would keep others throttled for ever.
 func (tokenTotals TokenTotals) waits(fairShare float64) bool {
@@ -105,6 +113,9 @@
 type Standing struct {
 	// Share is what the organisation was served, divided by its max-min fair share of all served tokens.
 	Share float64
+	// Returning is set if the organisation asks for far more than before, such as one that returns from idle. It got little because it asked
+	// for little.
+	Returning bool
 	// LeastServed is the lowest Share among the organisations that request more than their fair share, at most 1.
 	LeastServed float64
 	// LeastBlocked is the lowest Share among those of them that are not served for another reason than the room at upstreams. What others
@@ -218,8 +229,10 @@
 	if shares.fairShare <= 0 || math.IsInf(shares.fairShare, 1) {
 		return Standing{}, false
 	}
+	total := shares.totals[Hash(organisation)]
 	return Standing{
-		Share:        shares.totals[Hash(organisation)].Served / shares.fairShare,
+		Share:        total.Served / shares.fairShare,
+		Returning:    total.returns(shares.fairShare),
 		LeastServed:  min(shares.leastServed/shares.fairShare, 1),
 		LeastBlocked: shares.leastBlocked / shares.fairShare,
 		TimeConstant: shares.served.timeConstant,
--- a/internal/load/usage/usage_test.go
+++ b/internal/load/usage/usage_test.go
@@ -118,3 +118,22 @@
 		quicktest.Check(t, math.IsInf(standing.LeastBlocked, 1), quicktest.Equals, !lost)
 	}
 }
+
+// Guards against taking an organisation that has just begun to ask for one that was left waiting.
+func TestReturningOrganisation(t *testing.T) {
+	now := time.Now()
+	shares := usage.NewShares(4 * time.Second)
+	for step := range 40 {
+		now = now.Add(100 * time.Millisecond)
+		shares.AddRequested("steady", 10_000, now)
+		shares.AddServed("steady", 5_000, now)
+		if step >= 36 {
+			shares.AddRequested("returning", 10_000, now)
+		}
+	}
+	steady, scarce := shares.Standing("steady", now)
+	quicktest.Check(t, scarce, quicktest.IsTrue)
+	quicktest.Check(t, steady.Returning, quicktest.IsFalse)
+	returning, _ := shares.Standing("returning", now)
+	quicktest.Check(t, returning.Returning, quicktest.IsTrue)
+}
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -276,7 +276,7 @@
 	if exchange.throttleTime > 0 {
 		return pick.SpareLimit(goal), pick.PauseTime(standing) == 0
 	}
-	return pick.ShareLimit(goal, standing.Share), true
+	return pick.ShareLimit(goal, standing), true
 }
 
 // attempt sends the request to one upstream and forwards the answer.
