Pause an organisation above 1.4 times the least served one that waits

The totals decay over two seconds and are up to a second old, so that the lead over six seconds is larger than the one they show. The case of the test between the two leads moves with the constant.

--- a/internal/load/pick/patience.go
+++ b/internal/load/pick/patience.go
@@ -26,7 +26,7 @@
 	// bursts: the shares, which decay over two seconds, lag behind what a burst has got.
 	maxLead = 1.25
 	// pauseLead is the same ratio above which the other organisation gets nothing, also where upstreams have room.
-	pauseLead = 1.6
+	pauseLead = 1.4
 	// spareQueueFactor is the part of the latency goal that a request may wait in the queue of an upstream that counts as one with room to
 	// spare. The others find most of the goal left.
 	spareQueueFactor = 0.25
--- a/internal/load/pick/pick_test.go
+++ b/internal/load/pick/pick_test.go
@@ -241,7 +241,7 @@
 		paused         bool
 	}{
 		{"within its share", 1, 0.1, 0.1, false},
-		{"ahead of one that waits for upstreams", 1.2, 0.8, math.Inf(1), false},
+		{"ahead of one that waits for upstreams", 1.1, 0.8, math.Inf(1), false},
 		{"far ahead of one that waits for upstreams", 1.5, 0.8, math.Inf(1), true},
 		{"ahead of one whose requests are lost at its router", 1.2, 0.8, 0.8, true},
 	} {
