Keep the platform's words for roll-out states out of metrics

The label of the metric named the states as the platform writes them. It has the product's own names now, and the test takes the platform's word from its stand-in. Orders of that test that are not valid are still written out there.

--- a/internal/admin/telem/entry.go
+++ b/internal/admin/telem/entry.go
@@ -145,7 +145,7 @@
 		observer.ObserveFloat64(heldLimit, float64(current.Memory.Limit))
 		observer.ObserveInt64(evictions, current.Memory.Evictions)
 		for stateName, count := range map[string]int{
-			"serving": current.RolloutsServing, "complete": current.RolloutsComplete, "rolled_back": current.RolloutsRolledBack,
+			"Serving": current.RolloutsServing, "Complete": current.RolloutsComplete, "RolledBack": current.RolloutsRolledBack,
 		} {
 			observer.ObserveFloat64(rollouts, float64(count), metric.WithAttributes(attribute.String("state", stateName)))
 		}
--- a/internal/edge/entry/rollout_test.go
+++ b/internal/edge/entry/rollout_test.go
@@ -146,7 +146,7 @@
 	})
 	versions.order(10 * time.Second)
 	versions.register("v2")
-	fleet.waitUntil("rolled back", func() bool { return versions.state() == "rolled_back" })
+	fleet.waitUntil("rolled back", func() bool { return versions.state() == stand.RolloutRolledBack })
 	time.Sleep(500 * time.Millisecond)
 	exposed := versions.requests["v2"].Load()
 	versions.order(10 * time.Second)
@@ -156,7 +156,7 @@
 		late.send("key")
 	}
 	quicktest.Check(t, versions.requests["v2"].Load(), quicktest.Equals, exposed)
-	quicktest.Check(t, versions.state(), quicktest.Equals, "rolled_back")
+	quicktest.Check(t, versions.state(), quicktest.Equals, stand.RolloutRolledBack)
 	total := exposed + versions.requests["v1"].Load()
 	quicktest.Check(t, float64(exposed) <= 0.1*float64(total)+50, quicktest.IsTrue)
 	t.Logf("%d of %d requests at the new version", exposed, total)
@@ -183,6 +183,6 @@
 	fleet.waitUntil("served", served)
 	quicktest.Check(t, fleet.store.Get(platform.TopicStatus, "rollout/x"), quicktest.IsNil)
 	versions.order(2 * time.Second)
-	fleet.waitUntil("rolled back", func() bool { return versions.state() == "rolled_back" })
+	fleet.waitUntil("rolled back", func() bool { return versions.state() == stand.RolloutRolledBack })
 	fleet.waitUntil("served", served)
 }
