Pass the bounds of roll-outs by flags instead of a section of the template

The template is as it was; the platform fills in two flags of the command, which may be empty. TestWithRollout takes the place of the test of the section, and renderTemplate of that test is as before the section.

--- a/cmd/clementinewind/entry.go
+++ b/cmd/clementinewind/entry.go
@@ -41,6 +41,8 @@
 				Name: "config", Usage: "INI `FILE` with the process settings", Required: true,
 				Sources: urfave.EnvVars(platform.SettingsVariable),
 			},
+			&urfave.StringFlag{Name: "rollout-share", Usage: "replaces [Rollout] Share; empty leaves it as it is"},
+			&urfave.StringFlag{Name: "rollback-ms", Usage: "replaces [Rollout] Rollback, in milliseconds; empty leaves it as it is"},
 			&urfave.BoolFlag{Name: "print-settings", Usage: "print the effective settings and the source of each, and exit"},
 		},
 		Action: func(ctx context.Context, command *urfave.Command) error {
@@ -48,11 +50,18 @@
 			if command.Bool("print-settings") {
 				return printSettings(command.Root().Writer, path)
 			}
-			settings, err := conf.LoadEntry(path)
+			load := func() (conf.Entry, error) {
+				settings, err := conf.LoadEntry(path)
+				if err != nil {
+					return settings, err
+				}
+				return settings.WithRollout(command.String("rollout-share"), command.String("rollback-ms"))
+			}
+			settings, err := load()
 			if err != nil {
 				return &cli.Error{Code: cli.ExitUsage, Err: err}
 			}
-			return runEntry(ctx, path, settings)
+			return runEntry(ctx, load, settings)
 		},
 	}
 }
@@ -70,7 +79,7 @@
 	return errors.Wrap(err, "print settings")
 }
 
-func runEntry(ctx context.Context, path string, settings conf.Entry) error {
+func runEntry(ctx context.Context, load func() (conf.Entry, error), settings conf.Entry) error {
 	debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(settings.MemoryBytes)))
 	logSink := sink.New(os.Stdout)
 	defer logSink.Flush(logFlushTimeout)
@@ -93,7 +102,7 @@
 				router.Stop()
 				continue
 			}
-			changed, err := conf.LoadEntry(path)
+			changed, err := load()
 			if err != nil {
 				logger.Error("reload failed, keeping the current settings", "Error", err)
 				continue
--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/route/prompt"
@@ -110,6 +111,22 @@
 	}
 }
 
+// WithRollout returns the settings with another share of requests and another time for roll-outs, given in milliseconds. An empty value
+// leaves the setting as it is: a platform renders nothing for a value that a deployment does not have.
+func (entry Entry) WithRollout(share, rollbackMillis string) (Entry, error) {
+	if share != "" {
+		if fault := setRatio(share, 1, &entry.RolloutShare); fault != nil {
+			return entry, errors.Errorf("share of roll-outs: %s", fault.detail)
+		}
+	}
+	if rollbackMillis != "" {
+		if fault := setDuration(rollbackMillis+"ms", 0, maxDuration, &entry.RollbackTime); fault != nil {
+			return entry, errors.Errorf("time of roll-backs: %s", fault.detail)
+		}
+	}
+	return entry, nil
+}
+
 // MaxConnections returns the number of sockets that the process may open: the descriptors without the reserved ones.
 func (entry Entry) MaxConnections() int { return max(entry.Descriptors-reservedDescriptors, 1) }
 
--- a/internal/admin/conf/entry_test.go
+++ b/internal/admin/conf/entry_test.go
@@ -14,8 +14,8 @@
 	"github.com/clementinewind/clementinewind/internal/admin/conf"
 )
 
-// renderTemplate fills in the template deploy/entry.ini as the platform does, on a deployment without some values.
-func renderTemplate(t *testing.T, absent ...string) string {
+// renderTemplate fills in the template deploy/entry.ini as the platform does.
+func renderTemplate(t *testing.T) string {
 	t.Helper()
 	template, err := os.ReadFile("../../../deploy/entry.ini")
 	quicktest.Assert(t, err, quicktest.IsNil)
@@ -25,20 +25,7 @@
 		"limits.memoryMb": "284", "limits.maxFds": "4100", "limits.cpuShare": "0.4", "bounds.graceS": "8", "bounds.contactMs": "3000", "bounds.ttl_max_s": "5",
 		"bounds.retryBudgetRatio": "0.2", "bounds.budgetWindowS": "10", "bounds.budgetExtra": "58", "bounds.coldOverrun": "1.5",
 		"bounds.coldSlack": "5", "bounds.quotaWindowS": "4", "bounds.passMs": "200",
-		"bounds.exposureShare": "0.1", "bounds.rollbackMs": "5000",
 	}
-	for _, name := range absent {
-		delete(values, name)
-	}
-	// A section is rendered if its value is present.
-	section := regexp.MustCompile(`(?s)\{\{#([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
-	template = section.ReplaceAllFunc(template, func(text []byte) []byte {
-		parts := section.FindSubmatch(text)
-		if _, ok := values[string(parts[1])]; !ok {
-			return nil
-		}
-		return parts[2]
-	})
 	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(placeholder string) string {
 		value, ok := values[strings.Trim(placeholder, "{}")]
 		quicktest.Check(t, ok, quicktest.IsTrue, quicktest.Commentf("%s", placeholder))
@@ -57,15 +44,24 @@
 	quicktest.Check(t, entry.MemoryBytes, quicktest.Equals, int64(284<<20))
 	quicktest.Check(t, entry.MaxConnections(), quicktest.Equals, 3900)
 	quicktest.Check(t, entry.MaxRefusedFraction, quicktest.Equals, 0.95)
-	quicktest.Check(t, entry.RolloutShare, quicktest.Equals, 0.1)
-	quicktest.Check(t, entry.RollbackTime, quicktest.Equals, 5*time.Second)
 }
 
-// Guards against a process that does not start on a deployment without roll-outs.
-func TestParseEntryWithoutRollouts(t *testing.T) {
-	entry, err := conf.ParseEntry("entry.ini", []byte(renderTemplate(t, "bounds.exposureShare", "bounds.rollbackMs")))
+// Guards against a process that does not start on a deployment without roll-outs, where the platform renders nothing, and against wrong
+// values that are ignored.
+func TestWithRollout(t *testing.T) {
+	entry := conf.DefaultEntry()
+	changed, err := entry.WithRollout("0.05", "2500")
 	quicktest.Assert(t, err, quicktest.IsNil)
-	quicktest.Check(t, entry.RolloutShare, quicktest.Equals, conf.DefaultEntry().RolloutShare)
+	quicktest.Check(t, changed.RolloutShare, quicktest.Equals, 0.05)
+	quicktest.Check(t, changed.RollbackTime, quicktest.Equals, 2500*time.Millisecond)
+	unchanged, err := entry.WithRollout("", "")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, unchanged.RolloutShare, quicktest.Equals, entry.RolloutShare)
+	quicktest.Check(t, unchanged.RollbackTime, quicktest.Equals, entry.RollbackTime)
+	for _, wrong := range [][2]string{{"2", ""}, {"-0.1", ""}, {"x", ""}, {"", "x"}, {"", "-1"}} {
+		_, err := entry.WithRollout(wrong[0], wrong[1])
+		quicktest.Check(t, err, quicktest.IsNotNil, quicktest.Commentf("%v", wrong))
+	}
 }
 
 // Guards against a process that does not start because a number has a fraction: the platform may render any number with one.
