--- a/cmd/clementinewind/entry.go
+++ b/cmd/clementinewind/entry.go
@@ -27,6 +27,9 @@
 	runtimeMemoryShare = 0.6
 	// logFlushTimeout limits how long the exit waits for buffered log lines to be written.
 	logFlushTimeout = 200 * time.Millisecond
+	// Environment variables of the flags that a deploy file fills in.
+	rolloutShareVariable   = "CLEMENTINEWIND_ROLLOUT_SHARE"
+	rollbackMillisVariable = "CLEMENTINEWIND_ROLLBACK_MS"
 )
 
 // entryCommand returns the command that runs a router behind the platform's HTTP entry.
@@ -41,8 +44,13 @@
 				Name: "config", Usage: "INI `FILE` with the process settings", Required: true,
 				Sources: urfave.EnvVars(platform.SettingsVariable),
 			},
-			&urfave.StringFlag{Name: "rollout-share", Usage: "replaces [Rollout] Share; empty leaves it as it is"},
-			&urfave.StringFlag{Name: "rollback-ms", Usage: "replaces [Rollout] Rollback, in milliseconds; empty leaves it as it is"},
+			&urfave.StringFlag{
+				Name: "rollout-share", Usage: "replaces [Rollout] Share; empty leaves it as it is", Sources: urfave.EnvVars(rolloutShareVariable),
+			},
+			&urfave.StringFlag{
+				Name: "rollback-ms", Usage: "replaces [Rollout] Rollback, in milliseconds; empty leaves it as it is",
+				Sources: urfave.EnvVars(rollbackMillisVariable),
+			},
 			&urfave.BoolFlag{Name: "print-settings", Usage: "print the effective settings and the source of each, and exit"},
 		},
 		Action: func(ctx context.Context, command *urfave.Command) error {
