review: steadier form of the case of slow readers

Cause: with 1 MiB a client the peaks were 201 to 318 MB, which is near the limit of 184 MB, and clients that all came in one moment could take the undisturbed run near it too.

Change: 2 MiB a client, and clients that come within a second.

--- a/review/_stand-2/slow.go
+++ b/review/_stand-2/slow.go
@@ -20,7 +20,9 @@
 const (
 	// slowClients is fewer than the clients of the site, which has 84 to 97 in each of three zones.
 	slowClients     = 250
-	slowAnswerBytes = 1 << 20
+	slowAnswerBytes = 2 << 20
+	// slowInterval is the time between two clients. All come within a second.
+	slowInterval = 4 * time.Millisecond
 	// slowRate is how many bytes a slow client reads in a second.
 	slowRate = 100 << 10
 )
@@ -84,6 +86,7 @@
 	var clients sync.WaitGroup
 	for i := range slowClients {
 		clients.Go(func() {
+			time.Sleep(time.Duration(i) * slowInterval)
 			dialer := net.Dialer{Timeout: time.Second}
 			if trouble {
 				dialer.Control = func(_, _ string, raw syscall.RawConn) error {
