--- a/review/_stand-2/main.go
+++ b/review/_stand-2/main.go
@@ -20,7 +20,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	broken, err := cases[os.Args[1]](world, os.Getenv("TROUBLE") != "0")
+	world.trouble = os.Getenv("TROUBLE") != "0"
+	broken, err := cases[os.Args[1]](world, world.trouble)
 	if err != nil {
 		world.log("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
--- a/review/_stand-2/world.go
+++ b/review/_stand-2/world.go
@@ -26,8 +26,10 @@
 
 // world is a small deployment on loopback addresses: a store, replicas and routers.
 type world struct {
-	dir     string
-	record  *os.File
+	dir    string
+	record *os.File
+	// trouble is set unless the disruption is left out.
+	trouble bool
 	started time.Time
 	mutex   sync.Mutex
 	store   *store
