--- a/review/_stand-3/main.go
+++ b/review/_stand-3/main.go
@@ -1,4 +1,4 @@
-// Command stand-3 runs the cases of the second review that this folder's files name, each with its own stand-ins.
+// Command stand-3 plays cases 7 and 8 of the second review with stand-ins of its own.
 package main
 
 import (
@@ -12,7 +12,7 @@
 		"beside": poisonBeside,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand-3 CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
 		os.Exit(2)
 	}
 	recorder, err := newRecorder(os.Args[2])
--- a/review/_stand-3/poison.go
+++ b/review/_stand-3/poison.go
@@ -87,7 +87,7 @@
 		replica.crash(backTime)
 		return false
 	}
-	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", replica.head(request)); err != nil {
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head(request)); err != nil {
 		return false
 	}
 	for event := 1; event <= 6; event++ {
@@ -108,7 +108,7 @@
 	if record {
 		models.add("%s sent to %s, parts %s", id, router.name, parts)
 	}
-	got := send(router.callerAddress(), http.MethodPost, "/quote/draft", header, []byte("prompt"), 12*time.Second)
+	got := send(router.callerAddress, http.MethodPost, "/quote/draft", header, []byte("prompt"), 12*time.Second)
 	if record {
 		models.add("%s answered: %v", id, got)
 	}
--- a/review/_stand-3/world.go
+++ b/review/_stand-3/world.go
@@ -25,9 +25,8 @@
 )
 
 const (
-	callerPort, readyPort, directoryPort = 8783, 8780, 8789
-	host                                 = "shop.example"
-	startTimeout                         = 20 * time.Second
+	host         = "shop.example"
+	startTimeout = 20 * time.Second
 )
 
 // recorder writes what was sent, answered and run, with the time since its start in seconds.
@@ -54,16 +53,31 @@
 	folder  string
 	store   *stand.Store
 	routers []*router
-	// storeSilent is closed when the store ends to be silent; nil while it answers.
-	mutex       sync.Mutex
-	storeSilent chan struct{}
 }
 
 // router is one process of the project.
 type router struct {
-	name, address string
-	command       *exec.Cmd
-	exited        chan struct{}
+	name    string
+	command *exec.Cmd
+	exited  chan struct{}
+	// callerAddress and readyAddress are where it listens.
+	callerAddress, readyAddress string
+}
+
+// freePorts returns ports of an address that nobody uses.
+func freePorts(address string, count int) ([]int, error) {
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp4", address+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		if tcp, ok := listener.Addr().(*net.TCPAddr); ok {
+			ports = append(ports, tcp.Port)
+		}
+	}
+	return ports, nil
 }
 
 // newWorld starts the store. The configuration and the replicas are added before the routers are started.
@@ -73,36 +87,9 @@
 		return nil, err
 	}
 	world := &world{recorder: recorder, folder: folder, store: stand.NewStore()}
-	world.store.SetFault(func(_ http.ResponseWriter, request *http.Request) bool {
-		world.mutex.Lock()
-		silent := world.storeSilent
-		world.mutex.Unlock()
-		if silent == nil {
-			return false
-		}
-		// A store that is down says nothing; the call has not been executed.
-		select {
-		case <-silent:
-		case <-request.Context().Done():
-		}
-		panic(http.ErrAbortHandler)
-	})
 	return world, nil
 }
 
-func (world *world) setStoreDown(down bool) {
-	world.mutex.Lock()
-	defer world.mutex.Unlock()
-	switch {
-	case down && world.storeSilent == nil:
-		world.storeSilent = make(chan struct{})
-	case !down && world.storeSilent != nil:
-		close(world.storeSilent)
-		world.storeSilent = nil
-	}
-	world.add("store down: %v", down)
-}
-
 // configure writes the first configuration.
 func (world *world) configure(configuration table.Configuration) error {
 	value, err := platform.EncodeConfiguration(configuration)
@@ -113,12 +100,12 @@
 	return nil
 }
 
-// settings are the values of the template, those of a small deployment of the users' pages.
-func settings(name, zone, address, store string) map[string]string {
+// settings are the values of the template, those of the site ppw-router.
+func settings(name, zone, address, store string, ports []int) map[string]string {
+	at := func(index int) string { return fmt.Sprintf("%s:%d", address, ports[index]) }
 	return map[string]string{
-		"node": name, "zone": zone, "ip": address,
-		"listen.front": fmt.Sprintf("%s:%d", address, callerPort), "listen.ready": fmt.Sprintf("%s:%d", address, readyPort),
-		"listen.directory": fmt.Sprintf("%s:%d", address, directoryPort), "portRange.0": "7400", "portRange.1": "7415",
+		"node": name, "zone": zone, "ip": address, "listen.front": at(0), "listen.ready": at(1), "listen.directory": at(2),
+		"portRange.0": fmt.Sprint(ports[3]), "portRange.1": fmt.Sprint(ports[3]),
 		"platform.address": store, "limits.memoryMb": "284", "limits.maxFds": "4100", "limits.cpuShare": "0.4",
 		"bounds.graceS": "8", "bounds.ttl_max_s": "5", "bounds.passMs": "120", "bounds.retryBudgetRatio": "0.2", "bounds.budgetWindowS": "10",
 		"bounds.budgetExtra": "58", "bounds.coldOverrun": "1.5", "bounds.coldSlack": "5", "bounds.quotaWindowS": "4",
@@ -139,11 +126,15 @@
 		return err
 	}
 	for number, zone := range zones {
-		started := &router{
-			name: fmt.Sprintf("front-%s-%d", zone, number+1), address: fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()/250%200, 1+os.Getpid()%250, 10+number),
-			exited: make(chan struct{}),
+		// The port of the metrics is the same for all, so that each has an address of its own.
+		address := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()/250%200, 1+os.Getpid()%250, 10+number)
+		ports, err := freePorts(address, 4)
+		if err != nil {
+			return err
 		}
-		values := settings(started.name, zone, started.address, listener.Addr().String())
+		started := &router{name: fmt.Sprintf("front-%s-%d", zone, number+1), exited: make(chan struct{})}
+		values := settings(started.name, zone, address, listener.Addr().String(), ports)
+		started.callerAddress, started.readyAddress = values["listen.front"], values["listen.ready"]
 		text := placeholder.ReplaceAllFunc(template, func(found []byte) []byte { return []byte(values[string(found[2:len(found)-2])]) })
 		path := filepath.Join(world.folder, started.name+".ini")
 		if err := os.WriteFile(path, text, 0o600); err != nil {
@@ -181,7 +172,7 @@
 
 func (router *router) ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get(fmt.Sprintf("http://%s:%d/api/ready", router.address, readyPort))
+	response, err := client.Get("http://" + router.readyAddress + "/api/ready")
 	if err != nil {
 		return false
 	}
@@ -189,8 +180,6 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func (router *router) callerAddress() string { return fmt.Sprintf("%s:%d", router.address, callerPort) }
-
 // close ends the routers. With REVIEW_LOGS the folder with their logs stays.
 func (world *world) close() {
 	for _, router := range world.routers {
@@ -215,7 +204,6 @@
 	mutex    sync.Mutex
 	listener net.Listener
 	conns    map[net.Conn]bool
-	leaving  bool
 }
 
 // startReplica starts a replica and registers it. The handler answers a request on a connection, and reports whether to go on there.
@@ -268,14 +256,6 @@
 	return nil
 }
 
-// unregister removes the entry, as a replica does that leaves without a word.
-func (replica *replica) unregister() {
-	replica.mutex.Lock()
-	replica.leaving = true
-	replica.mutex.Unlock()
-	replica.world.store.Put(platform.TopicUpstreams, replica.id, nil)
-}
-
 func (replica *replica) serve(conn net.Conn) {
 	defer func() {
 		replica.mutex.Lock()
@@ -304,14 +284,8 @@
 }
 
 // head returns the header lines of a sealed answer.
-func (replica *replica) head(request *http.Request) string {
-	lines := stand.SealedHeaderLines(stand.RequestID(request.Header))
-	replica.mutex.Lock()
-	defer replica.mutex.Unlock()
-	if replica.leaving {
-		lines += stand.LeavingHeaderLine("1")
-	}
-	return lines
+func head(request *http.Request) string {
+	return stand.SealedHeaderLines(stand.RequestID(request.Header))
 }
 
 // crash ends the process of the replica: its listener closes and its connections are reset. It is back after a time with a new start time.
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/review-2 ./review/_stand-2
+go build -o target/review-3 ./review/_stand-3
