relay: a response whose status cannot be final is no answer

What callers saw: an answer with status 600 or 999, a body that was not the upstream's, or 504 at their deadline. Cause: http.ReadResponse takes each three characters that strconv.Atoi reads as a number of 0 or more (000, 099, -00, +20, 600), and link took every status below 200 for an informational response: it went on with the body of that response as if it were the next one, or waited for another. 101, which no request asks for, passed for informational too.

Change: informational is 100 to 199 except 101, an answer 200 to 599 (RFC 9110, section 15). Anything else fails the attempt, as a request that may have run: another upstream where the route allows one, else 502.

--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/clementinewind/clementinewind/internal/share/reply"
 )
 
 const (
@@ -190,9 +192,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
+		if reply.IsInterim(response.StatusCode) {
 			continue
 		}
+		if !reply.IsFinal(response.StatusCode) {
+			return nil, errors.Errorf("status %d cannot be that of an answer", response.StatusCode)
+		}
 		// On a reused connection, an answer without a request ID may be a duplicate that belongs to an earlier request.
 		matches := request.Matches == nil || request.Matches(response) ||
 			(!conn.reused && request.MatchesWithoutID != nil && request.MatchesWithoutID(response))
