link: a response whose head breaks the grammar is no answer

What callers saw: a head line as the upstream had broken it, or a body that was not the upstream's: all bytes up to the end of the connection, chunk sizes among them, after 'Transfer-Encoding : chunked'. Cause: http.ReadResponse keeps fields with a blank in their name, joins a line that begins with a blank to the one before, takes lines without a carriage return, control bytes in the reason, two blanks before the status and HTTP/2.0, ignores the transfer coding of HTTP/1.0, and prefers it to a length. link trusted it.

Evidence: relay.TestBrokenHead sends 35 such heads over sockets, on routes of each kind. Control bytes in names and values, empty names, lines without a colon and lengths that disagree were rejected already; their tests stay.

Change: reply.Scanner checks the bytes of a head as they arrive, before net/http reads them; link fails the attempt at the first byte that the grammar forbids. Where RFC 9112 lets a reader choose, it rejects, because readers that choose differently see different bodies.

--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -36,10 +36,10 @@
 var errHeaderSize = errors.Errorf("response header exceeds %d bytes", maxHeaderBytes)
 
 type conn struct {
-	raw     net.Conn
-	limited *limitedReader
-	reader  *bufio.Reader
-	pool    *Pool
+	raw    net.Conn
+	heads  *headReader
+	reader *bufio.Reader
+	pool   *Pool
 
 	reused    bool
 	idleSince time.Time
@@ -48,24 +48,31 @@
 }
 
 func newConn(raw net.Conn, pool *Pool) *conn {
-	limited := &limitedReader{source: raw}
-	return &conn{raw: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), pool: pool, keepAlive: DefaultMaxIdle}
+	heads := &headReader{source: raw}
+	return &conn{raw: raw, heads: heads, reader: bufio.NewReaderSize(heads, readBufferBytes), pool: pool, keepAlive: DefaultMaxIdle}
 }
 
-// limitedReader fails with errHeaderSize when more bytes are read than its limit, if one is set.
-type limitedReader struct {
-	source    io.Reader
-	limitSet  bool
+// headReader checks and limits the bytes of heads. It passes on those of bodies.
+type headReader struct {
+	source io.Reader
+	// inHead is set while a head is read, of which remaining bytes may still arrive.
+	inHead    bool
 	remaining int
+	scanner   reply.Scanner
 }
 
-// setLimit limits the total number of bytes of all reads until clearLimit.
-func (reader *limitedReader) setLimit(limit int) { reader.limitSet, reader.remaining = true, limit }
+// beginHead starts to check a head, given the bytes of it that have arrived already.
+func (reader *headReader) beginHead(arrived []byte) error {
+	reader.inHead, reader.remaining, reader.scanner = true, maxHeaderBytes, reply.Scanner{}
+	_, err := reader.scanner.Scan(arrived)
+	return err
+}
 
-func (reader *limitedReader) clearLimit() { reader.limitSet = false }
+func (reader *headReader) endHead() { reader.inHead = false }
 
-func (reader *limitedReader) Read(buffer []byte) (int, error) {
-	if !reader.limitSet {
+// Read fails with errHeaderSize if a head is too long, and if it breaks the grammar.
+func (reader *headReader) Read(buffer []byte) (int, error) {
+	if !reader.inHead {
 		return reader.source.Read(buffer)
 	}
 	if reader.remaining <= 0 {
@@ -73,6 +80,9 @@
 	}
 	count, err := reader.source.Read(buffer[:min(len(buffer), reader.remaining)])
 	reader.remaining -= count
+	if _, scanErr := reader.scanner.Scan(buffer[:count]); scanErr != nil {
+		return 0, scanErr
+	}
 	return count, err
 }
 
@@ -217,8 +227,14 @@
 
 // readHeader reads the status line and header of a response.
 func (conn *conn) readHeader(method string) (*http.Response, error) {
-	conn.limited.setLimit(maxHeaderBytes)
-	defer conn.limited.clearLimit()
+	buffered, err := conn.reader.Peek(conn.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.heads.beginHead(buffered); err != nil {
+		return nil, err
+	}
+	defer conn.heads.endHead()
 	return http.ReadResponse(conn.reader, &http.Request{Method: method})
 }
 
--- a/internal/route/link/fuzz_test.go
+++ b/internal/route/link/fuzz_test.go
@@ -26,6 +26,8 @@
 		"HTTP/1.1 503 no\r\nX-Id: b\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 1\r\n\r\na",
 		"HTTP/1.1 102 wait\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nto the end",
+		"HTTP/1.1 000 no\r\nX-Id: a\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 1\r\n\r\na",
+		"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length : 1\r\n\r\nabc",
 		"garbage",
 	} {
 		f.Add([]byte(sent))
--- a/internal/route/relay/broken_test.go
+++ b/internal/route/relay/broken_test.go
@@ -80,3 +80,15 @@
 		}
 	}
 }
+
+// Guards against passing on a response whose head the grammar forbids: the line in question, or a body that ends elsewhere than the
+// upstream meant.
+func TestBrokenHead(t *testing.T) {
+	for name := range stand.BrokenHeads("") {
+		t.Run(name, func(t *testing.T) {
+			checkBrokenAnswer(t, http.MethodPost, "body", func(conn net.Conn, request *http.Request) {
+				_, _ = io.WriteString(conn, stand.BrokenHeads(stand.SealedHeaderLines(stand.RequestID(request.Header)))[name])
+			})
+		})
+	}
+}
