link: a body whose end is guessed during the upload is not whole

What callers saw: a part of a body as a complete 200, of a request whose upload an upstream answered without a length and then broke off. Cause: a body without length or chunks ends with its connection, and link took each end that the socket reports as that. A reset is reported once: if the goroutine that still writes the request gets ECONNRESET, the one that reads gets the end of a connection closed in order. An upstream that closes only its sending side looks the same while the request waits in the buffers of the sockets.

Evidence: relay.TestAnswerEndsDuringUpload answers uploads of 512 KiB and 4 MiB that it does not read with a part, and then resets or closes the connection or closes its sending side, five times on each of four kinds of route.

Change: a body that ends with its connection counts as whole only if the request was written without an error and the peer's kernel acknowledged all of it (SIOCOUTQ). An upstream that read the request acknowledged it before it closed, so that no sound answer is lost: the end of the connection carries the acknowledgement. A body with a length or chunks is whole whenever it is, also beside an upload. Result: the test passes 20 of 20 with -race, as does relay.TestAnswerToUploadArrives, early answers and those that end with their connections after the request, which passed before too; the packages below internal/route pass with -race.

--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/clementinewind/clementinewind/internal/share/reply"
 )
@@ -33,7 +34,15 @@
 	maxHeaderBytes = 64 << 10
 )
 
-var errHeaderSize = errors.Errorf("response header exceeds %d bytes", maxHeaderBytes)
+var (
+	errHeaderSize = errors.Errorf("response header exceeds %d bytes", maxHeaderBytes)
+	// errEndsDuringUpload is the error of a body that may be a part, because a connection that breaks while it is written to can look to
+	// its reader as if the peer had closed it in order.
+	errEndsDuringUpload = errors.New("connection ended the body of the answer before the upstream received the whole request")
+)
+
+// past is a deadline that has always expired.
+var past = time.Unix(1, 0)
 
 type conn struct {
 	raw    net.Conn
@@ -138,6 +147,24 @@
 	return state
 }
 
+// allReceived reports whether the peer has acknowledged all bytes that were written to a connection, or true if that is not known.
+func allReceived(conn net.Conn) bool {
+	syscallConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	received := false
+	err = raw.Control(func(descriptor uintptr) {
+		unacknowledged, err := unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+		received = err != nil || unacknowledged == 0
+	})
+	return err == nil && received
+}
+
 // ClosedByPeer reports whether the peer has closed or reset a connection and all received bytes were read. It reads no bytes.
 func ClosedByPeer(conn net.Conn) bool { return peek(conn) == peekClosed }
 
@@ -266,6 +293,9 @@
 // Read reads from the body. It returns io.EOF only at the end of a complete body.
 func (answer *Answer) Read(buffer []byte) (int, error) {
 	count, err := answer.Response.Body.Read(buffer)
+	if err == io.EOF && answer.endIsGuessed() {
+		err = errEndsDuringUpload
+	}
 	cause := answer.abortCause.Load()
 	switch {
 	case cause != nil && err != nil:
@@ -276,6 +306,18 @@
 	return count, err
 }
 
+// endIsGuessed reports whether the body ended with its connection before the upstream received the whole request.
+func (answer *Answer) endIsGuessed() bool {
+	if !reply.EndsWithConnection(answer.Response) || answer.Response.Body == http.NoBody {
+		return false
+	}
+	// It ends the writing of the request, unless all of it was written. It fails only if the connection is closed.
+	_ = answer.conn.raw.SetWriteDeadline(past)
+	err := <-answer.writeDone
+	answer.writeDone <- err
+	return err != nil || !allReceived(answer.conn.raw)
+}
+
 // Close returns the connection to the pool if the request was written and the body read completely, and closes it otherwise.
 func (answer *Answer) Close() {
 	if answer.closed {
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -15,6 +15,7 @@
 	"github.com/clementinewind/clementinewind/internal/route/link"
 	"github.com/clementinewind/clementinewind/internal/share/bound"
 	"github.com/clementinewind/clementinewind/internal/share/pause"
+	"github.com/clementinewind/clementinewind/internal/share/reply"
 	"github.com/clementinewind/clementinewind/platform"
 )
 
@@ -66,11 +67,6 @@
 	return end
 }
 
-// closeDelimited reports whether the body ends with the connection, so that a truncated body cannot be told from a complete one.
-func closeDelimited(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 func mediaType(response *http.Response) string {
 	name, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
 	return strings.ToLower(strings.TrimSpace(name))
@@ -135,7 +131,7 @@
 		complete := endOfEvents(pending)
 		switch {
 		case err != io.EOF:
-		case complete < len(pending), closeDelimited(answer.Response) && complete == 0 && !forwarded:
+		case complete < len(pending), reply.EndsWithConnection(answer.Response) && complete == 0 && !forwarded:
 			// An upstream that fails may end its answer inside an event, and before the first one.
 			err = io.ErrUnexpectedEOF
 		}
--- a/internal/share/reply/status.go
+++ b/internal/share/reply/status.go
@@ -11,3 +11,9 @@
 
 // IsFinal reports whether a response with the given status can be the answer to a request (RFC 9110, section 15).
 func IsFinal(status int) bool { return status >= http.StatusOK && status < 600 }
+
+// EndsWithConnection reports whether the body of a response ends with its connection, so that nothing in it tells a whole body from a
+// part.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
