send: broken responses of engines and services are no answers

What callers of the product's own interface saw: a call to a plain service that ended with status 0 or 600, or with a body behind a broken head; a cancellation and a load report that counted although nothing sound had confirmed them; a stream that began behind a broken head.

Evidence: send.TestBrokenResponse sends 48 broken responses over sockets to calls, streams, resumptions, cancellations and load reports.

Change: reply.Transport, an http.RoundTripper, checks with reply.Scanner what arrives on a connection after each request, fails at a status that is neither informational nor final, and at a body that ends with its connection before the request was written. send uses it.

--- a/internal/route/call/client.go
+++ b/internal/route/call/client.go
@@ -15,6 +15,7 @@
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/route/answer"
 	"github.com/clementinewind/clementinewind/internal/route/send"
+	"github.com/clementinewind/clementinewind/internal/share/reply"
 )
 
 const (
@@ -108,8 +109,7 @@
 	if echoed := response.Header.Get(send.HeaderRequestID); echoed != "" && echoed != requestID.String() {
 		return nil, errors.Errorf("response belongs to request %q", echoed)
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		// Such a body ends when the connection closes, so a truncated one looks complete.
+	if reply.EndsWithConnection(response) {
 		return nil, errors.Wrap(answer.ErrIncomplete, "response has neither a length nor chunks")
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, client.config.MaxResponse+1))
--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -233,7 +233,7 @@
 			continue
 		}
 		if !reply.IsFinal(response.StatusCode) {
-			return nil, errors.Errorf("status %d cannot be that of an answer", response.StatusCode)
+			return nil, reply.StatusError(response.StatusCode)
 		}
 		// On a reused connection, an answer without a request ID may be a duplicate that belongs to an earlier request.
 		matches := request.Matches == nil || request.Matches(response) ||
--- a/internal/route/send/transport.go
+++ b/internal/route/send/transport.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/share/reply"
 )
 
 const (
@@ -42,8 +43,8 @@
 
 // Transport sends each request at most once. It speaks HTTP/1.1, follows no redirects and uses no proxy.
 type Transport struct {
-	reusing *http.Transport
-	fresh   *http.Transport
+	reusing *reply.Transport
+	fresh   *reply.Transport
 }
 
 // New returns a Transport.
@@ -74,7 +75,7 @@
 	}
 	fresh := reusing.Clone()
 	fresh.DisableKeepAlives = true
-	return &Transport{reusing: reusing, fresh: fresh}
+	return &Transport{reusing: reply.NewTransport(reusing), fresh: reply.NewTransport(fresh)}
 }
 
 // Do sends a request and returns the response once its headers have arrived. Every error is an *Error.
@@ -84,8 +85,10 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		// The transport gives a connection to one request at a time, so the ticket cannot permit the
 		// writes of another request.
-		if conn, ok := info.Conn.(*conn); ok {
-			conn.ticket.Store(ticket)
+		if checked, ok := info.Conn.(*reply.Conn); ok {
+			if conn, ok := checked.NetConn().(*conn); ok {
+				conn.ticket.Store(ticket)
+			}
 		}
 	}})
 	inner := transport.reusing
