stand: broken heads before any body

Cause: heads that the store or another router breaks stand before other bodies than those of an upstream. Change: BrokenHeads takes the body; in the relay's test it is one that a stream would pass on.

--- a/internal/route/relay/broken_test.go
+++ b/internal/route/relay/broken_test.go
@@ -19,6 +19,7 @@
 const (
 	soundAnswer = "id: 2\ndata: sound\n\n"
 	soundHead   = "Content-Type: text/event-stream\r\n"
+	chunkedBody = "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"
 )
 
 // checkBrokenAnswer checks what a caller gets if the upstream that is tried first writes a broken response: 502 if the request may run only
@@ -95,10 +96,10 @@
 // Guards against passing on a response whose head the grammar forbids: the line in question, or a body that ends elsewhere than the
 // upstream meant.
 func TestBrokenHead(t *testing.T) {
-	for name := range stand.BrokenHeads("") {
+	for name := range stand.BrokenHeads("", "") {
 		t.Run(name, func(t *testing.T) {
 			checkBrokenAnswer(t, "body", "", func(conn net.Conn, request *http.Request) {
-				_, _ = io.WriteString(conn, stand.BrokenHeads(stand.SealedHeaderLines(stand.RequestID(request.Header)))[name])
+				_, _ = io.WriteString(conn, stand.BrokenHeads(stand.SealedHeaderLines(stand.RequestID(request.Header)), chunkedBody)[name])
 			})
 		})
 	}
--- a/internal/route/send/broken_test.go
+++ b/internal/route/send/broken_test.go
@@ -55,7 +55,7 @@
 			return err
 		},
 	}
-	responses := stand.BrokenHeads("Transfer-Encoding: chunked\r\n")
+	responses := stand.BrokenHeads("Transfer-Encoding: chunked\r\n", "2\r\nok\r\n0\r\n\r\n")
 	for _, status := range stand.BrokenStatuses() {
 		responses["status "+status] = stand.BrokenStatusResponse(status, "", "")
 	}
--- a/internal/share/reply/scanner_test.go
+++ b/internal/share/reply/scanner_test.go
@@ -58,7 +58,7 @@
 
 // Guards against accepting a head that the grammar forbids, and against forgetting an error. Values of lengths are left to net/http.
 func TestScannerRejects(t *testing.T) {
-	heads := stand.BrokenHeads("Name: value\r\n")
+	heads := stand.BrokenHeads("Name: value\r\n", "body")
 	for _, name := range []string{"two lengths", "length with a sign", "unknown transfer coding"} {
 		delete(heads, name)
 	}
--- a/internal/share/reply/transport_test.go
+++ b/internal/share/reply/transport_test.go
@@ -95,7 +95,7 @@
 
 // Guards against passing on broken responses, also on a connection that has served a sound one, and against keeping their connections.
 func TestTransportRejectsBrokenResponses(t *testing.T) {
-	responses := stand.BrokenHeads("Name: value\r\n")
+	responses := stand.BrokenHeads("Name: value\r\n", "body")
 	for _, status := range stand.BrokenStatuses() {
 		responses["status "+status] = stand.BrokenStatusResponse(status, "", "")
 	}
