gossip: broken responses of other routers are no records

What callers saw: nothing yet; a router would have taken records from a response whose head was broken, or whose last records were missing. Cause: routers read topics from each other with net/http's transport, as send did, and a response without a length ends with its connection: a part of an encoded batch can be one with fewer records, and without the offset to go on from.

Broken statuses were errors already.

Change: the client uses reply.Transport and takes no batch that ends with its connection. Routers have always sent a length or chunks, by net/http; the handler now sets the length itself, as the tests that call it without a server need.

--- a/internal/fleet/gossip/feed.go
+++ b/internal/fleet/gossip/feed.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind/internal/share/bound"
+	"github.com/clementinewind/clementinewind/internal/share/reply"
 	"github.com/clementinewind/clementinewind/internal/store/feed"
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 )
@@ -68,6 +69,7 @@
 		}
 		writer.Header().Set(headerTopic, query.Get("Topic"))
 		writer.Header().Set(headerFrom, query.Get("From"))
+		writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
 		if _, err := writer.Write(content); err != nil {
 			logger.Debug("failed to send feed response", "Error", err)
 		}
@@ -110,9 +112,9 @@
 
 // NewFeedClient returns a client for a Source that connects with dial. The Source sets the timeout of each request.
 func NewFeedClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: reply.NewTransport(&http.Transport{
 		DialContext: dial, MaxResponseHeaderBytes: maxFeedHeaderBytes, DisableCompression: true,
-	}}
+	})}
 }
 
 // Source reads topics from the FeedHandler of another router.
@@ -155,6 +157,10 @@
 		source.Client.CloseIdleConnections()
 		return feed.Batch{}, errors.Errorf("feed response is for topic %q from offset %q, want topic %q from offset %d", header.Get(headerTopic), header.Get(headerFrom), topic, from)
 	}
+	if reply.EndsWithConnection(response) {
+		// No router sends such a response, and records may be missing from its end.
+		return feed.Batch{}, errors.New("feed response has neither a length nor chunks")
+	}
 	var encoded fleetv1.FeedBatch
 	if err := proto.Unmarshal(content, &encoded); err != nil {
 		return feed.Batch{}, errors.Wrap(err, "decode feed response")
