peer: a response of another router whose status cannot be final is none

What callers saw: nothing yet; a router would have taken the answer to a claim from a response with status 000, 600 or none. Cause: grpc-go looks at the status only of responses whose content type is not that of gRPC.

Evidence: peer.TestBrokenPeerResponses sends 16 responses over sockets that HTTP/2 forbids. Fields that HTTP/2 forbids were rejected by grpc-go already, and each answer ends with its own mark.

Change: the connections to other routers check the status of each head, by the library's framer; one of another kind fails the connection, so that its requests may have run, and the link is opened again.

--- a/internal/fleet/peer/fleet.go
+++ b/internal/fleet/peer/fleet.go
@@ -196,7 +196,7 @@
 func (fleet *Fleet) Connect(address string) (*grpc.ClientConn, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(fleet.config.Dial),
+		grpc.WithContextDialer(checkHeads(fleet.config.Dial)),
 		grpc.WithNoProxy(),
 		grpc.WithDisableServiceConfig(),
 		// A request must not be sent twice without the knowledge of the router.
