cli: broken responses of a router are no answers

What callers saw: a command that printed the answer of a response whose head was broken, with exit code 0, and one whose call the router had not received when it ended the response. Cause: the commands read responses with net/http's transport, as send did.

Broken statuses were errors already, as connect-go takes each status but 200 for one.

Change: the commands use reply.Transport; such a call ends with the exit code for an unknown outcome.

--- a/internal/admin/cli/session.go
+++ b/internal/admin/cli/session.go
@@ -16,6 +16,7 @@
 
 	"github.com/clementinewind/clementinewind/internal/edge/auth"
 	"github.com/clementinewind/clementinewind/internal/edge/keys"
+	"github.com/clementinewind/clementinewind/internal/share/reply"
 	"github.com/clementinewind/clementinewind/internal/wire/callerv1/callerv1connect"
 	"github.com/clementinewind/clementinewind/internal/wire/operatorv1/operatorv1connect"
 )
@@ -96,12 +97,12 @@
 // connect creates service clients that use the first of the addresses that accepts a connection. It does not dial yet.
 func (client *client) connect(addresses []string) {
 	client.addresses = addresses
-	transport := &http.Transport{
+	transport := reply.NewTransport(&http.Transport{
 		DialContext: client.dial(client.cli.config.Dial),
 		DialTLSContext: client.dial(func(ctx context.Context, network, address string) (net.Conn, error) {
 			return client.dialTLS(ctx, network, address)
 		}),
-	}
+	})
 	scheme := "http://"
 	if client.tls != nil {
 		scheme = "https://"
