relay: test that a broken head says nothing of its upstream

Cause: the heads of answers also carry reports of load and that an upstream leaves. Change: two rows of relay.TestUpstreamThatSaysItLeaves.

--- a/internal/route/relay/heed_test.go
+++ b/internal/route/relay/heed_test.go
@@ -19,7 +19,7 @@
 )
 
 // Guards against requests to an upstream whose answer said that it is leaving: any answer counts, also an error, a refusal, one to
-// another request, and one that breaks off.
+// another request, and one that breaks off, but not one whose head is broken.
 func TestUpstreamThatSaysItLeaves(t *testing.T) {
 	leaving := stand.LeavingHeaderLine("1")
 	tests := map[string]struct {
@@ -44,6 +44,12 @@
 		"of another upstream at the address": {func(id string) string {
 			return "HTTP/1.1 421 Misdirected\r\n" + leaving + stand.MisdirectedHeaderLines(id, "another") + "Content-Length: 0\r\n\r\n"
 		}, false},
+		"broken head": {func(id string) string {
+			return "HTTP/1.1 200 OK\r\n" + leaving + "Bad Name: x\r\n" + stand.SealedHeaderLines(id) + "Content-Length: 2\r\n\r\nok"
+		}, false},
+		"broken status": {func(id string) string {
+			return "HTTP/1.1 000 Oops\r\n" + leaving + stand.SealedHeaderLines(id) + "Content-Length: 0\r\n\r\n"
+		}, false},
 		"not leaving": {func(id string) string {
 			return "HTTP/1.1 200 OK\r\n" + stand.LeavingHeaderLine("0") + stand.SealedHeaderLines(id) + "Content-Length: 2\r\n\r\nok"
 		}, false},
