reply: one error for a body that ends during the upload

Cause: link and reply.Transport had each its own. Change: one error and one place for it; status.go is reply.go, because it holds more than statuses. Result: builds and lints.

--- a/internal/route/link/conn.go
+++ b/internal/route/link/conn.go
@@ -34,12 +34,7 @@
 	maxHeaderBytes = 64 << 10
 )
 
-var (
-	errHeaderSize = errors.Errorf("response header exceeds %d bytes", maxHeaderBytes)
-	// errEndsDuringUpload is the error of a body that may be a part, because a connection that breaks while it is written to can look to
-	// its reader as if the peer had closed it in order.
-	errEndsDuringUpload = errors.New("connection ended the body of the answer before the upstream received the whole request")
-)
+var errHeaderSize = errors.Errorf("response header exceeds %d bytes", maxHeaderBytes)
 
 // past is a deadline that has always expired.
 var past = time.Unix(1, 0)
@@ -294,7 +289,7 @@
 func (answer *Answer) Read(buffer []byte) (int, error) {
 	count, err := answer.Response.Body.Read(buffer)
 	if err == io.EOF && answer.endIsGuessed() {
-		err = errEndsDuringUpload
+		err = reply.ErrEndsDuringUpload
 	}
 	cause := answer.abortCause.Load()
 	switch {
--- a/internal/share/reply/conn.go
+++ b/internal/share/reply/conn.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-
-	"github.com/pkg/errors"
 )
 
 // dialFunc opens connections, as net.Dialer.DialContext does.
@@ -70,8 +68,3 @@
 	}
 	return count, err
 }
-
-// StatusError returns the error of a response whose status is neither informational nor final.
-func StatusError(status int) error {
-	return errors.Errorf("status %03d cannot be that of an answer", status)
-}
--- a/internal/share/reply/status.go
+++ b/internal/share/reply/reply.go
@@ -1,7 +1,15 @@
 // Package reply checks responses of HTTP/1.1 more strictly than net/http, which passes on some that are broken.
 package reply
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// ErrEndsDuringUpload is the error of a body that ends with its connection before the server received the whole request. It may be a part:
+// a connection that breaks while it is written to can look to its reader as if the peer had closed it in order.
+var ErrEndsDuringUpload = errors.New("connection ended the body of the response before the server received the whole request")
 
 // IsInterim reports whether another response follows one with the given status. 101 is none, because it ends HTTP/1.1 on the connection,
 // and no client of this program asks for that.
@@ -17,3 +25,8 @@
 func EndsWithConnection(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
+
+// StatusError returns the error of a response whose status is neither informational nor final.
+func StatusError(status int) error {
+	return errors.Errorf("status %03d cannot be that of an answer", status)
+}
--- a/internal/share/reply/transport.go
+++ b/internal/share/reply/transport.go
@@ -14,8 +14,6 @@
 	errEarlier = errors.New("response arrived before its request was sent")
 	// errUnchecked is the error of a Transport whose connections were not dialled by the functions that NewTransport set.
 	errUnchecked = errors.New("connection does not check responses")
-	// errEndsDuringUpload is the error of a body that may be a part.
-	errEndsDuringUpload = errors.New("connection ended the body of the response before the whole request was written")
 )
 
 // Transport is an http.RoundTripper over HTTP/1.1. It fails where a Scanner does, for statuses that no answer has, for responses that
@@ -104,7 +102,7 @@
 	case writeErr := <-body.written:
 		body.written <- writeErr
 		if writeErr != nil {
-			err = errEndsDuringUpload
+			err = ErrEndsDuringUpload
 		}
 	case <-body.ctx.Done():
 		err = body.ctx.Err()
