reply: a connection that is used again does not fail the response before

Cause: reply.Transport asked its connection whether the head of the response had been checked, and net/http gives a connection whose response has no body to the next request before the first one learns of its response. The response then counted as one that had arrived before its request, and the connection was closed under the next request.

Change: the mark belongs to the attempt and not to the connection. Without a DialContext the Transport dials TCP, as net/http does.

--- a/internal/share/reply/conn.go
+++ b/internal/share/reply/conn.go
@@ -23,32 +23,26 @@
 // Conn is a connection of a Transport. It checks the heads of responses and passes on their bodies. One goroutine at a time may read.
 type Conn struct {
 	net.Conn
-	// expected is set when a request is about to be written, whose response begins with the next byte that arrives, and answered once
-	// its head has ended.
-	expected, answered atomic.Bool
-	// inHead and scanner are only used by Read.
-	inHead  bool
+	// expected is the attempt whose request is about to be written. Its response begins with the next byte that arrives.
+	expected atomic.Pointer[attempt]
+	// current is the attempt whose head is being read, or nil. It and scanner are only used by Read.
+	current *attempt
 	scanner Scanner
 }
 
 // NetConn returns the connection that was dialled.
 func (conn *Conn) NetConn() net.Conn { return conn.Conn }
 
-func (conn *Conn) expect() {
-	conn.answered.Store(false)
-	conn.expected.Store(true)
-}
-
 // Read fails at a head that the grammar forbids, and at one whose status is neither informational nor final.
 func (conn *Conn) Read(buffer []byte) (int, error) {
 	count, err := conn.Conn.Read(buffer)
 	if count == 0 {
 		return 0, err
 	}
-	if conn.expected.Swap(false) {
-		conn.inHead, conn.scanner = true, Scanner{}
+	if expected := conn.expected.Swap(nil); expected != nil {
+		conn.current, conn.scanner = expected, Scanner{}
 	}
-	for rest := buffer[:count]; conn.inHead && len(rest) > 0; {
+	for rest := buffer[:count]; conn.current != nil && len(rest) > 0; {
 		var headErr error
 		if rest, headErr = conn.scanner.Scan(rest); headErr != nil {
 			return 0, headErr
@@ -60,8 +54,8 @@
 		case IsInterim(status):
 			conn.scanner = Scanner{}
 		case IsFinal(status):
-			conn.inHead = false
-			conn.answered.Store(true)
+			conn.current.answered.Store(true)
+			conn.current = nil
 		default:
 			return 0, StatusError(status)
 		}
--- a/internal/share/reply/transport.go
+++ b/internal/share/reply/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -12,7 +13,7 @@
 
 var (
 	errEarlier = errors.New("response arrived before its request was sent")
-	// errUnchecked is the error of a Transport whose connections were not dialled by the functions that NewTransport set.
+	// errUnchecked is the error of a Transport whose connections were not dialled by its own functions.
 	errUnchecked = errors.New("connection does not check responses")
 )
 
@@ -20,12 +21,12 @@
 // arrived before their request, and for bodies that end with their connection before the whole request was written.
 type Transport struct{ inner *http.Transport }
 
-// NewTransport returns a Transport that uses inner and replaces its dial functions. inner must have those that it needs: DialContext, and
-// DialTLSContext for https.
+// NewTransport returns a Transport that uses inner and replaces its dial functions. For https, inner must have a DialTLSContext.
 func NewTransport(inner *http.Transport) *Transport {
-	if inner.DialContext != nil {
-		inner.DialContext = checkConns(inner.DialContext)
+	if inner.DialContext == nil {
+		inner.DialContext = new(net.Dialer).DialContext
 	}
+	inner.DialContext = checkConns(inner.DialContext)
 	if inner.DialTLSContext != nil {
 		inner.DialTLSContext = checkConns(inner.DialTLSContext)
 	}
@@ -38,6 +39,8 @@
 // attempt is the use of a connection for a request, which net/http may send again over another one.
 type attempt struct {
 	conn *Conn
+	// answered is set when the head of the response has arrived.
+	answered atomic.Bool
 	// written has the result of writing the request, once that has ended.
 	written chan error
 }
@@ -51,13 +54,14 @@
 			if !ok {
 				return
 			}
-			conn.expect()
-			last.Store(&attempt{conn: conn, written: make(chan error, 1)})
+			started := &attempt{conn: conn, written: make(chan error, 1)}
+			conn.expected.Store(started)
+			last.Store(started)
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if attempt := last.Load(); attempt != nil {
+			if used := last.Load(); used != nil {
 				select {
-				case attempt.written <- info.Err:
+				case used.written <- info.Err:
 				default:
 				}
 			}
@@ -67,20 +71,19 @@
 	if err != nil {
 		return nil, err
 	}
-	attempt := last.Load()
-	switch {
-	case attempt == nil:
-		err = errUnchecked
-	case !attempt.conn.answered.Load():
-		// Nothing is read from the connection any more.
-		_ = attempt.conn.Close()
-		err = errEarlier
-	case EndsWithConnection(response) && response.Body != http.NoBody:
-		response.Body = &closingBody{ReadCloser: response.Body, ctx: request.Context(), written: attempt.written}
+	used := last.Load()
+	if used == nil {
+		response.Body.Close()
+		return nil, errUnchecked
 	}
-	if err != nil {
+	if !used.answered.Load() {
+		// Each later response on the connection would be that of another request too.
+		_ = used.conn.Close()
 		response.Body.Close()
-		return nil, err
+		return nil, errEarlier
+	}
+	if EndsWithConnection(response) && response.Body != http.NoBody {
+		response.Body = &closingBody{ReadCloser: response.Body, ctx: request.Context(), written: used.written}
 	}
 	return response, nil
 }
--- a/internal/share/reply/transport_test.go
+++ b/internal/share/reply/transport_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -154,3 +155,25 @@
 		quicktest.Check(t, err, quicktest.IsNotNil, quicktest.Commentf("%q", content))
 	}
 }
+
+// Guards against failing a response without a body because its connection has been given to the next request meanwhile.
+func TestTransportSharesConnections(t *testing.T) {
+	url := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, err := io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+		return err == nil
+	})
+	client := &http.Client{Transport: reply.NewTransport(&http.Transport{
+		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 2,
+	})}
+	defer client.CloseIdleConnections()
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for range 500 {
+				_, _, err := ask(client, url, nil)
+				quicktest.Check(t, err, quicktest.IsNil)
+			}
+		})
+	}
+	callers.Wait()
+}
