--- a/internal/route/link/link_test.go
+++ b/internal/route/link/link_test.go
@@ -131,6 +131,9 @@
 		"length cut":          {"Content-Length: 5\r\n\r\nok", "ok", true},
 		"chunks cut":          {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "ok", true},
 		"informational first": {"Content-Length: 0\r\n\r\n", "", false},
+		// Trailers are not passed on.
+		"trailer with a blank in its name":        {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nBad Name: x\r\n\r\n", "ok", false},
+		"trailer with a control byte in its name": {"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nNa\x01me: x\r\n\r\n", "ok", true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
