peer, reply: plainer reading of frames and of the end of a status

Cause: reading the diff once more, scan handled header and payload of a frame in one path, and the byte after a status was accepted twice. Change: scan hands complete parts to take; the two bytes that may follow a status are named. Result: both packages pass with -race.

--- a/internal/fleet/peer/head.go
+++ b/internal/fleet/peer/head.go
@@ -70,34 +70,34 @@
 
 // scan reads a part of a frame and returns the bytes after it.
 func (conn *headConn) scan(arrived []byte) ([]byte, error) {
-	size := min(len(arrived), conn.remaining)
-	inHeader := len(conn.frame) < frameHeaderBytes
-	if inHeader {
-		size = min(len(arrived), frameHeaderBytes-len(conn.frame))
+	if missing := frameHeaderBytes - len(conn.frame); missing > 0 {
+		size := min(missing, len(arrived))
 		conn.frame = append(conn.frame, arrived[:size]...)
-		if len(conn.frame) < frameHeaderBytes {
+		if size < missing {
 			return nil, nil
 		}
 		conn.remaining = int(binary.BigEndian.Uint32(conn.frame) >> 8)
-	} else {
-		conn.remaining -= size
+		return arrived[size:], conn.take(conn.frame)
 	}
+	size := min(conn.remaining, len(arrived))
+	conn.remaining -= size
+	return arrived[size:], conn.take(arrived[:size])
+}
+
+// take keeps the next bytes of the current frame if it is a part of a head, and ends the frame with its last ones.
+func (conn *headConn) take(next []byte) error {
 	if conn.isHead() {
-		if inHeader {
-			conn.head.Write(conn.frame)
-		} else {
-			conn.head.Write(arrived[:size])
-		}
-		if conn.head.Len() > maxHeadBytes {
-			return nil, errors.Errorf("head of a response exceeds %d bytes", maxHeadBytes)
+		if conn.head.Len()+len(next) > maxHeadBytes {
+			return errors.Errorf("head of a response exceeds %d bytes", maxHeadBytes)
 		}
+		conn.head.Write(next)
 	}
 	if conn.remaining > 0 {
-		return arrived[size:], nil
+		return nil
 	}
 	err := conn.endFrame()
 	conn.frame = conn.frame[:0]
-	return arrived[size:], err
+	return err
 }
 
 // isHead reports whether the current frame is a part of a head.
--- a/internal/share/reply/scanner.go
+++ b/internal/share/reply/scanner.go
@@ -85,10 +85,14 @@
 			scanner.enter(partStatusEnd)
 		}
 	case partStatusEnd:
-		// Many servers leave out the blank before an empty reason.
-		allowed = scanner.acceptText(next) && (next == ' ' || next == '\r')
-		if next == ' ' {
+		switch next {
+		case ' ':
+			allowed = true
 			scanner.enter(partReason)
+		case '\r':
+			// Many servers leave out the blank before an empty reason.
+			allowed = true
+			scanner.enter(partLineEnd)
 		}
 	case partReason, partValue:
 		allowed = scanner.acceptText(next)
