relay: a refusal for want of room says what the expected time consists of

The logs did not say which part of the estimate differs.

The refusal now names the best upstream, the number of candidates and the parts of the time that is expected there. pick.Wait holds the parts; ExpectedLatency is their sum, as before. No decision changes.

--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -314,6 +314,15 @@
 	Versions func(version string) bool
 	// Tried are the upstreams that the request was sent to before.
 	Tried []clementinewind.Upstream
+	// Refused, if not nil, receives the best choice when its expected time exceeds the limit.
+	Refused *Refusal
+}
+
+// Refusal is the best choice for a request that it would keep waiting for too long.
+type Refusal struct {
+	Upstream   clementinewind.Upstream
+	Candidates int
+	pick.Decision
 }
 
 // Place chooses an upstream and counts the request there. It returns nil if no upstream takes the request, with the
@@ -342,6 +351,9 @@
 		return nil, board.pauseLeftLocked(request.Service, now)
 	}
 	if excess := request.Limit.Excess(decision); len(shared) > 0 && excess > 0 {
+		if request.Refused != nil {
+			*request.Refused = Refusal{Upstream: eligible[decision.Index].entry.Upstream, Candidates: len(eligible), Decision: decision}
+		}
 		return nil, excess
 	}
 	chosen := eligible[decision.Index]
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -126,6 +126,8 @@
 	EffectiveTokens int
 	// PrefillTime is the part of PrefillWindow that the upstream spends on prefill.
 	PrefillTime time.Duration
+	// Wait is what Expected consists of, apart from the pace of the upstream.
+	Wait Wait
 }
 
 // Best returns the candidate with the lowest cost. It weighs the prefill time that an upstream saves with a cached prefix against shorter
@@ -136,8 +138,9 @@
 	bestExceeds := false
 	for index, candidate := range candidates {
 		uncached, effective := PrefillTokens(candidate, request)
+		wait := waitAt(candidate, request)
 		decision := Decision{
-			Index: index, Expected: ExpectedLatency(candidate, request), IdleLatency: candidate.BaseLatency + time.Duration(effective)*candidate.PerToken,
+			Index: index, Expected: candidate.slowedDown(wait), IdleLatency: wait.Base + wait.Prefill, Wait: wait,
 			UncachedTokens: uncached, EffectiveTokens: effective, PrefillTime: time.Duration(candidate.RecentTokens) * candidate.PerToken,
 		}
 		cost := decision.Expected + penalty(candidate, request)
@@ -149,26 +152,56 @@
 	return best
 }
 
-// ExpectedLatency returns the expected time to the first event at a candidate.
-func ExpectedLatency(candidate Candidate, request Request) time.Duration {
+// Wait is what the expected time to the first event at a candidate consists of, at the mean pace of the upstreams.
+type Wait struct {
+	// Base is the time to an answer without any queue or prefill, Prefill that of the request's own tokens.
+	Base, Prefill time.Duration
+	// Queue is the prefill time of the tokens that wait at the upstream.
+	Queue time.Duration
+	// Overdue is by how much the unanswered request that was due first is overdue.
+	Overdue time.Duration
+	// Slots is the wait for a free slot, Busy the delay by prefill that takes most of the upstream's time, and Memory the wait for free memory.
+	Slots, Busy, Memory time.Duration
+}
+
+// Total returns the sum of the parts.
+func (wait Wait) Total() time.Duration {
+	return wait.Base + wait.Prefill + wait.Queue + wait.Overdue + wait.Slots + wait.Busy + wait.Memory
+}
+
+// waitAt returns the expected wait of a request at a candidate.
+func waitAt(candidate Candidate, request Request) Wait {
 	uncached, effective := PrefillTokens(candidate, request)
-	expected := candidate.BaseLatency + time.Duration(candidate.QueuedTokens+effective)*candidate.PerToken + candidate.Overdue
+	wait := Wait{
+		Base: candidate.BaseLatency, Prefill: time.Duration(effective) * candidate.PerToken,
+		Queue: time.Duration(candidate.QueuedTokens) * candidate.PerToken, Overdue: candidate.Overdue,
+	}
 	if ahead := candidate.Running + 1 - candidate.Slots; candidate.Slots > 0 && ahead > 0 {
-		expected += candidate.ServiceTime * time.Duration(ahead) / time.Duration(candidate.Slots)
+		wait.Slots = candidate.ServiceTime * time.Duration(ahead) / time.Duration(candidate.Slots)
 	}
 	if over := time.Duration(candidate.RecentTokens)*candidate.PerToken - time.Duration(maxPrefillShare*float64(PrefillWindow)); over > 0 {
-		expected += over
+		wait.Busy = over
 	}
 	if memory := int(maxMemoryUse * float64(candidate.MemoryTokens)); memory > 0 {
 		if over := candidate.ResidentTokens + uncached + request.OutputTokens - memory; over > 0 {
 			// A request that does not fit waits for others to end.
-			expected += candidate.ServiceTime * time.Duration(over) / time.Duration(memory)
+			wait.Memory = candidate.ServiceTime * time.Duration(over) / time.Duration(memory)
 		}
 	}
+	return wait
+}
+
+// ExpectedLatency returns the expected time to the first event at a candidate.
+func ExpectedLatency(candidate Candidate, request Request) time.Duration {
+	return candidate.slowedDown(waitAt(candidate, request))
+}
+
+// slowedDown returns how long a wait takes at the pace that the candidate reported.
+func (candidate Candidate) slowedDown(wait Wait) time.Duration {
 	if candidate.Reported != nil {
-		return candidate.Reported.slowedDown(expected)
+		return candidate.Reported.slowedDown(wait.Total())
 	}
-	return expected
+	return wait.Total()
 }
 
 // penalty returns the part of the cost beyond the expected latency: delays of other requests, traffic, and the risk of
--- a/internal/route/relay/answer.go
+++ b/internal/route/relay/answer.go
@@ -210,9 +210,17 @@
 func (exchange *exchange) writeRejection(status int, reason clementinewind.Reason, retryAfter time.Duration, detail string) {
 	platform.SetRefusal(exchange.writer.Header(), exchange.call.RequestID, retryAfter)
 	http.Error(exchange.writer, reason.String()+": "+detail, status)
-	exchange.logger.Warn("rejected", "Request", exchange.call.RequestID, "Status", status, "Reason", reason,
+	fields := []any{
+		"Request", exchange.call.RequestID, "Status", status, "Reason", reason,
 		"Detail", detail, "Route", exchange.route.Name, "Organisation", exchange.organisation, "RetryAfter", retryAfter,
-		"Late", exchange.excessLatency, "Share", exchange.shareRatio, "Tried", len(exchange.tried), "Took", time.Since(exchange.arrived))
+		"Late", exchange.excessLatency, "Share", exchange.shareRatio, "Tried", len(exchange.tried), "Took", time.Since(exchange.arrived),
+	}
+	if best := exchange.noRoom; best.Candidates > 0 {
+		wait := best.Wait
+		fields = append(fields, "Best", best.Upstream, "Candidates", best.Candidates, "Expected", best.Expected, "Base", wait.Base, "Prefill", wait.Prefill,
+			"Queue", wait.Queue, "Overdue", wait.Overdue, "Slots", wait.Slots, "Busy", wait.Busy, "Memory", wait.Memory)
+	}
+	exchange.logger.Warn("rejected", fields...)
 	exchange.relay.config.Meter.Ended(exchange.service.Name, reason.String(), time.Since(exchange.arrived))
 }
 
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -76,6 +76,8 @@
 	progress streamProgress
 	// excessLatency is by how much the expected time to the first event exceeds the limit for placement; 0 if that is not known.
 	excessLatency time.Duration
+	// noRoom is the best choice of the last placement that found no upstream within the limit.
+	noRoom board.Refusal
 	// throttleTime is how long the organisation is throttled because it is ahead of its fair share, and shareRatio the ratio
 	// of what it got to its fair share.
 	throttleTime time.Duration
@@ -237,7 +239,7 @@
 		ticket, excessLatency := exchange.placeAtVersion(board.Request{
 			Service: exchange.service.Name, Zone: exchange.relay.config.Zone, Prompt: exchange.call.Prompt,
 			Goal: goal - now.Sub(exchange.arrived), Tried: exchange.tried,
-			Limit: limit,
+			Limit: limit, Refused: &exchange.noRoom,
 		}, now)
 		exchange.excessLatency = excessLatency
 		if ticket != nil {
