--- a/internal/route/relay/answer.go
+++ b/internal/route/relay/answer.go
@@ -217,7 +217,8 @@
 	}
 	if best := exchange.noRoom; best.Candidates > 0 {
 		wait := best.Wait
-		fields = append(fields, "Best", best.Upstream, "Candidates", best.Candidates, "Expected", best.Expected, "Base", wait.Base, "Prefill", wait.Prefill,
+		fields = append(fields, "Best", best.Upstream, "Candidates", best.Candidates, "Expected", best.Expected, "Tokens", best.EffectiveTokens,
+			"Base", wait.Base, "Prefill", wait.Prefill, "Recent", best.PrefillTime,
 			"Queue", wait.Queue, "Overdue", wait.Overdue, "Slots", wait.Slots, "Busy", wait.Busy, "Memory", wait.Memory)
 	}
 	exchange.logger.Warn("rejected", fields...)
