board: the speed of engines comes from the configuration, not from a constant

All routers refused for want of room while the fleet began 1.2 to 3.2 million tokens a second with 37 of 60 engines up.

Cause: the estimate of the prefill time of a token returns to 22 us without samples, a constant that fits engines of earlier deployments. Those of sajha need 6.4 us. Routers with few requests believed 14 to 22 us, and the engines to spend 1.5 s to 2.4 s of each 2 s on prefill. Class of fault: an estimate that, without evidence, returns to a value of another deployment, and a refusal that keeps the evidence away.

Ruled out: own delay taken for that of engines (Base 0.16 s at the crowded router, 0.09 s elsewhere; Overdue 0); old news of the own load (Queue is no larger at the crowded router); its processor alone (12 of 22 million tokens passed the gate and found no upstream).

Change: without samples the estimate returns to what the configuration says, half of the engines' time at the throughput of all of them, whose number is a mean over 30 s. The share of its time that an engine spends on prefill follows from that speed or a higher one that was measured, never from a lower one: that includes the wait for requests that this router does not know.

--- a/internal/load/board/board.go
+++ b/internal/load/board/board.go
@@ -62,6 +62,7 @@
 	byService  map[table.Service][]*upstream
 	settings   map[table.Service]table.ServiceSettings
 	estimates  map[table.Service]*serviceEstimates
+	speed      engineSpeed
 	zonesOut   map[clementinewind.Zone]bool
 	peers      map[usage.Source]peerReport
 	placements []Placement
@@ -124,6 +125,13 @@
 	}
 }
 
+// SetThroughput sets how many tokens per second all engines together process, as far as the configuration tells; 0 means unknown.
+func (board *Board) SetThroughput(tokensPerSecond float64) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	board.speed.tokensPerSecond = tokensPerSecond
+}
+
 // Set adds an upstream or applies a newer entry of it. It reports whether the entry was applied.
 func (board *Board) Set(entry table.Entry, now time.Time) bool {
 	board.mutex.Lock()
@@ -333,6 +341,9 @@
 	if now.Sub(board.summedAt) >= remoteSumInterval {
 		board.sumRemoteLocked(now)
 	}
+	if now.Sub(board.speed.countedAt) >= engineCountInterval {
+		board.countEnginesLocked(now)
+	}
 	shared := request.Prompt.SharedPrefixes()
 	eligible := board.eligibleLocked(request, now)
 	candidates := board.candidatesLocked(eligible, shared, request.Service, now)
@@ -423,9 +434,21 @@
 		board.estimates[service] = known
 	}
 	known.engine = board.settings[service].Engine != nil
+	known.configuredPerToken = board.speed.perToken()
 	return known
 }
 
+// countEnginesLocked counts the engines that are not leaving.
+func (board *Board) countEnginesLocked(now time.Time) {
+	count := 0
+	for _, upstream := range board.upstreams {
+		if board.settings[upstream.entry.Service].Engine != nil && !upstream.leaving() {
+			count++
+		}
+	}
+	board.speed.update(count, now)
+}
+
 // eligibleLocked returns the upstreams that may get a request now.
 func (board *Board) eligibleLocked(request Request, now time.Time) []*upstream {
 	eligible := board.eligible[:0]
@@ -463,6 +486,7 @@
 			ServiceTime:    upstream.timings.serviceTime.current(serviceTime, upstreamHalfLife, now),
 			FailureRate:    upstream.failureRate(now), Overdue: upstream.overdue(now),
 		}
+		candidate.PrefillPerToken = estimates.prefillPerToken(candidate.PerToken)
 		upstream.applyFact(&candidate, estimates, now)
 		if settings.Engine != nil {
 			candidate.MemoryTokens = settings.Engine.MemoryTokens
@@ -483,7 +507,7 @@
 func (board *Board) copiesLocked(request Request, prefix prompt.Prefix, now time.Time) int {
 	estimates := board.estimatesLocked(request.Service)
 	rate := board.demand.Tokens(prefix.Hash, now) / demandWindow.Seconds()
-	return pick.CopiesFor(rate * estimates.ownTokens * estimates.perToken(now).Seconds())
+	return pick.CopiesFor(rate * estimates.ownTokens * estimates.prefillPerToken(estimates.perToken(now)).Seconds())
 }
 
 // rankLocked sets the position of each candidate in the rendezvous order of a prefix, up to the number of its preferred
--- a/internal/load/board/estimate.go
+++ b/internal/load/board/estimate.go
@@ -16,8 +16,41 @@
 	// estimate.
 	upstreamHalfLife = 2 * time.Second
 	serviceHalfLife  = 10 * time.Second
+	// prefillFraction is the fraction of its time that an engine at its full throughput spends on prefill. It generates tokens in the rest.
+	prefillFraction = 0.5
+	// engineCountInterval is how often the engines are counted, engineCountTime the time constant of their mean number. The throughput
+	// is that of all engines, some of which may be gone for a moment, and replacements start before the engines that they replace end.
+	engineCountInterval = time.Second
+	engineCountTime     = 30 * time.Second
 )
 
+// engineSpeed is what the configuration says of the speed of the engines.
+type engineSpeed struct {
+	// tokensPerSecond is the throughput of all engines together; 0 means unknown.
+	tokensPerSecond float64
+	// count is the mean number of engines, as of countedAt.
+	count     float64
+	countedAt time.Time
+}
+
+// update counts the engines.
+func (engineSpeed *engineSpeed) update(count int, now time.Time) {
+	kept := math.Exp(-now.Sub(engineSpeed.countedAt).Seconds() / engineCountTime.Seconds())
+	if engineSpeed.count == 0 {
+		kept = 0
+	}
+	engineSpeed.count = kept*engineSpeed.count + (1-kept)*float64(count)
+	engineSpeed.countedAt = now
+}
+
+// perToken returns the prefill time of a token at an engine.
+func (engineSpeed *engineSpeed) perToken() time.Duration {
+	if engineSpeed.tokensPerSecond <= 0 || engineSpeed.count <= 0 {
+		return defaultPerToken
+	}
+	return time.Duration(prefillFraction * engineSpeed.count / engineSpeed.tokensPerSecond * float64(time.Second))
+}
+
 // estimate is a moving average of a duration, which decays to a base value without new samples.
 type estimate struct {
 	value     time.Duration
@@ -53,6 +86,8 @@
 type serviceEstimates struct {
 	timings
 	engine bool
+	// configuredPerToken is the prefill time of a token as far as the configuration tells. Without samples the estimate returns to it.
+	configuredPerToken time.Duration
 	// ownTokens is the mean size of the prompts with a large shared prefix, without that prefix.
 	ownTokens float64
 	// extraPace is the mean of the paces that the upstreams reported to this router, less 1.
@@ -89,7 +124,13 @@
 	if !serviceEstimates.engine {
 		return 0
 	}
-	return serviceEstimates.timings.perToken.current(defaultPerToken, serviceHalfLife, now)
+	return serviceEstimates.timings.perToken.current(serviceEstimates.configuredPerToken, serviceHalfLife, now)
+}
+
+// prefillPerToken returns the time that an engine spends on the prefill of a token, given the estimate of the time by which one delays a first
+// event. While requests wait that this router does not know of, that estimate grows, and would make the engine seem to do nothing but prefill.
+func (serviceEstimates *serviceEstimates) prefillPerToken(perToken time.Duration) time.Duration {
+	return min(perToken, serviceEstimates.configuredPerToken)
 }
 
 func (serviceEstimates *serviceEstimates) serviceTime(now time.Time) time.Duration {
--- a/internal/load/board/upstream.go
+++ b/internal/load/board/upstream.go
@@ -12,7 +12,7 @@
 
 const (
 	// defaultPerToken and defaultEngineBase are the estimates for engines before the first answers, and the values that
-	// the estimates of a service decay to.
+	// the estimates of a service decay to. defaultPerToken applies only if the configuration does not tell the throughput of the engines.
 	defaultPerToken   = 22 * time.Microsecond
 	defaultEngineBase = 100 * time.Millisecond
 	// defaultAnswerTime is the same for plain services, and defaultEngineService for the time that a request occupies a
--- a/internal/load/pick/pick.go
+++ b/internal/load/pick/pick.go
@@ -74,8 +74,10 @@
 	MemoryTokens   int
 	// RecentTokens are the prompt tokens that all routers sent, decayed over PrefillWindow.
 	RecentTokens int
-	// PerToken is the prefill time of a token, BaseLatency the time to an answer without any queue or prefill, and
-	// ServiceTime the time that a request occupies a slot.
+	// PrefillPerToken is the time that the upstream spends on the prefill of a token.
+	PrefillPerToken time.Duration
+	// PerToken is the time by which a token in the queue delays the first event, which includes what this router does not know of the
+	// queue. BaseLatency is the time to an answer without any queue or prefill, and ServiceTime the time that a request occupies a slot.
 	PerToken    time.Duration
 	BaseLatency time.Duration
 	ServiceTime time.Duration
@@ -141,7 +143,7 @@
 		wait := waitAt(candidate, request)
 		decision := Decision{
 			Index: index, Expected: candidate.slowedDown(wait), IdleLatency: wait.Base + wait.Prefill, Wait: wait,
-			UncachedTokens: uncached, EffectiveTokens: effective, PrefillTime: time.Duration(candidate.RecentTokens) * candidate.PerToken,
+			UncachedTokens: uncached, EffectiveTokens: effective, PrefillTime: candidate.prefillTime(),
 		}
 		cost := decision.Expected + penalty(candidate, request)
 		exceeds := request.Limit.Anywhere && request.Limit.Excess(decision) > 0
@@ -179,7 +181,7 @@
 	if ahead := candidate.Running + 1 - candidate.Slots; candidate.Slots > 0 && ahead > 0 {
 		wait.Slots = candidate.ServiceTime * time.Duration(ahead) / time.Duration(candidate.Slots)
 	}
-	if over := time.Duration(candidate.RecentTokens)*candidate.PerToken - time.Duration(maxPrefillShare*float64(PrefillWindow)); over > 0 {
+	if over := candidate.prefillTime() - time.Duration(maxPrefillShare*float64(PrefillWindow)); over > 0 {
 		wait.Busy = over
 	}
 	if memory := int(maxMemoryUse * float64(candidate.MemoryTokens)); memory > 0 {
@@ -196,6 +198,11 @@
 	return candidate.slowedDown(waitAt(candidate, request))
 }
 
+// prefillTime returns the part of PrefillWindow that the upstream spends on prefill.
+func (candidate Candidate) prefillTime() time.Duration {
+	return time.Duration(candidate.RecentTokens) * candidate.PrefillPerToken
+}
+
 // slowedDown returns how long a wait takes at the pace that the candidate reported.
 func (candidate Candidate) slowedDown(wait Wait) time.Duration {
 	if candidate.Reported != nil {
--- a/internal/store/view/view.go
+++ b/internal/store/view/view.go
@@ -103,6 +103,7 @@
 	}
 	updated := table.New(configuration)
 	view.config.Board.SetServices(updated.Services())
+	view.config.Board.SetThroughput(updated.Limits().TokensPerSecond)
 	view.table.Store(updated)
 	view.config.Logger.Info("configuration in force", "Version", configuration.Version, "Offset", record.Offset,
 		"Routes", len(configuration.Routes), "Organisations", len(configuration.Organisations))
