relay: a stream goes on only at the software version that began it

Cause: a continuation was placed by what may run it now, not by what it continues. Nothing in the router knew the version of a stream.

Change: a stream is pinned to the version of its first event. A router that takes one up learns the version from its memory or from the store, and refuses it otherwise: unknown is never a guess. Streams of resumable routes begin only at versions of which the store has a record, so that a later read that finds one version tells the origin of all streams; while there are several, routers store the origins of their streams in batches. With one version nothing is stored.

--- a/internal/admin/cause/cause.go
+++ b/internal/admin/cause/cause.go
@@ -129,6 +129,10 @@
 	case reason == "Quarantined":
 		return fmt.Sprintf("The request waited at upstream %s and was withdrawn, because a part of its prompt had crashed several upstreams.",
 			lastFailure.Fields["Upstream"])
+	case reason == "OriginUnknown":
+		return fmt.Sprintf("The request takes up a stream and was refused, because a stream may go on only at the version that began it: %s.", detail)
+	case reason == "OriginGone":
+		return fmt.Sprintf("The request takes up a stream and was refused, because there is %s; the stream cannot go on.", detail)
 	case reason == "Unauthorized":
 		return "The request was denied because no organisation of the configuration in force holds its key."
 	case reason == "Invalid":
--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -31,6 +31,8 @@
 
 	// StoreAddress is the address of the platform's store.
 	StoreAddress netip.AddrPort
+	// StoreRetention is how long the store keeps records of topics that are not compacted.
+	StoreRetention time.Duration
 
 	LogLevel hclog.Level
 	// MemoryBytes is the memory limit; the platform kills the process when it reaches it.
@@ -89,12 +91,14 @@
 	defaultShareWindow        = 4 * time.Second
 	defaultRolloutShare       = 0.1
 	defaultRollbackTime       = 5 * time.Second
+	defaultStoreRetention     = 20 * time.Second
 )
 
 // DefaultEntry returns the defaults of the optional settings.
 func DefaultEntry() Entry {
 	return Entry{
 		LogLevel:           hclog.Info,
+		StoreRetention:     defaultStoreRetention,
 		MemoryBytes:        defaultMemoryBytes,
 		Descriptors:        defaultDescriptors,
 		CoreShare:          1,
@@ -151,6 +155,7 @@
 			return setPorts(text, &entry.FirstPort, &entry.LastPort)
 		}},
 		{"Store", "Address", true, address(false, func(entry *Entry) *netip.AddrPort { return &entry.StoreAddress })},
+		{"Store", "Retention", false, duration(func(entry *Entry) *time.Duration { return &entry.StoreRetention })},
 		{"Log", "Level", false, func(entry *Entry, text string) *valueFault { return setLevel(text, &entry.LogLevel) }},
 		{"Sizes", "Memory", false, func(entry *Entry, text string) *valueFault {
 			return setSize(text, 16*mebibyte, 1024*gibibyte, &entry.MemoryBytes)
--- a/internal/admin/telem/entry.go
+++ b/internal/admin/telem/entry.go
@@ -103,6 +103,9 @@
 	Memory bound.State
 	// RolloutsServing, RolloutsComplete and RolloutsRolledBack are the numbers of services by the state of their last roll-out.
 	RolloutsServing, RolloutsComplete, RolloutsRolledBack int
+	// StreamVersions is the number of versions at which streams may have begun, over all services, and Streams that of the streams whose version
+	// the router knows.
+	StreamVersions, Streams int
 }
 
 // ObserveState registers the gauges, which call state at each scrape. It must be called at most once.
@@ -124,11 +127,15 @@
 	heldLimit := builder.gauge("clementinewind.entry.held.limit", "By", "Limit of that memory.")
 	evictions := builder.observableCounter("clementinewind.entry.evictions", "Requests that lost their place because they stopped while others waited.")
 	rollouts := builder.gauge("clementinewind.entry.rollouts", "", "Services by the state of their last roll-out.")
+	streamVersions := builder.gauge("clementinewind.entry.stream.versions", "", "Versions of services at which streams may have begun.")
+	streams := builder.gauge("clementinewind.entry.known.streams", "", "Streams of which the router knows the version that began them.")
 	if builder.err != nil {
 		return errors.Wrap(builder.err, "create instruments")
 	}
 	_, err := builder.meter.RegisterCallback(func(_ context.Context, observer metric.Observer) error {
 		current := state()
+		observer.ObserveFloat64(streamVersions, float64(current.StreamVersions))
+		observer.ObserveFloat64(streams, float64(current.Streams))
 		observer.ObserveFloat64(ready, boolToFloat(current.Ready))
 		observer.ObserveFloat64(version, float64(current.Version))
 		observer.ObserveFloat64(caughtUpAge, current.CaughtUpAge.Seconds())
@@ -151,7 +158,7 @@
 		}
 		return nil
 	}, ready, version, caughtUpAge, routers, upstreams, inFlight, connections, refusedFraction, suspectedParts, quarantinedParts, held, heldLimit, evictions,
-		rollouts)
+		rollouts, streamVersions, streams)
 	return errors.Wrap(err, "register gauges")
 }
 
--- a/internal/edge/entry/announce.go
+++ b/internal/edge/entry/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -60,8 +61,9 @@
 		router.config.Logger.Warn("discovery of routers failed", "Error", err)
 		return false
 	}
+	router.origins.load(batch)
 	for _, record := range batch.Records {
-		if router.quarantines.load(record.Key, record.Value, time.Now()) {
+		if strings.HasPrefix(record.Key, versionKeyPrefix) || router.quarantines.load(record.Key, record.Value, time.Now()) {
 			continue
 		}
 		var beat fleetv1.Beat
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -88,6 +88,8 @@
 	// quarantines keeps the prompt parts in quarantine in the store.
 	quarantines *quarantineRecords
 	rollouts    *rollouts
+	// origins keeps at which versions streams began.
+	origins *origins
 	// gossiper and callers, which accepts the connections of callers, are nil until Run.
 	gossiper atomic.Pointer[gossip.Gossip]
 	callers  atomic.Pointer[gate.Listener]
@@ -142,8 +144,9 @@
 	router.store = platform.NewStore(platform.StoreConfig{
 		Address: settings.StoreAddress.String(), Dial: storeDialer.DialContext, Observe: config.Meter.StoreCall,
 	})
+	router.origins = newOrigins(router)
 	router.relay = relay.New(relay.Config{
-		Zone: settings.Zone, Board: router.board, Shares: router.shares, Poison: router.poison, Table: router.view.Table, Rollouts: router.rollouts.registry,
+		Origins: router.origins, Zone: settings.Zone, Board: router.board, Shares: router.shares, Poison: router.poison, Table: router.view.Table, Rollouts: router.rollouts.registry,
 		RouterCount: router.roster.Count,
 		Memory:      router.memory, MaxConnections: socketsFor(settings, upstreamSocketFraction),
 		Closing: router.shouldCloseConnections, Draining: router.drainRefuses, Stale: router.stale, CallerDisconnected: callerDisconnected,
@@ -296,6 +299,8 @@
 	actor(router.relay.LogLoad)
 	actor(router.quarantines.run)
 	actor(router.rollouts.run)
+	actor(router.origins.list)
+	actor(router.origins.store)
 	actor(gossiper.Send)
 	group.Add(func() error { return gossiper.Receive(ctx) }, func(error) { cancel(); conn.Close() })
 	for _, server := range servers {
@@ -321,6 +326,7 @@
 	}
 	state.SuspectedParts, state.QuarantinedParts = router.poison.Counts(time.Now())
 	state.RolloutsServing, state.RolloutsComplete, state.RolloutsRolledBack = router.rollouts.registry.Counts()
+	state.StreamVersions, state.Streams = router.origins.registry.Counts()
 	if asOf := router.topics.currentAsOf(); asOf > 0 {
 		state.CaughtUpAge -= asOf
 	}
--- a/internal/route/relay/exchange.go
+++ b/internal/route/relay/exchange.go
@@ -74,6 +74,9 @@
 	sends    int
 	fallback *fallback
 	progress streamProgress
+	// origin is the version that began the stream, and endStream records its end.
+	origin    pinnedVersion
+	endStream func(complete bool)
 	// excessLatency is by how much the expected time to the first event exceeds the limit for placement; 0 if that is not known.
 	excessLatency time.Duration
 	// noRoom is the best choice of the last placement that found no upstream within the limit.
@@ -121,7 +124,7 @@
 
 // retryable reports whether a request that may have run may be sent again.
 func (exchange *exchange) retryable() bool {
-	return exchange.route.Kind == table.RouteIdempotent || (exchange.route.Kind == table.RouteStream && exchange.route.Resumable)
+	return exchange.route.Kind == table.RouteIdempotent || exchange.resumable()
 }
 
 // tokenCost returns the weighted token count of the request in the fair shares.
@@ -178,6 +181,10 @@
 	defer cancel()
 	defer context.AfterFunc(exchange.relay.stopped, cancel)()
 	defer exchange.returnUnserved()
+	if !exchange.findOrigin(ctx) {
+		return
+	}
+	defer func() { exchange.endStream(exchange.progress.complete) }()
 	for range maxPlacements {
 		if exchange.sends > 0 && !retryBudget.TryRetry(time.Now()) {
 			exchange.logger.Info("request not retried", "Request", exchange.call.RequestID, "Cause", "retry budget exhausted")
@@ -481,6 +488,8 @@
 		exchange.countTokens(usage.PartAhead)
 		exchange.countNoRoom()
 		exchange.rejectUnavailable(clementinewind.ReasonNoCapacity, max(minRetryAfter, exchange.throttleTime), "organisation got far more than one that waits")
+	case !exchange.hasOriginUpstream():
+		exchange.rejectUnavailable(clementinewind.ReasonOriginGone, 0, fmt.Sprintf("no upstream of version %q, which began the stream", exchange.origin.name))
 	default:
 		exchange.countTokens(usage.PartQueued)
 		exchange.countNoRoom()
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -61,6 +61,8 @@
 	Table func() *table.Table
 	// Rollouts says which versions of a service may get requests; nil means all.
 	Rollouts *canary.Registry
+	// Origins tells at which versions streams began; nil lets streams that callers take up go on at any version.
+	Origins Origins
 	// RouterCount returns the number of known routers, including this one and unreachable ones.
 	RouterCount func() int
 	// Memory limits what callers and upstreams make the router hold; nil is a budget of 32 MiB.
@@ -234,7 +236,9 @@
 
 // ServeHTTP implements http.Handler.
 func (relay *Relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	exchange := &exchange{relay: relay, writer: writer, request: request, arrived: time.Now(), logger: relay.config.Logger}
+	exchange := &exchange{
+		relay: relay, writer: writer, request: request, arrived: time.Now(), logger: relay.config.Logger, endStream: func(bool) {},
+	}
 	if relay.config.Closing() {
 		writer.Header().Set("Connection", "close")
 	}
--- a/internal/route/relay/rollout.go
+++ b/internal/route/relay/rollout.go
@@ -17,7 +17,7 @@
 	}
 	var wait time.Duration
 	for _, versions := range choices {
-		request.Versions = versions
+		request.Versions = exchange.servingVersions(versions)
 		ticket, left := exchange.relay.config.Board.Place(request, now)
 		if ticket != nil {
 			ticket.Observer = rollouts.Record(canary.Sent{
--- a/internal/route/relay/stream.go
+++ b/internal/route/relay/stream.go
@@ -33,8 +33,8 @@
 
 // streamProgress describes the part of an answer that was forwarded to the caller.
 type streamProgress struct {
-	// started is set when the caller has part of the answer. It then cannot get an error response.
-	started bool
+	// started is set when the caller has part of the answer. It then cannot get an error response. complete is set when it has all of it.
+	started, complete bool
 	// eventCount counts the forwarded events that have an ID.
 	eventCount  int
 	lastEventID string
@@ -140,7 +140,7 @@
 		}
 		if complete > 0 || err == io.EOF {
 			countBefore := exchange.progress.eventCount
-			if writeErr := exchange.writeEvents(answer, pending[:complete], controller, memory); writeErr != nil {
+			if writeErr := exchange.writeEvents(ticket, answer, pending[:complete], controller, memory); writeErr != nil {
 				ticket.End(board.ResultAbandoned, time.Now())
 				if errors.Is(writeErr, errUnread) {
 					exchange.abandon(writeErr.Error())
@@ -165,6 +165,7 @@
 		}
 		switch {
 		case err == io.EOF:
+			exchange.progress.complete = true
 			ticket.End(board.ResultServed, time.Now())
 			exchange.recordEnd("Answered", "stream complete")
 			return attemptDone
@@ -177,8 +178,11 @@
 }
 
 // writeEvents writes complete events to the caller and flushes them.
-func (exchange *exchange) writeEvents(answer *link.Answer, events []byte, controller *http.ResponseController, memory *bound.Reservation) error {
+func (exchange *exchange) writeEvents(
+	ticket *board.Ticket, answer *link.Answer, events []byte, controller *http.ResponseController, memory *bound.Reservation,
+) error {
 	if !exchange.progress.started {
+		exchange.beginStream(ticket.Entry.Version)
 		exchange.progress.started, exchange.progress.contentType = true, mediaType(answer.Response)
 		exchange.setAnswerHeader(platform.ResponseHeader(answer.Response.Header))
 		exchange.writer.Header().Del("Content-Length")
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -97,3 +97,19 @@
 	}
 	return route.TrafficSplit[len(route.TrafficSplit)-1].Service, true
 }
+
+// ResumableServices returns the services to which routes lead whose streams another upstream can continue.
+func (table *Table) ResumableServices() []Service {
+	var services []Service
+	for _, route := range table.configuration.Routes {
+		if route.Kind != RouteStream || !route.Resumable {
+			continue
+		}
+		for _, weight := range route.TrafficSplit {
+			if !slices.Contains(services, weight.Service) {
+				services = append(services, weight.Service)
+			}
+		}
+	}
+	return services
+}
--- a/reason.go
+++ b/reason.go
@@ -44,4 +44,8 @@
 	ReasonKeyMismatch
 	// ReasonQuarantined means that the prompt has a part that crashed several upstreams.
 	ReasonQuarantined
+	// ReasonOriginUnknown means that the request takes up a stream of which it is not known which version of the upstreams began it.
+	ReasonOriginUnknown
+	// ReasonOriginGone means that the request takes up a stream that a version began of which there are no upstreams.
+	ReasonOriginGone
 )
--- a/reason_string.go
+++ b/reason_string.go
@@ -26,11 +26,13 @@
 	_ = x[ReasonKeyInUse-15]
 	_ = x[ReasonKeyMismatch-16]
 	_ = x[ReasonQuarantined-17]
+	_ = x[ReasonOriginUnknown-18]
+	_ = x[ReasonOriginGone-19]
 }
 
-const _Reason_name = "NoneInvalidUnauthorizedQueueFullRateLimitedDeadlineNoCapacityBusyStaleLogUnavailableUpstreamFailedConnectionLostCancelledShutdownKeyExpiredKeyInUseKeyMismatchQuarantined"
+const _Reason_name = "NoneInvalidUnauthorizedQueueFullRateLimitedDeadlineNoCapacityBusyStaleLogUnavailableUpstreamFailedConnectionLostCancelledShutdownKeyExpiredKeyInUseKeyMismatchQuarantinedOriginUnknownOriginGone"
 
-var _Reason_index = [...]uint8{0, 4, 11, 23, 32, 43, 51, 61, 65, 70, 84, 98, 112, 121, 129, 139, 147, 158, 169}
+var _Reason_index = [...]uint8{0, 4, 11, 23, 32, 43, 51, 61, 65, 70, 84, 98, 112, 121, 129, 139, 147, 158, 169, 182, 192}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
