entry: streams begin at a router that starts while the store does not answer

A router that had started during an outage of the store could not read at which versions streams may begin, and refused all streams of resumable routes. A version that this router retires is removed from its own list at once.

--- a/cmd/clementinewind/origin_test.go
+++ b/cmd/clementinewind/origin_test.go
@@ -361,6 +361,20 @@
 	}
 }
 
+// Guards against a router that serves no streams because it has started while the store does not answer.
+func TestStreamsBeginAtRouterThatStartsWhileStoreIsDown(t *testing.T) {
+	fleet := startVersionedFleet(t, 2, "old")
+	time.Sleep(time.Second)
+	fleet.store.SetFault(func(writer http.ResponseWriter, _ *http.Request) bool {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	quicktest.Assert(t, fleet.routers[0].command.Process.Kill(), quicktest.IsNil)
+	<-fleet.routers[0].exited
+	fleet.routers[0] = startProcess(t, "router", "clementinewind", "entry", "--config", fleet.settings[0])
+	await(t, "the router serves a stream", func() bool { return fleet.probe(0)[0].complete })
+}
+
 // Guards against a stream that goes on inside one answer at another software version after its upstream broke it off.
 func TestBrokenOffStreamStaysAtItsVersion(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/internal/edge/entry/origins.go
+++ b/internal/edge/entry/origins.go
@@ -233,6 +233,9 @@
 	}
 	origins.mutex.Lock()
 	defer origins.mutex.Unlock()
+	if !origins.loaded {
+		origins.assumeLocked(current.ResumableServices())
+	}
 	var missing []origin.Version
 	for _, service := range current.ResumableServices() {
 		loads := origins.router.board.Versions(service)
@@ -247,7 +250,7 @@
 				origins.registry.Suspend(version)
 			}
 			origins.seenAt[version] = now
-			if !origins.registry.MayBegin(version) {
+			if !origins.loaded || !origins.registry.MayBegin(version) {
 				missing = append(missing, version)
 			}
 		}
@@ -255,6 +258,20 @@
 	return missing
 }
 
+// assumeLocked lets streams begin at the only version of a service that is in service while this router, which has just started, cannot read the
+// records. The other routers have listed that version, or do so when the store answers again.
+func (origins *origins) assumeLocked(services []table.Service) {
+	assumed := map[origin.Version]bool{}
+	for _, service := range services {
+		if loads := origins.router.board.Versions(service); len(loads) == 1 {
+			for name := range loads {
+				assumed[origin.Version{Service: service, Name: name}] = true
+			}
+		}
+	}
+	origins.registry.Assume(assumed)
+}
+
 // retire deletes the record of a version that has been without upstreams for long, if this router owns it.
 func (origins *origins) retire(ctx context.Context, now time.Time) error {
 	origins.mutex.Lock()
@@ -278,6 +295,7 @@
 		if err != nil {
 			return err
 		}
+		origins.registry.Remove(version)
 		origins.router.config.Logger.Info("version no longer listed", "Service", version.Service, "Version", version.Name)
 	}
 	return nil
--- a/internal/route/origin/registry.go
+++ b/internal/route/origin/registry.go
@@ -43,6 +43,8 @@
 type Registry struct {
 	// listed has the versions of which the store has a record, and whether streams may begin there. It is replaced at each change.
 	listed atomic.Pointer[map[Version]bool]
+	// assumed has versions at which streams may begin although the records were not read yet; nil once they were.
+	assumed atomic.Pointer[map[Version]bool]
 
 	mutex   sync.Mutex
 	streams map[Stream]*stream
@@ -71,6 +73,10 @@
 	return registry
 }
 
+// Assume replaces the versions at which streams may begin until the records of the store are read. A router that has started while the store does
+// not answer would serve no streams otherwise. They tell nothing of streams that it does not know.
+func (registry *Registry) Assume(versions map[Version]bool) { registry.assumed.Store(&versions) }
+
 // SetListed replaces the versions of which the store has a record.
 func (registry *Registry) SetListed(versions []Version) {
 	listed := make(map[Version]bool, len(versions))
@@ -78,6 +84,7 @@
 		listed[version] = true
 	}
 	registry.listed.Store(&listed)
+	registry.assumed.Store(nil)
 }
 
 // List records that the store has a record of a version.
@@ -109,7 +116,12 @@
 
 // MayBegin reports whether streams may begin at a version. The store must have a record of it: otherwise a router that knows one other version
 // would take that for the origin of all streams.
-func (registry *Registry) MayBegin(version Version) bool { return (*registry.listed.Load())[version] }
+func (registry *Registry) MayBegin(version Version) bool {
+	if assumed := registry.assumed.Load(); assumed != nil && (*assumed)[version] {
+		return true
+	}
+	return (*registry.listed.Load())[version]
+}
 
 // Versions returns the versions of which the store has a record.
 func (registry *Registry) Versions() []Version {
