--- a/internal/load/board/estimate.go
+++ b/internal/load/board/estimate.go
@@ -18,6 +18,8 @@
 	serviceHalfLife  = 10 * time.Second
 	// prefillFraction is the fraction of its time that an engine at its full throughput spends on prefill. It generates tokens in the rest.
 	prefillFraction = 0.5
+	// maxSlowdown is the multiple of the time that follows from the throughput up to which a measured time is taken for the speed of an engine.
+	maxSlowdown = 1.5
 	// engineCountInterval is how often the engines are counted, engineCountTime the time constant of their mean number. The throughput
 	// is that of all engines, some of which may be gone for a moment, and replacements start before the engines that they replace end.
 	engineCountInterval = time.Second
@@ -130,7 +132,7 @@
 // prefillPerToken returns the time that an engine spends on the prefill of a token, given the estimate of the time by which one delays a first
 // event. While requests wait that this router does not know of, that estimate grows, and would make the engine seem to do nothing but prefill.
 func (serviceEstimates *serviceEstimates) prefillPerToken(perToken time.Duration) time.Duration {
-	return min(perToken, serviceEstimates.configuredPerToken)
+	return min(perToken, time.Duration(maxSlowdown*float64(serviceEstimates.configuredPerToken)))
 }
 
 func (serviceEstimates *serviceEstimates) serviceTime(now time.Time) time.Duration {
