soak: upstreams of two versions, and callers that take up streams

The soak had upstreams without versions, and its callers did not come back after a stream had broken off, so that it could not find streams that are joined from two versions. Upstreams now run one of two versions by turns, which their events name. A caller whose stream breaks off takes it up at a random router, and checks that its events are in order and of one version.

--- a/internal/tools/soak/client.go
+++ b/internal/tools/soak/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +23,7 @@
 	// addressLifetime is how long clients use addresses before they fetch new ones; some use them two or three times as long.
 	addressLifetime = 2 * time.Second
 	locateTimeout   = time.Second
+	endOfEvent      = "\n\n"
 )
 
 // client sends requests one after the other over reused connections.
@@ -85,10 +87,16 @@
 	process := client.run.processName(address)
 	client.run.checker.recordSent(id, path == pathOnce)
 	sent := time.Now()
-	status, body, err := client.send(ctx, address, path, id, key)
+	status, body, err := client.send(ctx, address, path, id, key, 0)
 	if ctx.Err() != nil {
 		return
 	}
+	if path == pathStream && status == http.StatusOK && err != nil {
+		body = wholeEvents(body)
+		if events := client.checkEvents(id, body); events > 0 {
+			client.checkEvents(id, body+client.takeUp(ctx, id, key, events))
+		}
+	}
 	outcome := fmt.Sprint(status)
 	if err != nil {
 		outcome = "cut"
@@ -105,16 +113,53 @@
 	}
 }
 
+// takeUp takes up a stream at a random router after some events, as callers do whose connection breaks. It returns the further events.
+func (client *client) takeUp(ctx context.Context, id, key string, events int) string {
+	client.run.checker.recordSent(id+takeUpSuffix, false)
+	address := client.addresses[client.random.IntN(len(client.addresses))]
+	status, body, err := client.send(ctx, address, pathStream, id+takeUpSuffix, key, events)
+	switch {
+	case ctx.Err() != nil:
+	case status != http.StatusOK:
+		client.run.checker.recordOutcome(id+takeUpSuffix, status, fmt.Sprintf("take-up %d", status))
+		return ""
+	case err != nil:
+		client.run.checker.recordOutcome(id+takeUpSuffix, status, "take-up cut")
+	default:
+		client.run.checker.recordOutcome(id+takeUpSuffix, status, "take-up complete")
+	}
+	return wholeEvents(body)
+}
+
+// wholeEvents returns the part of a body up to the end of its last event.
+func wholeEvents(body string) string {
+	end := strings.LastIndex(body, endOfEvent)
+	if end < 0 {
+		return ""
+	}
+	return body[:end+len(endOfEvent)]
+}
+
+// checkEvents checks that the events of a body are those of a stream from its beginning on, in order and by one version. It returns their number.
+func (client *client) checkEvents(id, body string) int {
+	events := strings.Split(wholeEvents(body), endOfEvent)
+	for number, event := range events[:len(events)-1] {
+		_, first, _ := strings.Cut(events[0], streamOf(id)+" ")
+		if event+endOfEvent != eventText(streamOf(id), first, number+1) {
+			client.run.checker.reportf("stream %s has the event %q as number %d after %q", id, event, number+1, events[0])
+		}
+	}
+	return len(events) - 1
+}
+
 func (client *client) checkBody(id, path, body string) {
-	want := id
 	if path == pathStream {
-		var text strings.Builder
-		for event := 1; event <= eventCount; event++ {
-			text.WriteString(eventText(id, event))
+		if events := client.checkEvents(id, body); events != eventCount || wholeEvents(body) != body {
+			client.run.checker.reportf("stream %s is complete with %d events: %q", id, events, body)
 		}
-		want = text.String()
+		return
 	}
-	if body != want {
+	if body != id {
 		client.run.checker.reportf("request %s got a complete but wrong answer %q", id, body)
 	}
 }
@@ -133,7 +178,8 @@
 	}
 }
 
-func (client *client) send(ctx context.Context, address, path, id, key string) (int, string, error) {
+// send sends a request and returns its status and body. With a number of events it takes up a stream after them.
+func (client *client) send(ctx context.Context, address, path, id, key string, events int) (int, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(id))
@@ -144,6 +190,9 @@
 	request.GetBody = nil
 	request.Host = routeHost
 	stand.SetCallerHeaders(request.Header, id, key, requestTimeout)
+	if events > 0 {
+		stand.SetResumes(request.Header, streamOf(id), strconv.Itoa(events))
+	}
 	response, err := client.http.Do(request)
 	if err != nil {
 		return 0, "", err
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -185,7 +185,7 @@
 		key := run.environment.keys[0]
 		run.environment.mutex.Unlock()
 		address := strings.TrimPrefix(router.url(callerPort, ""), "http://")
-		if status, body, err := client.send(ctx, address, pathIdempotent, id, key); err == nil && status == http.StatusOK && body == id {
+		if status, body, err := client.send(ctx, address, pathIdempotent, id, key, 0); err == nil && status == http.StatusOK && body == id {
 			served++
 		}
 	}
--- a/internal/tools/soak/world.go
+++ b/internal/tools/soak/world.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	// Connections and slots of an upstream are far above what the clients of a run use.
 	maxUpstreamConnections = 200
 	upstreamSlots          = 8
+	// versionLife is the number of upstreams of one version that are added before those of the other one.
+	versionLife = 3
 	// leaveSequence is above the sequence number of any heartbeat, so that the announcement to leave is the newest entry.
 	leaveSequence = 1_000_000
 	// routeHost is the host name of all routes.
@@ -67,6 +70,8 @@
 	stopHeartbeats chan struct{}
 	// startUnixMillis serves as the incarnation number.
 	startUnixMillis int64
+	// version is the version of its software, which its events name.
+	version string
 
 	mutex sync.Mutex
 	// left is when the upstream crashed or announced that it leaves, or zero.
@@ -169,7 +174,10 @@
 	environment.mutex.Lock()
 	defer environment.mutex.Unlock()
 	environment.nameCount++
-	added := &upstream{name: fmt.Sprintf("u-%d", environment.nameCount), environment: environment, proxy: upstreamProxy, stopHeartbeats: make(chan struct{}), startUnixMillis: time.Now().UnixMilli()}
+	added := &upstream{
+		name: fmt.Sprintf("u-%d", environment.nameCount), environment: environment, proxy: upstreamProxy, stopHeartbeats: make(chan struct{}),
+		startUnixMillis: time.Now().UnixMilli(), version: fmt.Sprintf("v%d", environment.nameCount/versionLife%2),
+	}
 	added.server = &http.Server{Handler: added, ReadHeaderTimeout: time.Minute}
 	environment.upstreams[added.name] = added
 	go func() { _ = added.server.Serve(listener) }()
@@ -228,7 +236,7 @@
 func (upstream *upstream) publishEntry(leaving bool, sequence int64) {
 	value, err := platform.EncodeUpstream(table.Entry{
 		Upstream: clementinewind.Upstream(upstream.name), Service: serviceName, Address: upstream.proxy.address(), Zone: "a",
-		Slots: upstreamSlots, Leaving: leaving, Sequence: sequence, Incarnation: upstream.startUnixMillis,
+		Slots: upstreamSlots, Version: upstream.version, Leaving: leaving, Sequence: sequence, Incarnation: upstream.startUnixMillis,
 	})
 	if err != nil {
 		panic(err)
@@ -294,7 +302,7 @@
 	}
 	writer.Header().Set("Content-Type", "text/event-stream")
 	for event := first; event <= eventCount; event++ {
-		fmt.Fprint(writer, eventText(id, event))
+		fmt.Fprint(writer, eventText(streamOf(id), upstream.version, event))
 		if failing && event == eventCount/2 {
 			breakOff(writer, id)
 		}
@@ -305,7 +313,16 @@
 	}
 }
 
-func eventText(id string, event int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", event, id) }
+// eventText returns an event of a stream that a version of the upstreams writes.
+func eventText(stream, version string, event int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %s%s", event, stream, version, endOfEvent)
+}
+
+// takeUpSuffix ends the identifier of a request that takes up a stream.
+const takeUpSuffix = "-again"
+
+// streamOf returns the identifier of the request that began the stream of a request.
+func streamOf(id string) string { return strings.TrimSuffix(id, takeUpSuffix) }
 
 // breakOff writes half of the id and aborts the connection.
 func breakOff(writer http.ResponseWriter, id string) {
