board: a throughput that no engines have does not set their speed

A configuration with an absurd throughput would have made the time per token overflow, or every upstream seem busy for ever. The time is limited to 64 times the usual one either way (TestAbsurdThroughput).

--- a/internal/load/board/estimate.go
+++ b/internal/load/board/estimate.go
@@ -23,7 +23,9 @@
 	// engineCountInterval is how often the engines are counted, engineCountTime the time constant of their mean number. The throughput
 	// is that of all engines, some of which may be gone for a moment, and replacements start before the engines that they replace end.
 	engineCountInterval = time.Second
-	engineCountTime     = 30 * time.Second
+	// maxSpeedRatio limits how much faster or slower than defaultPerToken engines can be. A throughput beyond it is a mistake of the operator.
+	maxSpeedRatio   = 64
+	engineCountTime = 30 * time.Second
 )
 
 // engineSpeed is what the configuration says of the speed of the engines.
@@ -47,10 +49,12 @@
 
 // perToken returns the prefill time of a token at an engine.
 func (engineSpeed *engineSpeed) perToken() time.Duration {
-	if engineSpeed.tokensPerSecond <= 0 || engineSpeed.count <= 0 {
+	if !(engineSpeed.tokensPerSecond > 0) || engineSpeed.count <= 0 {
 		return defaultPerToken
 	}
-	return time.Duration(prefillFraction * engineSpeed.count / engineSpeed.tokensPerSecond * float64(time.Second))
+	seconds := prefillFraction * engineSpeed.count / engineSpeed.tokensPerSecond
+	usual := defaultPerToken.Seconds()
+	return time.Duration(min(max(seconds, usual/maxSpeedRatio), usual*maxSpeedRatio) * float64(time.Second))
 }
 
 // estimate is a moving average of a duration, which decays to a base value without new samples.
--- a/internal/load/board/speed_test.go
+++ b/internal/load/board/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -81,3 +82,16 @@
 	ticket, excess := upstreams.Place(promptRequest("subject"), now)
 	quicktest.Assert(t, ticket, quicktest.IsNotNil, quicktest.Commentf("%v over the limit", excess))
 }
+
+// Guards against a throughput in the configuration that no engines have.
+func TestAbsurdThroughput(t *testing.T) {
+	for _, tokensPerSecond := range []float64{-1, 0, math.NaN(), 1e-300, 1, 1e300, math.Inf(1)} {
+		upstreams := newBoard(true, "engine")
+		upstreams.SetThroughput(tokensPerSecond)
+		request := promptRequest("subject")
+		request.Limit = pick.LatencyLimit(time.Minute)
+		ticket := mustPlace(t, upstreams, request, start)
+		quicktest.Check(t, ticket.Expected > 100*time.Millisecond && ticket.Expected < time.Minute, quicktest.IsTrue,
+			quicktest.Commentf("%v tokens a second: %v", tokensPerSecond, ticket.Expected))
+	}
+}
