test: take-ups wait until all streams have begun, and callers obey Retry-After

The tests of take-ups killed the routers after a fixed time, in which a stream may not have begun on a busy machine. They wait for events now, and a caller that is refused with a time to return comes back once, as callers do.

--- a/cmd/clementinewind/origin_test.go
+++ b/cmd/clementinewind/origin_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,8 +28,13 @@
 	versionedRouters = 3
 	versionedStreams = 48
 	// A stream has versionedEvents events, one each versionedInterval.
-	versionedEvents   = 60
+	versionedEvents   = 400
 	versionedInterval = 50 * time.Millisecond
+	// begunEvents is the number of events after which a stream has begun, storeTime the time in which routers store streams, with a margin.
+	begunEvents = 3
+	storeTime   = time.Second
+	// streamTimeout is above the duration of a stream.
+	streamTimeout = 30 * time.Second
 	// brokenAfter is the number of events after which an upstream breaks off a stream with the path /broken/.
 	brokenAfter = 3
 )
@@ -49,7 +55,7 @@
 	value, err := platform.EncodeConfiguration(table.Configuration{
 		Version: 1,
 		Routes: []table.Route{{
-			Name: "stream", Host: "h", PathPrefix: "/", Kind: table.RouteStream, Resumable: true, Timeout: 20 * time.Second, MaxAttempts: 2,
+			Name: "stream", Host: "h", PathPrefix: "/", Kind: table.RouteStream, Resumable: true, Timeout: streamTimeout, MaxAttempts: 2,
 			LatencyGoal: time.Second, TrafficSplit: []table.ServiceWeight{{Service: "s", Weight: 1}},
 		}},
 		Services: []table.ServiceSettings{{Name: "s", MaxConnections: 500}},
@@ -175,16 +181,19 @@
 // versionedStream is a stream as its caller sees it, over all attempts.
 type versionedStream struct {
 	id string
-	// status is that of the last attempt, 0 without a response.
-	status    int
-	lastEvent int
-	versions  []string
-	complete  bool
+	// status is that of the last attempt, 0 without a response, and retryAfter the time that it gives for another one.
+	status     int
+	retryAfter time.Duration
+	lastEvent  int
+	// events counts the events while they arrive.
+	events   atomic.Int64
+	versions []string
+	complete bool
 }
 
 // read sends a request for the rest of the stream and reads until it ends or breaks off.
 func (stream *versionedStream) read(address, path string) {
-	stream.status = 0
+	stream.status, stream.retryAfter = 0, 0
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, nil)
 	if err != nil {
 		return
@@ -195,14 +204,17 @@
 		id += "-again"
 		stand.SetResumes(request.Header, stream.id, strconv.Itoa(stream.lastEvent))
 	}
-	stand.SetCallerHeaders(request.Header, id, "", 10*time.Second)
-	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	stand.SetCallerHeaders(request.Header, id, "", streamTimeout)
+	client := http.Client{Timeout: streamTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
 		return
 	}
 	defer response.Body.Close()
 	if stream.status = response.StatusCode; stream.status != http.StatusOK {
+		if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+			stream.retryAfter = time.Duration(seconds * float64(time.Second))
+		}
 		_, _ = io.Copy(io.Discard, response.Body)
 		return
 	}
@@ -210,6 +222,7 @@
 	for lines.Scan() {
 		if text, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
 			stream.lastEvent, _ = strconv.Atoi(text)
+			stream.events.Add(1)
 		}
 		if version, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
 			stream.versions = append(stream.versions, version)
@@ -247,7 +260,13 @@
 	var callers sync.WaitGroup
 	for number, stream := range streams {
 		if stream.lastEvent > 0 && !stream.complete {
-			callers.Go(func() { stream.read(fleet.address(number+after), "/slow/") })
+			callers.Go(func() {
+				stream.read(fleet.address(number+after), "/slow/")
+				if stream.status == http.StatusServiceUnavailable && stream.retryAfter > 0 {
+					time.Sleep(stream.retryAfter)
+					stream.read(fleet.address(number+after), "/slow/")
+				}
+			})
 		}
 	}
 	callers.Wait()
@@ -285,7 +304,10 @@
 		t.Run(name, func(t *testing.T) {
 			fleet := startVersionedFleet(t, 2, test.versions...)
 			streams, wait := fleet.begin("/slow/")
-			time.Sleep(versionedEvents * versionedInterval / 2)
+			for _, stream := range streams {
+				await(t, "a stream has begun", func() bool { return stream.events.Load() >= begunEvents })
+			}
+			time.Sleep(storeTime)
 			fleet.killRouters()
 			wait()
 			if test.left != "" {
