relay: a stream that is taken up goes on at its service

A route may lead to several services, of which one is drawn for each request, and may move to another service. A take-up of a stream that the router knows went to the drawn service and was refused there as unknown, or went on at the only version of that service.

The origin now names the service: the stream goes on there, or is refused if the route no longer leads there.

--- a/internal/edge/entry/origins.go
+++ b/internal/edge/entry/origins.go
@@ -144,32 +144,32 @@
 }
 
 // Resolve implements relay.Origins.
-func (origins *origins) Resolve(ctx context.Context, service table.Service, began string) (string, error) {
+func (origins *origins) Resolve(ctx context.Context, service table.Service, began string) (origin.Version, error) {
 	id := origin.StreamOf(began)
-	if version, ok := origins.registry.Origin(id, service); ok && began != "" {
+	if version, ok := origins.registry.Origin(id); ok && began != "" {
 		return version, nil
 	}
 	if err := origins.versions.Do(ctx); err != nil {
-		return "", errVersionsNotRead
+		return origin.Version{}, errVersionsNotRead
 	}
-	if version, ok := origins.registry.Only(service); ok {
-		return version, nil
+	if only, ok := origins.registry.Only(service); ok {
+		return origin.Version{Service: service, Name: only}, nil
 	}
 	if !origins.registry.Several(service) {
-		return "", errNoListedVersions
+		return origin.Version{}, errNoListedVersions
 	}
 	if began == "" {
-		return "", errNothingToTakeUp
+		return origin.Version{}, errNothingToTakeUp
 	}
 	for {
 		if err := origins.streams.Do(ctx); err != nil {
-			return "", errStreamsNotRead
+			return origin.Version{}, errStreamsNotRead
 		}
-		if version, ok := origins.registry.Origin(id, service); ok {
+		if version, ok := origins.registry.Origin(id); ok {
 			return version, nil
 		}
 		if pause.For(ctx, originPollInterval) != nil {
-			return "", errOriginUnknown
+			return origin.Version{}, errOriginUnknown
 		}
 	}
 }
--- a/internal/route/origin/registry.go
+++ b/internal/route/origin/registry.go
@@ -222,15 +222,15 @@
 	delete(registry.streams, oldest)
 }
 
-// Origin returns the version of a service at which a stream began. The second result is false if that is not known.
-func (registry *Registry) Origin(id Stream, service table.Service) (string, bool) {
+// Origin returns the version at which a stream began. The second result is false if that is not known.
+func (registry *Registry) Origin(id Stream) (Version, bool) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	known, ok := registry.streams[id]
-	if !ok || known.ambiguous || known.version.Service != service {
-		return "", false
+	if !ok || known.ambiguous {
+		return Version{}, false
 	}
-	return known.version.Name, true
+	return known.version, true
 }
 
 // Due returns the own streams that must be written to the store: those of services with several versions that were not written yet, and
--- a/internal/route/relay/origin.go
+++ b/internal/route/relay/origin.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/clementinewind/clementinewind"
+	"github.com/clementinewind/clementinewind/internal/route/origin"
 	"github.com/clementinewind/clementinewind/internal/route/table"
 )
 
 const (
-	// originWaitDivisor divides the remaining time of a request; the quotient is the longest time for which it waits to learn where its stream
-	// began.
+	// originWaitDivisor divides the remaining time of a request; the quotient is the longest time for which it waits to learn which version began
+	// its stream.
 	originWaitDivisor = 3
 	// maxOriginWait limits the same. Another router that forwarded the stream has stored its origin by then.
 	maxOriginWait = 1500 * time.Millisecond
@@ -18,9 +20,9 @@
 
 // Origins knows at which versions streams began. Implementations are safe for concurrent use.
 type Origins interface {
-	// Resolve returns the version of a service at which the stream began that the request with the given identifier brought. It waits until
-	// that is known or ctx ends, and returns an error if it is not.
-	Resolve(ctx context.Context, service table.Service, began string) (version string, err error)
+	// Resolve returns the version at which the stream began that the request with the given identifier brought. If nothing tells its service, it
+	// is the given one. Resolve waits until the version is known or ctx ends, and returns an error if it is not.
+	Resolve(ctx context.Context, service table.Service, began string) (origin.Version, error)
 	// MayBegin reports whether streams may begin at a version of a service.
 	MayBegin(service table.Service, version string) bool
 	// Begin records that events of a stream at a version are about to be forwarded. The stream is found by the identifier of any of the
@@ -62,10 +64,15 @@
 		return false
 	case err != nil:
 		return exchange.rejectUnavailable(clementinewind.ReasonOriginUnknown, minRetryAfter, err.Error())
+	case !exchange.route.LeadsTo(version.Service):
+		return exchange.rejectUnavailable(clementinewind.ReasonOriginGone, 0,
+			fmt.Sprintf("service %q, which began the stream, no longer serves its route", version.Service))
 	}
-	exchange.origin = pinnedVersion{set: true, name: version}
-	exchange.logger.Info("stream taken up", "Request", exchange.call.RequestID, "Began", exchange.call.Resumes, "Version", version,
-		"After", exchange.call.LastEventID)
+	// A route may lead to several services, of which another one was drawn for this request.
+	exchange.service = exchange.table.Service(version.Service)
+	exchange.origin = pinnedVersion{set: true, name: version.Name}
+	exchange.logger.Info("stream taken up", "Request", exchange.call.RequestID, "Began", exchange.call.Resumes, "Service", version.Service,
+		"Version", version.Name, "After", exchange.call.LastEventID)
 	return true
 }
 
--- a/internal/route/table/table.go
+++ b/internal/route/table/table.go
@@ -98,6 +98,11 @@
 	return route.TrafficSplit[len(route.TrafficSplit)-1].Service, true
 }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (route Route) LeadsTo(service Service) bool {
+	return slices.ContainsFunc(route.TrafficSplit, func(weight ServiceWeight) bool { return weight.Service == service })
+}
+
 // ResumableServices returns the services to which routes lead whose streams another upstream can continue.
 func (table *Table) ResumableServices() []Service {
 	var services []Service
