--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -88,8 +88,13 @@
 	failing bool
 	// lastLoadFromPeer is set if the last attempt to load the topic was made at a peer.
 	lastLoadFromPeer bool
+	// sourceName names where the topic was read last.
+	sourceName string
 }
 
+// sourceStore is the name of the store as a source of topics; peers go by the names of their instances.
+const sourceStore = "store"
+
 func newTopics(router *Router) topics {
 	built := topics{
 		router:    router,
@@ -102,7 +107,11 @@
 	follow := func(topic *topic, name string, storePoll feed.PollOptions, apply func([]feed.Record, time.Time)) {
 		topic.follower = feed.NewFollower(feed.FollowerConfig{
 			Topic: name, Mirror: topic.mirror, Apply: apply, Logger: router.config.Logger,
-			NextPoll:          func() feed.PollOptions { return built.nextPoll(topic, storePoll, time.Now()) },
+			NextPoll: func() feed.PollOptions {
+				options := built.nextPoll(topic, storePoll, time.Now())
+				built.logSource(topic, name, options.Source)
+				return options
+			},
 			LastReachedByPeer: router.roster.PeerReachedStoreAt, OnRead: topic.finishRead,
 		})
 	}
@@ -166,6 +175,23 @@
 	return peerPoll
 }
 
+// logSource logs where a topic is read if that has changed.
+func (topics topics) logSource(topic *topic, name string, source feed.Source) {
+	sourceName := sourceStore
+	switch source := source.(type) {
+	case nil:
+		return
+	case peerSource:
+		sourceName = string(source.instance)
+	}
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	if sourceName != topic.sourceName {
+		topics.router.config.Logger.Info("topic source changed", "Topic", name, "Source", sourceName, "Before", topic.sourceName)
+		topic.sourceName = sourceName
+	}
+}
+
 // peerMayBeStarting reports whether a peer that does not answer may still be starting, as this router is.
 func (topics topics) peerMayBeStarting(topic *topic) bool {
 	_, loaded := topic.mirror.Next()
--- a/internal/store/feed/follower.go
+++ b/internal/store/feed/follower.go
@@ -166,6 +166,9 @@
 	if err != nil {
 		return err
 	}
+	if loaded && batch.Next < from {
+		follower.config.Logger.Warn("topic ends before the records that were read of it", "Topic", follower.config.Topic, "Read", from, "End", batch.Next)
+	}
 	follower.recordSuccess(0)
 	follower.config.Apply(follower.config.Mirror.Replace(batch), follower.lastOutageEnd)
 	return nil
