--- /dev/null
+++ b/cmd/clementinewind/configuration_test.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/clementinewind/clementinewind/internal/route/table"
+	"github.com/clementinewind/clementinewind/platform"
+	"github.com/clementinewind/clementinewind/platform/stand"
+)
+
+const (
+	// applyTime is the platform's limit for a confirmed configuration, contactTime the time without a fault before it binds.
+	applyTime   = 2 * time.Second
+	contactTime = 3 * time.Second
+	// maxCallsAfterReturn is far above what three routers send in contactTime: each long poll, read of upstreams and record of its own.
+	maxCallsAfterReturn = 150
+)
+
+// publish writes a version of the configuration that adds a host named after it.
+func (fleet *versionedFleet) publish(version int) {
+	fleet.t.Helper()
+	shares := []table.ServiceWeight{{Service: "s", Weight: 1}}
+	value, err := platform.EncodeConfiguration(table.Configuration{
+		Version: table.Version(version),
+		Routes: []table.Route{
+			{Name: "stream", Host: "h", PathPrefix: "/", Kind: table.RouteStream, Resumable: true, Timeout: streamTimeout, MaxAttempts: 2, TrafficSplit: shares},
+			{Name: "added", Host: hostOfVersion(version), PathPrefix: "/", Kind: table.RouteIdempotent, Timeout: streamTimeout, MaxAttempts: 2, TrafficSplit: shares},
+		},
+		Services: []table.ServiceSettings{{Name: "s", MaxConnections: 500}},
+	})
+	quicktest.Assert(fleet.t, err, quicktest.IsNil)
+	fleet.store.Put(platform.TopicOperator, platform.ConfigurationKey, value)
+}
+
+func hostOfVersion(version int) string { return fmt.Sprintf("v%d", version) }
+
+// serves reports whether a router knows the host that a version added.
+func (fleet *versionedFleet) serves(number, version int) bool {
+	request, err := http.NewRequest(http.MethodPost, "http://"+fleet.address(number), nil)
+	quicktest.Assert(fleet.t, err, quicktest.IsNil)
+	request.Host = hostOfVersion(version)
+	stand.SetCallerHeaders(request.Header, fmt.Sprintf("version-%d-%d-%d", number, version, time.Now().UnixNano()), "", time.Second)
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// lateRouters returns the routers that do not serve a version within a time.
+func (fleet *versionedFleet) lateRouters(version int, within time.Duration) []int {
+	late := []int{}
+	deadline := time.Now().Add(within)
+	for number := range fleet.routers {
+		for !fleet.serves(number, version) {
+			if time.Now().After(deadline) {
+				late = append(late, number)
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return late
+}
+
+// Guards against a confirmed configuration that is not in force because the store has come back from an older copy and has written it at an offset
+// that the routers know already, against one that is replaced by the older one of the copy, and against reads without a pause.
+func TestConfigurationAfterStoreCameBackFromCopy(t *testing.T) {
+	operatorTopics := []string{platform.TopicOperator, platform.TopicUpstreams}
+	tests := map[string]struct {
+		returns int
+		// rewritten are the topics whose lost records are written again.
+		rewritten []string
+		// paused is set if a router stands still during the returns.
+		paused bool
+	}{
+		"lost records are written again":     {returns: 1, rewritten: operatorTopics},
+		"lost records are not written again": {returns: 1, rewritten: []string{platform.TopicUpstreams}},
+		"it comes back twice":                {returns: 2, rewritten: operatorTopics},
+		"a router stands still meanwhile":    {returns: 1, rewritten: operatorTopics, paused: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			fleet := startVersionedFleet(t, 2, "old")
+			fleet.publish(2)
+			quicktest.Assert(t, fleet.lateRouters(2, applyTime), quicktest.HasLen, 0)
+			copied := time.Now()
+			time.Sleep(100 * time.Millisecond)
+			for version := 3; version <= 6; version++ {
+				fleet.publish(version)
+			}
+			quicktest.Assert(t, fleet.lateRouters(6, applyTime), quicktest.HasLen, 0)
+			if test.paused {
+				fleet.routers[1].signal(t, syscall.SIGSTOP)
+			}
+			callsBefore := fleet.store.Calls()
+			for range test.returns {
+				fleet.store.ReturnFromCopy(time.Since(copied), test.rewritten...)
+				time.Sleep(300 * time.Millisecond)
+			}
+			if test.paused {
+				fleet.routers[1].signal(t, os.Signal(syscall.SIGCONT))
+			}
+			time.Sleep(contactTime)
+			calls := fleet.store.Calls() - callsBefore
+			t.Logf("%d calls to the store after its return", calls)
+			quicktest.Check(t, calls < maxCallsAfterReturn, quicktest.IsTrue)
+			quicktest.Check(t, fleet.lateRouters(6, 0), quicktest.HasLen, 0, quicktest.Commentf("a version in force was taken back"))
+			fleet.publish(7)
+			quicktest.Check(t, fleet.lateRouters(7, applyTime), quicktest.HasLen, 0)
+		})
+	}
+}
