soak: confirmed configurations, judged router by router, and a store that comes back from a copy

The soak looked at removed keys only, and a fault of one router or of the store excused all of them for 5 s: a router in touch that gets a configuration late because another one is out of step was never seen. Each version now adds a route, and each router is asked for it. Limits of time bind a router if it and the store have been without a fault for 3 s; that a version is taken back is reported at any time.

--- a/internal/tools/soak/fault.go
+++ b/internal/tools/soak/fault.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/clementinewind/clementinewind/internal/share/pause"
+	"github.com/clementinewind/clementinewind/platform"
 )
 
 const (
@@ -22,6 +23,9 @@
 	crashedEntryLifetime = 3 * heartbeatInterval
 	// slowStoreDelay is the response time of a slow store.
 	slowStoreDelay = 300 * time.Millisecond
+	// maxCopyAge is how old the copy is from which the store returns at most, maxReturnTime how long it is away.
+	maxCopyAge    = 5 * time.Second
+	maxReturnTime = time.Second
 )
 
 // fault is one kind of fault. inject injects it and returns a description for the log. Faults that end by themselves last for
@@ -41,6 +45,7 @@
 		{"store", failStore},
 		{"store cut", disruptStoreNetwork},
 		{"store forgets", dropStoreHistory},
+		{"store returns", returnStoreFromCopy},
 		{"crash", crashUpstream},
 		{"leave", makeUpstreamLeave},
 		{"failing", failUpstream},
@@ -74,6 +79,7 @@
 	router := run.randomRouter(random)
 	process := router.signal(syscall.SIGSTOP, false)
 	run.checker.excuseUntil(time.Now().Add(duration))
+	router.touch.disturbUntil(time.Now().Add(duration))
 	run.scheduleEnd(duration, func() { _ = process.Signal(syscall.SIGCONT) })
 	return fmt.Sprintf("router %d for %v", router.number, duration)
 }
@@ -116,6 +122,7 @@
 	name := []string{"down", "slow", "resets", "silent"}[random.IntN(len(kinds))]
 	run.environment.store.SetFault(kinds[name])
 	run.checker.excuseUntil(time.Now().Add(duration))
+	run.environment.touch.disturbUntil(time.Now().Add(duration))
 	run.scheduleEnd(duration, func() { run.environment.store.SetFault(nil) })
 	return fmt.Sprintf("%s for %v", name, duration)
 }
@@ -125,6 +132,7 @@
 	mode := []proxyMode{proxyDelay, proxySilent, proxyOneWay}[random.IntN(3)]
 	router.proxy.setMode(mode)
 	run.checker.excuseUntil(time.Now().Add(duration))
+	router.touch.disturbUntil(time.Now().Add(duration))
 	run.scheduleEnd(duration, func() { router.proxy.setMode(proxyPass) })
 	return fmt.Sprintf("%v between router %d and the store for %v", mode, router.number, duration)
 }
@@ -134,6 +142,21 @@
 	return "all topics"
 }
 
+// returnStoreFromCopy resets the connections to the store, which is then a copy of up to maxCopyAge.
+func returnStoreFromCopy(run *run, random *rand.Rand, duration time.Duration) string {
+	age := time.Duration(random.Int64N(int64(maxCopyAge)))
+	away := min(duration, maxReturnTime)
+	run.environment.store.SetFault(func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) })
+	run.checker.excuseUntil(time.Now().Add(away))
+	run.environment.touch.disturbUntil(time.Now().Add(away))
+	run.scheduleEnd(away, func() {
+		run.environment.store.ReturnFromCopy(age, platform.TopicOperator, platform.TopicUpstreams)
+		run.environment.store.SetFault(nil)
+		run.environment.touch.disturbUntil(time.Now())
+	})
+	return fmt.Sprintf("from a copy %v old, after %v", age, away)
+}
+
 func crashUpstream(run *run, random *rand.Rand, _ time.Duration) string {
 	upstream := run.environment.randomUpstream(random)
 	if upstream == nil {
--- a/internal/tools/soak/router.go
+++ b/internal/tools/soak/router.go
@@ -52,6 +52,8 @@
 	log      *os.File
 	proxy    *proxy
 	checker  *checker
+	// touch has the faults of the process and of its path to the store.
+	touch touch
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -96,6 +98,7 @@
 	router.command.Stdout, router.command.Stderr = router.log, router.log
 	router.stopExpected = false
 	router.incarnation++
+	router.touch.disturbUntil(time.Now())
 	return errors.Wrap(router.command.Start(), "start a router")
 }
 
@@ -131,6 +134,8 @@
 	defer router.mutex.Unlock()
 	if stopExpected {
 		router.stopExpected = true
+		// Its next start is the end of this fault.
+		router.touch.disturbUntil(time.Now().Add(stopGrace + killDelay))
 	}
 	// The signal fails if the process has exited; supervise then restarts it.
 	_ = router.command.Process.Signal(signal)
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -94,6 +94,10 @@
 	for number := range clientCount {
 		clients.Go(func() { newClient(run, number+1).loop(clientCtx) })
 	}
+	for _, router := range run.routers {
+		clients.Go(func() { newConfigurationProbe(run, router).loop(clientCtx) })
+	}
+	clients.Go(func() { run.operate(clientCtx) })
 	faultCtx, stopFaults := context.WithTimeout(ctx, config.Duration)
 	run.injectFaults(faultCtx)
 	stopFaults()
--- a/internal/tools/soak/world.go
+++ b/internal/tools/soak/world.go
@@ -56,6 +56,9 @@
 	nameCount int
 	version   int
 	keys      []string
+	// published are the versions of the configuration, oldest first. touch has the faults of the store.
+	published []publication
+	touch     touch
 	// removed has the time at which each removed API key was removed.
 	removed map[string]time.Time
 }
@@ -116,7 +119,7 @@
 	shares := []table.ServiceWeight{{Service: serviceName, Weight: 1}}
 	value, err := platform.EncodeConfiguration(table.Configuration{
 		Version: table.Version(environment.version),
-		Routes: []table.Route{
+		Routes: append([]table.Route{
 			{Name: "once", Host: routeHost, PathPrefix: pathOnce, Kind: table.RouteOnce, Timeout: routeTimeout, TrafficSplit: shares, MaxAttempts: 1},
 			{
 				Name: "idempotent", Host: routeHost, PathPrefix: pathIdempotent, Kind: table.RouteIdempotent, Timeout: routeTimeout, TrafficSplit: shares,
@@ -126,7 +129,7 @@
 				Name: "stream", Host: routeHost, PathPrefix: pathStream, Kind: table.RouteStream, Timeout: routeTimeout, TrafficSplit: shares,
 				MaxAttempts: 2, Resumable: true,
 			},
-		},
+		}, environment.versionRoutes(shares)...),
 		Services:      []table.ServiceSettings{{Name: serviceName, MaxConnections: maxUpstreamConnections}},
 		Organisations: []table.OrganisationKeys{{Organisation: "o", Keys: environment.keys}},
 	})
@@ -134,6 +137,7 @@
 		panic(err)
 	}
 	environment.store.Put(platform.TopicOperator, platform.ConfigurationKey, value)
+	environment.published = append(environment.published, publication{version: environment.version, acknowledged: time.Now()})
 }
 
 // rotateKey replaces a random API key by a new one.
