feed: positions are ordered over the eras of the store

Callers got 404 for routes of a confirmed configuration. Everything that routers read from the store they ordered by offsets that only rise. When the store comes back from an older copy, offsets go back: records at or below a known one were dropped, the end of the topic was never reached again, each read got 410 and was followed by a full read that changed nothing, without a pause.

A position is now an era and an offset, the era from the header of each response. An era that has ended is answered like a truncated topic, by the store's client and by routers that others read from; responses from before the return are errors. A full read in a new era does not undo what is known: a record of the copy that is older than the known one, and a key that the copy does not have, are disputed. A value with an order of its own (the version of a configuration, incarnation and sequence of an upstream) wins if it is newer; upstreams write their entries again and again; other orders stay for 3 s, in which operators write them again. Routers of builds without eras read the first one.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -94,6 +94,10 @@
 	gossiper atomic.Pointer[gossip.Gossip]
 	callers  atomic.Pointer[gate.Listener]
 
+	// era is the last era of the store in which it is known to have come back from a copy. eraBegan receives after it has changed.
+	era      atomic.Int64
+	eraBegan chan struct{}
+
 	// started is when the process started. discovered is set after the first attempt to discover peers.
 	started    time.Time
 	discovered atomic.Bool
@@ -114,7 +118,7 @@
 
 // New returns a router that does not serve until Run is called.
 func New(config Config) *Router {
-	router := &Router{config: config, started: time.Now(), stopRequested: make(chan struct{}), requestRate: newRateMeter(config.Settings.CoreShare)}
+	router := &Router{config: config, started: time.Now(), stopRequested: make(chan struct{}), eraBegan: make(chan struct{}, 1), requestRate: newRateMeter(config.Settings.CoreShare)}
 	router.settings.Store(&config.Settings)
 	settings := config.Settings
 	self := roster.Member{
@@ -142,7 +146,7 @@
 	router.memory = bound.NewBudget(int64(heldMemoryFraction * float64(settings.MemoryBytes)))
 	storeDialer, upstreamDialer := dialer(0), dialer(receiveBuffer(settings))
 	router.store = platform.NewStore(platform.StoreConfig{
-		Address: settings.StoreAddress.String(), Dial: storeDialer.DialContext, Observe: config.Meter.StoreCall,
+		Address: settings.StoreAddress.String(), Dial: storeDialer.DialContext, Observe: config.Meter.StoreCall, OnEra: router.beginEra,
 	})
 	router.origins = newOrigins(router)
 	router.relay = relay.New(relay.Config{
@@ -295,6 +299,7 @@
 	actor(router.topics.operator.follower.Run)
 	actor(router.topics.upstreams.follower.Run)
 	actor(router.joinFleet)
+	actor(router.followEras)
 	actor(router.cpu.run)
 	actor(router.relay.LogLoad)
 	actor(router.quarantines.run)
--- a/internal/edge/entry/origins.go
+++ b/internal/edge/entry/origins.go
@@ -76,15 +76,15 @@
 	wanted, unstored chan struct{}
 
 	mutex sync.Mutex
-	// versionsNext is the offset up to which the versions were read; loaded is set once they were.
-	versionsNext int64
+	// versionsNext is the position up to which the versions were read; loaded is set once they were.
+	versionsNext feed.Position
 	loaded       bool
 	// keys has the versions by the keys of their records.
 	keys map[string]origin.Version
 	// seenAt is when a version last had an upstream, or was read first.
 	seenAt map[origin.Version]time.Time
-	// streamsNext is the offset up to which the origins of streams were read.
-	streamsNext int64
+	// streamsNext is the position up to which the origins of streams were read.
+	streamsNext feed.Position
 
 	// lookedAt is when store last looked for streams to write, trimmedAt when it last deleted old records. appends are its records that are not as old.
 	lookedAt, trimmedAt time.Time
@@ -93,8 +93,8 @@
 
 // appendedRecord is when and where a record was written.
 type appendedRecord struct {
-	at     time.Time
-	offset int64
+	at       time.Time
+	position feed.Position
 }
 
 func newOrigins(router *Router) *origins {
@@ -418,14 +418,14 @@
 		if err != nil {
 			return err
 		}
-		offset, err := origins.router.store.AppendRecord(ctx, platform.TopicStreams, feed.Record{
+		position, err := origins.router.store.AppendRecord(ctx, platform.TopicStreams, feed.Record{
 			Key: string(origins.router.roster.Self().Instance), Value: value,
 		})
 		if err != nil {
 			return err
 		}
 		origins.registry.SetStored(groups, now)
-		origins.appends = append(origins.appends, appendedRecord{at: now, offset: offset})
+		origins.appends = append(origins.appends, appendedRecord{at: now, position: position})
 	}
 	return origins.trim(ctx, now)
 }
@@ -439,7 +439,7 @@
 	if old == 0 || now.Sub(origins.trimmedAt) < restoreInterval {
 		return nil
 	}
-	before := origins.appends[old-1].offset
+	before := origins.appends[old-1].position
 	origins.appends = slices.Delete(origins.appends, 0, old)
 	if !origins.router.roster.Owns(platform.TopicStreams, now) {
 		return nil
@@ -461,7 +461,7 @@
 	for _, record := range batch.Records {
 		var stored fleetv1.StreamOrigins
 		if err := proto.Unmarshal(record.Value, &stored); err != nil {
-			origins.router.config.Logger.Warn("invalid origins of streams ignored", "Offset", record.Offset, "Error", err)
+			origins.router.config.Logger.Warn("invalid origins of streams ignored", "Offset", record.Position, "Error", err)
 			continue
 		}
 		origins.registry.Merge(decodeGroups(&stored), now)
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -55,6 +55,9 @@
 	// in the tree of starting routers, if that does not answer: it may be starting too. The routers of a fleet start
 	// within 0.3 s of each other.
 	parentStartupTime = 500 * time.Millisecond
+	// rewriteTime is how long operators may take to write again what the store lost when it came back from a copy. Together with the time of a
+	// read it is below the 5 s within which a zone must get no more requests.
+	rewriteTime = 3 * time.Second
 	// storeRetryInterval is how often a router that reads from a peer retries a store that did not answer.
 	storeRetryInterval = time.Second
 )
@@ -99,9 +102,9 @@
 	built := topics{
 		router:    router,
 		store:     &storeSource{store: router.store},
-		operator:  &topic{mirror: feed.NewMirror(feed.MirrorConfig{})},
-		upstreams: &topic{mirror: feed.NewMirror(feed.MirrorConfig{Unchanged: view.UpstreamUnchanged})},
-		status:    &topic{mirror: feed.NewMirror(feed.MirrorConfig{})},
+		operator:  &topic{mirror: feed.NewMirror(feed.MirrorConfig{Newer: view.ConfigurationNewer, DisputeTime: rewriteTime})},
+		upstreams: &topic{mirror: feed.NewMirror(feed.MirrorConfig{Unchanged: view.UpstreamUnchanged, Newer: view.UpstreamNewer})},
+		status:    &topic{mirror: feed.NewMirror(feed.MirrorConfig{DisputeTime: rewriteTime})},
 		client:    gossip.NewFeedClient(dialer(0).DialContext),
 	}
 	follow := func(topic *topic, name string, storePoll feed.PollOptions, apply func([]feed.Record, time.Time)) {
@@ -112,7 +115,7 @@
 				built.logSource(topic, name, options.Source)
 				return options
 			},
-			LastReachedByPeer: router.roster.PeerReachedStoreAt, OnRead: topic.finishRead,
+			LastReachedByPeer: router.roster.PeerReachedStoreAt, OnRead: topic.finishRead, OnEra: router.beginEra,
 		})
 	}
 	follow(built.operator, platform.TopicOperator, feed.PollOptions{Source: built.store, Wait: longPollWait}, router.rollouts.applyOperator)
@@ -301,7 +304,7 @@
 
 // observePeerOffset compares how far a peer has read with this router. If this router has lagged for longer than
 // tolerance, it reads the store itself for a while.
-func (topic *topic) observePeerOffset(peerOffset int64, tolerance, readStoreFor time.Duration, now time.Time) {
+func (topic *topic) observePeerOffset(peerOffset feed.Position, tolerance, readStoreFor time.Duration, now time.Time) {
 	next, _ := topic.mirror.Next()
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
@@ -336,7 +339,7 @@
 }
 
 // Read implements feed.Source.
-func (source peerSource) Read(ctx context.Context, topic string, from int64, wait time.Duration) (feed.Batch, error) {
+func (source peerSource) Read(ctx context.Context, topic string, from feed.Position, wait time.Duration) (feed.Batch, error) {
 	batch, err := source.Source.Read(ctx, topic, from, wait)
 	if err != nil && !errors.Is(err, feed.ErrTruncated) && ctx.Err() == nil && !source.topics.peerMayBeStarting(source.topic) {
 		source.topic.recordPeerFailure(source.instance, source.topics.largeFleet(), time.Now())
@@ -362,7 +365,7 @@
 }
 
 // Read implements feed.Source.
-func (source *storeSource) Read(ctx context.Context, topic string, from int64, wait time.Duration) (feed.Batch, error) {
+func (source *storeSource) Read(ctx context.Context, topic string, from feed.Position, wait time.Duration) (feed.Batch, error) {
 	batch, err := source.store.Read(ctx, topic, from, wait)
 	source.recordResult(ctx, err)
 	return batch, err
--- a/internal/edge/entry/rollout.go
+++ b/internal/edge/entry/rollout.go
@@ -57,7 +57,7 @@
 	for _, record := range records {
 		if service, ok := platform.RolloutService(record.Key); ok {
 			if record.Deleted() {
-				rollouts.registry.Withdraw(service, record.Offset, time.Now())
+				rollouts.registry.Withdraw(service, int64(record.Position), time.Now())
 			} else {
 				rollouts.order(record, atStart)
 			}
@@ -73,10 +73,10 @@
 func (rollouts *rollouts) order(record feed.Record, atStart bool) {
 	order, err := platform.DecodeRollout(record.Key, record.Value)
 	if err != nil {
-		rollouts.router.config.Logger.Error("rollout order not valid, nothing moves", "Offset", record.Offset, "Error", err)
+		rollouts.router.config.Logger.Error("rollout order not valid, nothing moves", "Offset", record.Position, "Error", err)
 		return
 	}
-	order.Offset = record.Offset
+	order.Offset = int64(record.Position)
 	rollouts.registry.Order(order, atStart, time.Now())
 }
 
@@ -97,7 +97,7 @@
 	}
 	var stored fleetv1.RolloutDecision
 	if err := proto.Unmarshal(record.Value, &stored); err != nil || decisionKeyPrefix+stored.Service != record.Key {
-		rollouts.router.config.Logger.Error("rollout decision not readable", "Key", record.Key, "Offset", record.Offset, "Error", err)
+		rollouts.router.config.Logger.Error("rollout decision not readable", "Key", record.Key, "Offset", record.Position, "Error", err)
 		return canary.Decision{}, false
 	}
 	return gossip.DecodeDecision(&stored), true
--- a/internal/fleet/gossip/feed.go
+++ b/internal/fleet/gossip/feed.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -20,9 +21,10 @@
 
 const (
 	feedPath = "/feed"
-	// headerTopic and headerFrom repeat parameters of the request, so that the client notices a response to another request.
+	// headerTopic, headerFrom and headerEra repeat parameters of the request, so that the client notices a response to another request.
 	headerTopic = "Topic"
 	headerFrom  = "From"
+	headerEra   = "Era"
 	// feedTimeoutMargin is how much longer than the requested wait a feed request may take.
 	feedTimeoutMargin = 400 * time.Millisecond
 	// maxFeedWait limits how long a feed request may wait for new records.
@@ -43,9 +45,9 @@
 			http.Error(writer, "unknown topic", http.StatusNotFound)
 			return
 		}
-		from, err := strconv.ParseInt(query.Get("From"), 10, 64)
+		from, err := parsePosition(query)
 		if err != nil {
-			http.Error(writer, "From: want an offset", http.StatusBadRequest)
+			http.Error(writer, err.Error(), http.StatusBadRequest)
 			return
 		}
 		wait, err := time.ParseDuration(query.Get("Wait"))
@@ -69,6 +71,7 @@
 		}
 		writer.Header().Set(headerTopic, query.Get("Topic"))
 		writer.Header().Set(headerFrom, query.Get("From"))
+		writer.Header().Set(headerEra, query.Get("Era"))
 		writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
 		if _, err := writer.Write(content); err != nil {
 			logger.Debug("failed to send feed response", "Error", err)
@@ -77,13 +80,31 @@
 	return mux
 }
 
+// parsePosition returns the position from which a request reads. Builds that do not know eras name none and read the first one.
+func parsePosition(query url.Values) (feed.Position, error) {
+	offset, err := strconv.ParseInt(query.Get("From"), 10, 64)
+	if err != nil {
+		return 0, errors.New("From: want an offset")
+	}
+	if offset < 0 {
+		return feed.FullRead, nil
+	}
+	era := int64(0)
+	if text := query.Get("Era"); text != "" {
+		if era, err = strconv.ParseInt(text, 10, 64); err != nil || era < 0 || era > feed.MaxEra {
+			return 0, errors.New("Era: want the number of an era")
+		}
+	}
+	return feed.NewPosition(era, offset), nil
+}
+
 // errNotLoaded is returned for a topic that this router has not read yet.
 var errNotLoaded = errors.New("topic not read yet")
 
-// waitForRecords returns the records from an offset on, as soon as there is one, and an empty batch if there is none within wait.
-// It returns errNotLoaded if the topic is not loaded by then, and feed.ErrTruncated if the mirror does not know all changes from the
-// offset on.
-func waitForRecords(ctx context.Context, mirror *feed.Mirror, from int64, wait time.Duration) (feed.Batch, error) {
+// waitForRecords returns the records from a position on, as soon as there is one, and an empty batch if there is none within wait.
+// It returns errNotLoaded if the topic is not loaded by then, feed.ErrTruncated if the mirror does not know all changes from the position on, and
+// feed.ErrEarlierEra if it does not know the era.
+func waitForRecords(ctx context.Context, mirror *feed.Mirror, from feed.Position, wait time.Duration) (feed.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
@@ -103,9 +124,11 @@
 }
 
 func encodeBatch(batch feed.Batch) *fleetv1.FeedBatch {
-	encoded := &fleetv1.FeedBatch{Next: batch.Next}
+	encoded := &fleetv1.FeedBatch{Next: batch.Next.Offset(), Era: batch.Next.Era(), WrittenFrom: batch.WrittenFrom.Offset()}
 	for _, record := range batch.Records {
-		encoded.Records = append(encoded.Records, &fleetv1.FeedRecord{Key: record.Key, Value: record.Value, Offset: record.Offset})
+		encoded.Records = append(encoded.Records, &fleetv1.FeedRecord{
+			Key: record.Key, Value: record.Value, Offset: record.Position.Offset(), Era: record.Position.Era(),
+		})
 	}
 	return encoded
 }
@@ -129,10 +152,13 @@
 }
 
 // Read implements feed.Source.
-func (source Source) Read(ctx context.Context, topic string, from int64, wait time.Duration) (feed.Batch, error) {
+func (source Source) Read(ctx context.Context, topic string, from feed.Position, wait time.Duration) (feed.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+feedTimeoutMargin)
 	defer cancel()
-	query := url.Values{"Topic": {topic}, "From": {strconv.FormatInt(from, 10)}, "Wait": {wait.String()}}
+	offset, era := encodePosition(from)
+	query := url.Values{
+		"Topic": {topic}, "From": {strconv.FormatInt(offset, 10)}, "Era": {strconv.FormatInt(era, 10)}, "Wait": {wait.String()},
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source.Address+feedPath+"?"+query.Encode(), nil)
 	if err != nil {
 		return feed.Batch{}, errors.Wrap(err, "build feed request")
@@ -152,10 +178,12 @@
 	if response.StatusCode != http.StatusOK {
 		return feed.Batch{}, errors.Errorf("peer responded with status %d to a read of topic %s", response.StatusCode, topic)
 	}
-	if header := response.Header; header.Get(headerTopic) != topic || header.Get(headerFrom) != query.Get("From") {
+	if header := response.Header; header.Get(headerTopic) != topic || header.Get(headerFrom) != query.Get("From") ||
+		cmp.Or(header.Get(headerEra), "0") != query.Get("Era") {
 		// A delayed duplicate of an earlier response on a reused connection. Each later response on it would be off by one too.
 		source.Client.CloseIdleConnections()
-		return feed.Batch{}, errors.Errorf("feed response is for topic %q from offset %q, want topic %q from offset %d", header.Get(headerTopic), header.Get(headerFrom), topic, from)
+		return feed.Batch{}, errors.Errorf("feed response is for topic %q from offset %q of era %q, want topic %q from offset %v",
+			header.Get(headerTopic), header.Get(headerFrom), header.Get(headerEra), topic, from)
 	}
 	if reply.EndsWithConnection(response) {
 		// No router sends such a response, and records may be missing from its end.
@@ -165,9 +193,13 @@
 	if err := proto.Unmarshal(content, &encoded); err != nil {
 		return feed.Batch{}, errors.Wrap(err, "decode feed response")
 	}
-	batch := feed.Batch{Next: max(encoded.Next, from), Compacted: true}
+	next := decodePosition(encoded.Next, encoded.Era)
+	if next.Era() < era {
+		return feed.Batch{}, feed.ErrEarlierEra
+	}
+	batch := feed.Batch{Next: max(next, from), WrittenFrom: decodePosition(encoded.WrittenFrom, encoded.Era), Compacted: true}
 	for _, record := range encoded.Records {
-		batch.Records = append(batch.Records, feed.Record{Key: record.Key, Value: record.Value, Offset: record.Offset})
+		batch.Records = append(batch.Records, feed.Record{Key: record.Key, Value: record.Value, Position: decodePosition(record.Offset, record.Era)})
 	}
 	return batch, nil
 }
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/clementinewind/clementinewind/internal/load/canary"
 	"github.com/clementinewind/clementinewind/internal/load/poison"
 	"github.com/clementinewind/clementinewind/internal/load/usage"
+	"github.com/clementinewind/clementinewind/internal/store/feed"
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 )
 
@@ -52,8 +53,8 @@
 
 // Offsets say how far a router has read the topics of the platform's store.
 type Offsets struct {
-	Operator  int64
-	Upstreams int64
+	Operator  feed.Position
+	Upstreams feed.Position
 }
 
 // Config configures a Gossip.
@@ -182,7 +183,8 @@
 	offsets := gossip.config.Offsets()
 	heartbeat.Sequence = gossip.sequence
 	heartbeat.ConfigurationVersion = gossip.config.ConfigurationVersion()
-	heartbeat.OperatorOffset, heartbeat.UpstreamOffset = offsets.Operator, offsets.Upstreams
+	heartbeat.OperatorOffset, heartbeat.OperatorEra = encodePosition(offsets.Operator)
+	heartbeat.UpstreamOffset, heartbeat.UpstreamEra = encodePosition(offsets.Upstreams)
 	loads, placements := gossip.config.Board.LocalLoad(now)
 	heartbeat.Loads = encodeLoads(loads)
 	heartbeat.Placements = encodePlacements(placements)
@@ -276,17 +278,46 @@
 		gossip.mergeRollouts(source, heartbeat.Rollouts, now)
 		gossip.applyState(source, decodeLoads(heartbeat.Loads), heartbeat.Placements, decodeReport(heartbeat.Usages), now)
 	}
-	gossip.notifyIfBehind(heartbeat.OperatorOffset, heartbeat.UpstreamOffset)
+	gossip.notifyIfBehind(offsetsOf(heartbeat))
 }
 
 // notifyIfBehind calls OnPeerAhead if another router has read the store's topics further than this one.
-func (gossip *Gossip) notifyIfBehind(operator, upstreams int64) {
-	own := gossip.config.Offsets()
-	if operator > own.Operator || upstreams > own.Upstreams {
-		gossip.config.OnPeerAhead(Offsets{Operator: operator, Upstreams: upstreams})
+func (gossip *Gossip) notifyIfBehind(peer Offsets) {
+	if own := gossip.config.Offsets(); peer.Operator > own.Operator || peer.Upstreams > own.Upstreams {
+		gossip.config.OnPeerAhead(peer)
 	}
 }
 
+// offsetsMessage is a message that says how far its sender has read.
+type offsetsMessage interface {
+	GetOperatorOffset() int64
+	GetOperatorEra() int64
+	GetUpstreamOffset() int64
+	GetUpstreamEra() int64
+}
+
+func offsetsOf(message offsetsMessage) Offsets {
+	return Offsets{
+		Operator:  decodePosition(message.GetOperatorOffset(), message.GetOperatorEra()),
+		Upstreams: decodePosition(message.GetUpstreamOffset(), message.GetUpstreamEra()),
+	}
+}
+
+// encodePosition returns the offset and era of a position. Without a record both are those of builds that do not know eras.
+func encodePosition(position feed.Position) (offset, era int64) {
+	if position < 0 {
+		return int64(position), 0
+	}
+	return position.Offset(), position.Era()
+}
+
+func decodePosition(offset, era int64) feed.Position {
+	if offset < 0 || era < 0 || era > feed.MaxEra {
+		return -1
+	}
+	return feed.NewPosition(era, offset)
+}
+
 // applyState records the load, placements and usage of a router, or of a whole zone. An empty report changes nothing.
 func (gossip *Gossip) applyState(
 	source usage.Source, loads map[uint32]board.Load, placements []*fleetv1.Placement, report usage.Report, now time.Time,
--- a/internal/fleet/gossip/hub.go
+++ b/internal/fleet/gossip/hub.go
@@ -244,7 +244,7 @@
 	gossip.applyPresences(digest, now)
 	gossip.config.Poison.Merge(decodeSuspects(digest.Suspects, now), now)
 	gossip.config.Board.AddFacts(decodeFacts(digest.Reports, now), false, now)
-	gossip.notifyIfBehind(digest.OperatorOffset, digest.UpstreamOffset)
+	gossip.notifyIfBehind(offsetsOf(digest))
 	loads, report := decodeLoads(digest.Loads), decodeReport(digest.Usages)
 	if zone == self.Zone {
 		gossip.headDetector.RecordAlive(sender, now)
--- a/internal/fleet/gossip/zone.go
+++ b/internal/fleet/gossip/zone.go
@@ -52,7 +52,7 @@
 	previous, ok := aggregator.members[member.Instance]
 	added := &memberState{
 		member: member, sequence: heartbeat.Sequence, loads: heartbeat.Loads, usages: heartbeat.Usages, rollouts: heartbeat.Rollouts, receivedAt: now, changed: true,
-		offsets: Offsets{Operator: heartbeat.OperatorOffset, Upstreams: heartbeat.UpstreamOffset},
+		offsets: offsetsOf(heartbeat),
 	}
 	if ok {
 		added.changed = previous.changed || !previous.member.EqualExceptLoad(member)
@@ -96,6 +96,7 @@
 	loads := map[uint32]board.Load{}
 	report := usage.Report{}
 	digest := &fleetv1.Digest{}
+	furthest := Offsets{}
 	for instance, member := range aggregator.members {
 		if now.Sub(member.receivedAt) > maxDigestAge {
 			delete(aggregator.members, instance)
@@ -108,9 +109,11 @@
 			report[organisation] = report[organisation].Plus(sum)
 		}
 		digest.Rollouts = append(digest.Rollouts, member.rollouts...)
-		digest.OperatorOffset = max(digest.OperatorOffset, member.offsets.Operator)
-		digest.UpstreamOffset = max(digest.UpstreamOffset, member.offsets.Upstreams)
+		furthest.Operator = max(furthest.Operator, member.offsets.Operator)
+		furthest.Upstreams = max(furthest.Upstreams, member.offsets.Upstreams)
 	}
+	digest.OperatorOffset, digest.OperatorEra = encodePosition(furthest.Operator)
+	digest.UpstreamOffset, digest.UpstreamEra = encodePosition(furthest.Upstreams)
 	digest.Rollouts = sumRollouts(digest.Rollouts)
 	digest.Loads, digest.Usages = encodeLoads(loads), encodeReport(report)
 	return digest
--- a/internal/store/feed/follower.go
+++ b/internal/store/feed/follower.go
@@ -51,6 +51,8 @@
 	// it may be nil. On success, idle is the part of the long poll in which the source had no new records: the mirror is
 	// then up to date as of the start of the read plus idle. After a failure, idle is 0.
 	OnRead func(idle time.Duration, err error)
+	// OnEra is called with the new era after the store came back from a copy; it may be nil.
+	OnEra  func(era int64)
 	Logger hclog.Logger
 }
 
@@ -66,6 +68,8 @@
 	// triggered is set for the read after TriggerRead. That read does not wait for records and cannot be interrupted,
 	// because triggers that arrive faster than a read completes would otherwise keep it from ever completing.
 	triggered bool
+	// unreadable is set while the source neither has the records after the known ones nor says that its era has changed.
+	unreadable bool
 }
 
 // NewFollower returns a follower of the topic. It reads while Run runs.
@@ -87,6 +91,10 @@
 	for ctx.Err() == nil {
 		options := follower.config.NextPoll()
 		pause := options.Interval
+		if changes := follower.config.Mirror.Settle(time.Now()); len(changes) > 0 {
+			follower.config.Logger.Warn("records were not written again, following the store", "Topic", follower.config.Topic, "Records", len(changes))
+			follower.config.Apply(changes, follower.lastOutageEnd)
+		}
 		if options.Source == nil {
 			follower.sleep(ctx, pause)
 			continue
@@ -99,6 +107,9 @@
 			}
 		} else {
 			delay = initialRetryDelay
+			if follower.unreadable {
+				pause = max(pause, initialRetryDelay)
+			}
 		}
 		follower.sleep(ctx, pause)
 	}
@@ -153,6 +164,7 @@
 			if len(batch.Records) == 0 {
 				idle = min(wait, time.Since(start))
 			}
+			follower.unreadable = false
 			follower.recordSuccess(idle)
 			follower.config.Apply(follower.config.Mirror.Apply(batch), follower.lastOutageEnd)
 			return nil
@@ -166,14 +178,30 @@
 	if err != nil {
 		return err
 	}
-	if loaded && batch.Next < from {
+	if loaded && batch.Next.Era() < from.Era() {
+		return ErrEarlierEra
+	}
+	if follower.unreadable = loaded && batch.Next < from; follower.unreadable {
 		follower.config.Logger.Warn("topic ends before the records that were read of it", "Topic", follower.config.Topic, "Read", from, "End", batch.Next)
 	}
 	follower.recordSuccess(0)
-	follower.config.Apply(follower.config.Mirror.Replace(batch), follower.lastOutageEnd)
+	changes := follower.config.Mirror.Replace(batch)
+	if loaded && batch.Next.Era() > from.Era() {
+		follower.beginEra(from, batch.Next)
+	}
+	follower.config.Apply(changes, follower.lastOutageEnd)
 	return nil
 }
 
+// beginEra records that the store came back from a copy. Entries that are missing there are written again, as after an outage.
+func (follower *Follower) beginEra(read, end Position) {
+	follower.lastOutageEnd = time.Now()
+	follower.config.Logger.Warn("store came back from a copy", "Topic", follower.config.Topic, "Era", end.Era(), "Read", read, "End", end)
+	if follower.config.OnEra != nil {
+		follower.config.OnEra(end.Era())
+	}
+}
+
 func (follower *Follower) recordFailure(err error) {
 	if follower.healthy {
 		follower.failingSince = time.Now()
--- a/internal/store/feed/lag.go
+++ b/internal/store/feed/lag.go
@@ -4,23 +4,23 @@
 
 // LagDetector distinguishes a mirror that is only a few reads behind other routers from one that has stalled.
 type LagDetector struct {
-	// offset was reported by another router at the time since and has not been read here; since is zero if there is
+	// position was reported by another router at the time since and has not been read here; since is zero if there is
 	// none.
-	offset int64
-	since  time.Time
+	position Position
+	since    time.Time
 }
 
 // Behind reports whether the mirror, which is complete below next, has lacked a record for longer than tolerance
-// although another router has read it. It is called with each offset that another router reports. On a topic that
-// changes many times a second some router is always ahead, so a higher offset alone is no sign of a stall. During a
+// although another router has read it. It is called with each position that another router reports. On a topic that
+// changes many times a second some router is always ahead, so a higher position alone is no sign of a stall. During a
 // stall, Behind returns true at most once per tolerance.
-func (lagDetector *LagDetector) Behind(offset, next int64, tolerance time.Duration, now time.Time) bool {
-	if !lagDetector.since.IsZero() && lagDetector.offset < next {
+func (lagDetector *LagDetector) Behind(position, next Position, tolerance time.Duration, now time.Time) bool {
+	if !lagDetector.since.IsZero() && lagDetector.position < next {
 		lagDetector.since = time.Time{}
 	}
 	if lagDetector.since.IsZero() {
-		if offset >= next {
-			lagDetector.offset, lagDetector.since = offset, now
+		if position >= next {
+			lagDetector.position, lagDetector.since = position, now
 		}
 		return false
 	}
--- a/internal/store/view/view.go
+++ b/internal/store/view/view.go
@@ -78,11 +78,31 @@
 	return olderEntry == newerEntry
 }
 
+// UpstreamNewer reports whether the second of two values of an upstream's key was written later than the first, by its incarnation and sequence number.
+func UpstreamNewer(older, newer []byte) bool {
+	olderEntry, err := platform.DecodeUpstream("", older)
+	if err != nil {
+		return false
+	}
+	newerEntry, err := platform.DecodeUpstream("", newer)
+	return err == nil && !olderEntry.Replaces(newerEntry)
+}
+
+// ConfigurationNewer reports whether the second of two values of a key of the operators' topic is a configuration with a higher version than the first.
+func ConfigurationNewer(older, newer []byte) bool {
+	olderConfiguration, err := platform.DecodeConfiguration(older)
+	if err != nil {
+		return false
+	}
+	newerConfiguration, err := platform.DecodeConfiguration(newer)
+	return err == nil && newerConfiguration.Version > olderConfiguration.Version
+}
+
 // ApplyOperator applies records of the operators' topic.
 func (view *View) ApplyOperator(records []feed.Record, _ time.Time) {
 	for _, record := range records {
 		if zone, ok := platform.EvacuatedZone(record.Key); ok {
-			view.config.Logger.Info("zone changed", "Zone", zone, "Out", !record.Deleted(), "Offset", record.Offset)
+			view.config.Logger.Info("zone changed", "Zone", zone, "Out", !record.Deleted(), "Offset", record.Position)
 			view.config.Board.SetZoneOut(zone, !record.Deleted(), time.Now())
 		}
 		if platform.IsConfiguration(record.Key) && !record.Deleted() {
@@ -94,7 +114,7 @@
 func (view *View) applyConfiguration(record feed.Record) {
 	configuration, err := platform.DecodeConfiguration(record.Value)
 	if err != nil {
-		view.config.Logger.Error("configuration not readable, keeping the one in force", "Offset", record.Offset, "Error", err)
+		view.config.Logger.Error("configuration not readable, keeping the one in force", "Offset", record.Position, "Error", err)
 		return
 	}
 	if current := view.table.Load(); current != nil && configuration.Version <= current.Version() {
@@ -105,7 +125,7 @@
 	view.config.Board.SetServices(updated.Services())
 	view.config.Board.SetThroughput(updated.Limits().TokensPerSecond)
 	view.table.Store(updated)
-	view.config.Logger.Info("configuration in force", "Version", configuration.Version, "Offset", record.Offset,
+	view.config.Logger.Info("configuration in force", "Version", configuration.Version, "Offset", record.Position,
 		"Routes", len(configuration.Routes), "Organisations", len(configuration.Organisations))
 }
 
@@ -133,11 +153,11 @@
 	entry, err := platform.DecodeUpstream(record.Key, record.Value)
 	if err != nil {
 		view.invalidEntries++
-		view.config.Logger.Warn("invalid upstream entry ignored", "Upstream", name, "Offset", record.Offset, "Dropped", view.invalidEntries, "Error", err)
+		view.config.Logger.Warn("invalid upstream entry ignored", "Upstream", name, "Offset", record.Position, "Dropped", view.invalidEntries, "Error", err)
 		return
 	}
 	if !view.config.Board.Set(entry, now) {
-		view.config.Logger.Debug("older upstream entry ignored", "Upstream", name, "Offset", record.Offset)
+		view.config.Logger.Debug("older upstream entry ignored", "Upstream", name, "Offset", record.Position)
 		return
 	}
 	if timer, ok := view.pendingRemovals[name]; ok {
@@ -148,7 +168,7 @@
 	view.entries[name] = entry
 	if !known || old.Leaving != entry.Leaving || old.Incarnation != entry.Incarnation || (old.ColdLeft > 0) != (entry.ColdLeft > 0) {
 		view.config.Logger.Info("upstream changed", "Upstream", name, "Service", entry.Service, "Zone", entry.Zone,
-			"Leaving", entry.Leaving, "ColdLeft", entry.ColdLeft, "Incarnation", entry.Incarnation, "Offset", record.Offset)
+			"Leaving", entry.Leaving, "ColdLeft", entry.ColdLeft, "Incarnation", entry.Incarnation, "Offset", record.Position)
 	}
 }
 
