--- a/internal/tools/soak/fault.go
+++ b/internal/tools/soak/fault.go
@@ -129,7 +129,8 @@
 
 func disruptStoreNetwork(run *run, random *rand.Rand, duration time.Duration) string {
 	router := run.randomRouter(random)
-	mode := []proxyMode{proxyDelay, proxySilent, proxyOneWay}[random.IntN(3)]
+	modes := []proxyMode{proxyDelay, proxySilent, proxyOneWay, proxyRefuse}
+	mode := modes[random.IntN(len(modes))]
 	router.proxy.setMode(mode)
 	run.checker.excuseUntil(time.Now().Add(duration))
 	router.touch.disturbUntil(time.Now().Add(duration))
--- a/internal/tools/soak/proxy.go
+++ b/internal/tools/soak/proxy.go
@@ -20,6 +20,8 @@
 	proxySilent
 	// proxyOneWay drops the bytes sent to the client.
 	proxyOneWay
+	// proxyRefuse resets open and new connections.
+	proxyRefuse
 )
 
 const (
@@ -66,6 +68,10 @@
 }
 
 func (proxy *proxy) serve(client net.Conn) {
+	if proxy.refuses() {
+		reset(client)
+		return
+	}
 	server, err := net.Dial("tcp", proxy.target)
 	if err != nil {
 		reset(client)
@@ -112,6 +118,12 @@
 	}
 }
 
+func (proxy *proxy) refuses() bool {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	return proxy.mode == proxyRefuse
+}
+
 // setMode changes the mode; proxySilent silences the open connections permanently.
 func (proxy *proxy) setMode(mode proxyMode) {
 	proxy.mutex.Lock()
@@ -122,6 +134,12 @@
 			conn.silenced = true
 		}
 	}
+	if mode == proxyRefuse {
+		for conn := range proxy.conns {
+			reset(conn.client)
+			reset(conn.server)
+		}
+	}
 }
 
 // reset resets all connections.
--- a/internal/tools/soak/proxymode_string.go
+++ b/internal/tools/soak/proxymode_string.go
@@ -12,11 +12,12 @@
 	_ = x[proxyDelay-1]
 	_ = x[proxySilent-2]
 	_ = x[proxyOneWay-3]
+	_ = x[proxyRefuse-4]
 }
 
-const _proxyMode_name = "PassDelaySilentOneWay"
+const _proxyMode_name = "PassDelaySilentOneWayRefuse"
 
-var _proxyMode_index = [...]uint8{0, 4, 9, 15, 21}
+var _proxyMode_index = [...]uint8{0, 4, 9, 15, 21, 27}
 
 func (i proxyMode) String() string {
 	idx := int(i) - 0
