entry: registrations and quarantines are written again after a return of the store

A store that came back from an older copy has lost what routers wrote: a router that is added then finds none of the others and serves as a fleet of its own, and when all routers restart, prompt parts in quarantine crash upstreams again. Each record was written once, on the word that the store loses nothing.

--- a/cmd/clementinewind/configuration_test.go
+++ b/cmd/clementinewind/configuration_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"syscall"
@@ -120,3 +122,31 @@
 		})
 	}
 }
+
+// Guards against routers that are not found any more because the store came back from a copy from before they registered: a router that is added
+// then would serve as a fleet of its own.
+func TestRegistrationsAfterStoreCameBackFromCopy(t *testing.T) {
+	fleet := startVersionedFleet(t, 2, "old")
+	fleet.store.ReturnFromCopy(time.Hour, platform.TopicOperator, platform.TopicUpstreams)
+	for number := range fleet.routers {
+		await(t, "a router has registered again", func() bool { return fleet.store.Get(platform.TopicInstances, fmt.Sprint("router-", number)) != nil })
+	}
+	fleet.addRouter("router-new")
+	await(t, "the added router finds the others", func() bool { return len(fleet.locate(versionedRouters)) == versionedRouters+1 })
+}
+
+// locate returns the addresses that a router gives to callers of its zone.
+func (fleet *versionedFleet) locate(number int) []string {
+	host, _, err := net.SplitHostPort(fleet.address(number))
+	quicktest.Assert(fleet.t, err, quicktest.IsNil)
+	response, err := http.Get("http://" + net.JoinHostPort(host, "21003") + "/api/resolve?zone=a")
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var answer struct{ Addrs []string }
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return nil
+	}
+	return answer.Addrs
+}
--- a/cmd/clementinewind/origin_test.go
+++ b/cmd/clementinewind/origin_test.go
@@ -43,6 +43,7 @@
 type versionedFleet struct {
 	t        *testing.T
 	store    *stand.Store
+	server   *httptest.Server
 	settings []string
 	routers  []*process
 	names    map[string][]string
@@ -65,21 +66,41 @@
 	for _, version := range versions {
 		fleet.addUpstreams(version, upstreams)
 	}
-	storeServer := httptest.NewServer(fleet.store)
-	t.Cleanup(storeServer.Close)
+	fleet.server = httptest.NewServer(fleet.store)
+	t.Cleanup(fleet.server.Close)
 	for number := range versionedRouters {
-		address := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/250%250, 1+os.Getpid()%250, 100+number)
-		fleet.settings = append(fleet.settings, filepath.Join(t.TempDir(), "router.ini"))
-		text := strings.ReplaceAll(fmt.Sprintf(entrySettings, address, storeServer.Listener.Addr()), "router-0", fmt.Sprint("router-", number))
-		text += "[Retry]\nExtra = 1000\n"
-		quicktest.Assert(t, os.WriteFile(fleet.settings[number], []byte(text), 0o600), quicktest.IsNil)
+		fleet.writeSettings(fmt.Sprint("router-", number))
 	}
 	fleet.startRouters(versions...)
 	return fleet
 }
 
+// writeSettings writes the settings of one more router, which is then the last one of fleet.settings.
+func (fleet *versionedFleet) writeSettings(name string) {
+	fleet.t.Helper()
+	host, _, err := net.SplitHostPort(fleet.addressOf(len(fleet.settings)))
+	quicktest.Assert(fleet.t, err, quicktest.IsNil)
+	text := strings.ReplaceAll(fmt.Sprintf(entrySettings, host, fleet.server.Listener.Addr()), "router-0", name)
+	text += "[Retry]\nExtra = 1000\n"
+	file := filepath.Join(fleet.t.TempDir(), "router.ini")
+	quicktest.Assert(fleet.t, os.WriteFile(file, []byte(text), 0o600), quicktest.IsNil)
+	fleet.settings = append(fleet.settings, file)
+}
+
+// addRouter starts one more router.
+func (fleet *versionedFleet) addRouter(name string) {
+	fleet.t.Helper()
+	fleet.writeSettings(name)
+	fleet.routers = append(fleet.routers, startProcess(fleet.t, name, "clementinewind", "entry", "--config", fleet.settings[len(fleet.settings)-1]))
+}
+
+// address returns the address of a router for callers. Higher numbers than there are routers begin again.
 func (fleet *versionedFleet) address(number int) string {
-	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/250%250, 1+os.Getpid()%250, 100+number%versionedRouters), "21001")
+	return fleet.addressOf(number % len(fleet.settings))
+}
+
+func (fleet *versionedFleet) addressOf(number int) string {
+	return net.JoinHostPort(fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()/250%250, 1+os.Getpid()%250, 100+number), "21001")
 }
 
 // addUpstreams adds upstreams that run a version.
--- a/internal/edge/entry/announce.go
+++ b/internal/edge/entry/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -22,7 +23,8 @@
 
 // joinFleet registers this router in the store and discovers its peers. It discovers them first, because registrations
 // queue at the store while a large fleet starts. In a small fleet it discovers them again after it has registered, so
-// that of two routers that start at the same time at least one finds the other; in a large fleet gossip does that.
+// that of two routers that start at the same time at least one finds the other; in a large fleet gossip does that. It registers again when the store
+// may have lost the registration.
 func (router *Router) joinFleet(ctx context.Context) error {
 	value, err := proto.Marshal(gossip.EncodeMember(router.roster.Self()))
 	if err != nil {
@@ -33,6 +35,14 @@
 	registered, discovered := false, router.topics.largeFleet()
 	for {
 		wait := aloneDiscoveryInterval
+		if router.registrationLost.Swap(false) {
+			// All routers learn of it at about the same time.
+			spread := time.Second * time.Duration(router.roster.Count()) / maxStoresPerSecond
+			if err := pause.For(ctx, time.Duration(rand.Float64()*float64(spread))); err != nil {
+				return err
+			}
+			registered = false
+		}
 		if !registered {
 			if err := router.store.Append(ctx, platform.TopicInstances, string(router.roster.Self().Instance), value); err != nil {
 				router.config.Logger.Warn("registration in store failed, retrying", "Error", err)
@@ -48,8 +58,14 @@
 				wait = registerRetryInterval
 			}
 		}
-		if err := pause.For(ctx, wait); err != nil {
-			return err
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-router.registrationWanted:
+			timer.Stop()
+		case <-timer.C:
 		}
 	}
 }
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -97,6 +97,9 @@
 	// era is the last era of the store in which it is known to have come back from a copy. eraBegan receives after it has changed.
 	era      atomic.Int64
 	eraBegan chan struct{}
+	// registrationLost is set while the store may have lost the registration of this router; registrationWanted receives then.
+	registrationLost   atomic.Bool
+	registrationWanted chan struct{}
 
 	// started is when the process started. discovered is set after the first attempt to discover peers.
 	started    time.Time
@@ -118,7 +121,10 @@
 
 // New returns a router that does not serve until Run is called.
 func New(config Config) *Router {
-	router := &Router{config: config, started: time.Now(), stopRequested: make(chan struct{}), eraBegan: make(chan struct{}, 1), requestRate: newRateMeter(config.Settings.CoreShare)}
+	router := &Router{
+		config: config, started: time.Now(), stopRequested: make(chan struct{}), requestRate: newRateMeter(config.Settings.CoreShare),
+		eraBegan: make(chan struct{}, 1), registrationWanted: make(chan struct{}, 1),
+	}
 	router.settings.Store(&config.Settings)
 	settings := config.Settings
 	self := roster.Member{
--- a/internal/edge/entry/era.go
+++ b/internal/edge/entry/era.go
@@ -12,7 +12,7 @@
 	}
 }
 
-// followEras reads all topics again when the store has come back from a copy, until the context ends.
+// followEras reads all topics again when the store has come back from a copy, and has what this router wrote written again, until the context ends.
 func (router *Router) followEras(ctx context.Context) error {
 	for {
 		select {
@@ -22,5 +22,8 @@
 		}
 		router.config.Logger.Warn("new era of the store, reading all topics", "Era", router.era.Load())
 		router.topics.readNow()
+		router.registrationLost.Store(true)
+		notify(router.registrationWanted)
+		router.quarantines.storeAgain()
 	}
 }
--- a/internal/edge/entry/poison_test.go
+++ b/internal/edge/entry/poison_test.go
@@ -243,8 +243,20 @@
 	quicktest.Check(t, served >= sent/2, quicktest.IsTrue, quicktest.Commentf("%d of %d sound requests", served, sent))
 }
 
-// Guards against a fleet that forgets a poisoned prompt part when all its routers restart.
+// Guards against a fleet that forgets a poisoned prompt part when all its routers restart, also if the store lost its record before.
 func TestQuarantineSurvivesRestartOfAllRouters(t *testing.T) {
+	for name, lose := range map[string]func(store *stand.Store){
+		"store keeps the record": func(*stand.Store) {},
+		"store came back from a copy": func(store *stand.Store) {
+			store.ReturnFromCopy(time.Hour, platform.TopicOperator, platform.TopicUpstreams)
+			time.Sleep(3 * time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) { checkQuarantineSurvivesRestart(t, lose) })
+	}
+}
+
+func checkQuarantineSurvivesRestart(t *testing.T, lose func(store *stand.Store)) {
 	const routers = 2
 	fleet := newFleet(t)
 	fleet.configureModel()
@@ -258,6 +270,7 @@
 	}
 	// The owner of the part writes it to the store within a second.
 	time.Sleep(1500 * time.Millisecond)
+	lose(fleet.store)
 	for number := range routers {
 		fleet.kill(number + 1)
 	}
--- a/internal/edge/entry/quarantine.go
+++ b/internal/edge/entry/quarantine.go
@@ -30,7 +30,7 @@
 	router *Router
 
 	mutex sync.Mutex
-	// stored holds the parts of which the store has a record, as far as this router knows.
+	// stored holds the parts of which the store has a record, as far as this router knows; false if it may have lost the record.
 	stored map[prompt.PartHash]bool
 }
 
@@ -78,6 +78,15 @@
 	return nil
 }
 
+// storeAgain has all parts that are in quarantine written again, because the store may have lost their records.
+func (records *quarantineRecords) storeAgain() {
+	records.mutex.Lock()
+	defer records.mutex.Unlock()
+	for part := range records.stored {
+		records.stored[part] = false
+	}
+}
+
 // load applies a record if it is that of a quarantine, and reports whether it is.
 func (records *quarantineRecords) load(key string, value []byte, now time.Time) bool {
 	if !strings.HasPrefix(key, quarantineKeyPrefix) {
