Test: take-ups at a router that was out of step while a new version joined

Cases: stood still; cut off from the store; turned away by it; cut off from the store and the other routers. A router that cannot read which versions are listed refuses what it did not begin. A cut between routers alone was not played: the decision reads the store and nothing that routers tell each other.

--- a/cmd/clementinewind/origin_test.go
+++ b/cmd/clementinewind/origin_test.go
@@ -43,16 +43,17 @@
 type versionedFleet struct {
 	t        *testing.T
 	store    *stand.Store
-	server   *httptest.Server
 	settings []string
-	routers  []*process
-	names    map[string][]string
+	// storeFaults has, by router, what its calls to the store meet; nil is nothing.
+	storeFaults []atomic.Pointer[storeFault]
+	routers     []*process
+	names       map[string][]string
 }
 
 // startVersionedFleet starts a fleet with a number of upstreams of each version.
 func startVersionedFleet(t *testing.T, upstreams int, versions ...string) *versionedFleet {
 	t.Helper()
-	fleet := &versionedFleet{t: t, store: stand.NewStore(), names: map[string][]string{}}
+	fleet := &versionedFleet{t: t, store: stand.NewStore(), names: map[string][]string{}, storeFaults: make([]atomic.Pointer[storeFault], versionedRouters+1)}
 	value, err := platform.EncodeConfiguration(table.Configuration{
 		Version: 1,
 		Routes: []table.Route{{
@@ -66,8 +67,6 @@
 	for _, version := range versions {
 		fleet.addUpstreams(version, upstreams)
 	}
-	fleet.server = httptest.NewServer(fleet.store)
-	t.Cleanup(fleet.server.Close)
 	for number := range versionedRouters {
 		fleet.writeSettings(fmt.Sprint("router-", number))
 	}
@@ -80,13 +79,36 @@
 	fleet.t.Helper()
 	host, _, err := net.SplitHostPort(fleet.addressOf(len(fleet.settings)))
 	quicktest.Assert(fleet.t, err, quicktest.IsNil)
-	text := strings.ReplaceAll(fmt.Sprintf(entrySettings, host, fleet.server.Listener.Addr()), "router-0", name)
+	text := strings.ReplaceAll(fmt.Sprintf(entrySettings, host, fleet.storeFor(len(fleet.settings))), "router-0", name)
 	text += "[Retry]\nExtra = 1000\n"
 	file := filepath.Join(fleet.t.TempDir(), "router.ini")
 	quicktest.Assert(fleet.t, os.WriteFile(file, []byte(text), 0o600), quicktest.IsNil)
 	fleet.settings = append(fleet.settings, file)
 }
 
+// storeFault gets a call to the store first, and returns true if the store must not get it.
+type storeFault func(writer http.ResponseWriter, request *http.Request) bool
+
+// storeFor returns an address of the store that only one router uses.
+func (fleet *versionedFleet) storeFor(number int) string {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if fault := fleet.storeFaults[number].Load(); fault == nil || !(*fault)(writer, request) {
+			fleet.store.ServeHTTP(writer, request)
+		}
+	}))
+	fleet.t.Cleanup(server.Close)
+	fleet.t.Cleanup(server.CloseClientConnections)
+	return server.Listener.Addr().String()
+}
+
+// setStoreFault sets what the calls of a router to the store meet.
+func (fleet *versionedFleet) setStoreFault(number int, fault storeFault) {
+	fleet.storeFaults[number].Store(&fault)
+}
+
+// endStoreFault ends what setStoreFault began.
+func (fleet *versionedFleet) endStoreFault(number int) { fleet.storeFaults[number].Store(nil) }
+
 // addRouter starts one more router.
 func (fleet *versionedFleet) addRouter(name string) {
 	fleet.t.Helper()
@@ -264,11 +286,16 @@
 
 // begin starts streams at all routers. The result waits until all of them have ended.
 func (fleet *versionedFleet) begin(path string) (streams []*versionedStream, wait func()) {
+	return fleet.beginAt(func(number int) int { return number }, path)
+}
+
+// beginAt is like begin, with the router of each stream.
+func (fleet *versionedFleet) beginAt(routerOf func(number int) int, path string) (streams []*versionedStream, wait func()) {
 	var callers sync.WaitGroup
 	for number := range versionedStreams {
 		stream := &versionedStream{id: fmt.Sprintf("stream-%d", number)}
 		streams = append(streams, stream)
-		callers.Go(func() { stream.read(fleet.address(number), path) })
+		callers.Go(func() { stream.read(fleet.address(routerOf(number)), path) })
 	}
 	return streams, callers.Wait
 }
@@ -278,14 +305,20 @@
 
 // takeUpAt takes up streams a number of routers after those that began them.
 func (fleet *versionedFleet) takeUpAt(streams []*versionedStream, after int) {
+	fleet.takeUpEach(streams, func(number int) int { return number + after })
+}
+
+// takeUpEach takes up streams at the routers that routerOf gives.
+func (fleet *versionedFleet) takeUpEach(streams []*versionedStream, routerOf func(number int) int) {
 	var callers sync.WaitGroup
 	for number, stream := range streams {
 		if stream.lastEvent > 0 && !stream.complete {
+			address := fleet.address(routerOf(number))
 			callers.Go(func() {
-				stream.read(fleet.address(number+after), "/slow/")
+				stream.read(address, "/slow/")
 				if stream.status == http.StatusServiceUnavailable && stream.retryAfter > 0 {
 					time.Sleep(stream.retryAfter)
-					stream.read(fleet.address(number+after), "/slow/")
+					stream.read(address, "/slow/")
 				}
 			})
 		}
