origins: versions that the store lost are no proof that streams began elsewhere

Callers got streams joined from two software versions after the store came back from an older copy. A router concludes from the only listed version that all streams began there, which holds because a version is listed before a stream begins at it. The copy does not have versions listed within its age, and the routers neither noticed nor wrote them again.

Now a router keeps the versions that it knows and the store has lost, keeps new streams from them until they are listed again, and writes them and the origins of its streams again. The conclusion from a single version needs a record that the versions are whole in the current era: written 2.5 s after the return by a router that ran before, after 30 s by one that has started since, when no caller takes up a stream from before, and at once when the whole fleet starts for the first time ([Store] New). In the first era nothing changes and nothing is written.

--- a/cmd/clementinewind/configuration_test.go
+++ b/cmd/clementinewind/configuration_test.go
@@ -150,3 +150,45 @@
 	}
 	return answer.Addrs
 }
+
+// Guards against streams that are joined from two versions because the store came back from a copy that knows only one of them, and against
+// refusing to continue them once the lost records are written again.
+func TestTakeUpAfterStoreCameBackFromCopy(t *testing.T) {
+	for name, killed := range map[string]bool{"routers run on": false, "all routers are killed": true} {
+		t.Run(name, func(t *testing.T) {
+			fleet := startVersionedFleet(t, 2, "old")
+			copied := time.Now()
+			time.Sleep(100 * time.Millisecond)
+			fleet.addUpstreams("new", 2)
+			for number := range fleet.routers {
+				fleet.awaitVersion(number, "new")
+			}
+			streams, wait := fleet.begin("/broken/")
+			wait()
+			time.Sleep(storeTime)
+			if killed {
+				fleet.killRouters()
+			}
+			fleet.store.ReturnFromCopy(time.Since(copied), platform.TopicOperator, platform.TopicUpstreams)
+			if killed {
+				fleet.startRouters()
+			}
+			begun := map[string]int{}
+			for _, stream := range streams {
+				quicktest.Assert(t, stream.lastEvent > brokenAfter, quicktest.IsTrue)
+				stream.lastEvent, stream.versions, stream.complete = brokenAfter, stream.versions[:brokenAfter], false
+				begun[stream.versions[0]]++
+			}
+			quicktest.Assert(t, begun["old"] > 0 && begun["new"] > 0, quicktest.IsTrue)
+			fleet.takeUp(streams)
+			t.Logf("begun %v, joined %d, complete %d", begun, countJoined(streams), countComplete(streams))
+			time.Sleep(contactTime)
+			fleet.takeUp(streams)
+			t.Logf("later: joined %d, complete %d", countJoined(streams), countComplete(streams))
+			quicktest.Check(t, countJoined(streams), quicktest.Equals, 0)
+			if !killed {
+				quicktest.Check(t, countComplete(streams), quicktest.Equals, len(streams))
+			}
+		})
+	}
+}
--- a/internal/admin/conf/entry.go
+++ b/internal/admin/conf/entry.go
@@ -33,6 +33,8 @@
 	StoreAddress netip.AddrPort
 	// StoreRetention is how long the store keeps records of topics that are not compacted.
 	StoreRetention time.Duration
+	// StoreNew is set if the whole fleet starts for the first time, so that the store has lost nothing of it.
+	StoreNew bool
 
 	LogLevel hclog.Level
 	// MemoryBytes is the memory limit; the platform kills the process when it reaches it.
@@ -156,6 +158,7 @@
 		}},
 		{"Store", "Address", true, address(false, func(entry *Entry) *netip.AddrPort { return &entry.StoreAddress })},
 		{"Store", "Retention", false, duration(func(entry *Entry) *time.Duration { return &entry.StoreRetention })},
+		{"Store", "New", false, func(entry *Entry, text string) *valueFault { return setBool(text, &entry.StoreNew) }},
 		{"Log", "Level", false, func(entry *Entry, text string) *valueFault { return setLevel(text, &entry.LogLevel) }},
 		{"Sizes", "Memory", false, func(entry *Entry, text string) *valueFault {
 			return setSize(text, 16*mebibyte, 1024*gibibyte, &entry.MemoryBytes)
--- a/internal/admin/conf/entry_test.go
+++ b/internal/admin/conf/entry_test.go
@@ -22,6 +22,7 @@
 	values := map[string]string{
 		"node": "front-1", "zone": "guj-a", "ip": "10.1.0.33", "listen.front": "10.1.0.33:8783", "listen.ready": "10.1.0.33:8780",
 		"listen.directory": "10.1.0.33:8789", "portRange.0": "7400", "portRange.1": "7415", "platform.address": "10.200.1.7:8781", "platform.keep_s": "300",
+		"bootstrap":       "true",
 		"limits.memoryMb": "284", "limits.maxFds": "4100", "limits.cpuShare": "0.4", "bounds.graceS": "8", "bounds.contactMs": "3000", "bounds.ttl_max_s": "5",
 		"bounds.retryBudgetRatio": "0.2", "bounds.budgetWindowS": "10", "bounds.budgetExtra": "58", "bounds.coldOverrun": "1.5",
 		"bounds.coldSlack": "5", "bounds.quotaWindowS": "4", "bounds.passMs": "200",
@@ -39,6 +40,7 @@
 	quicktest.Check(t, entry.CallerListen.String(), quicktest.Equals, "10.1.0.33:8783")
 	quicktest.Check(t, entry.FirstPort, quicktest.Equals, 7400)
 	quicktest.Check(t, entry.StoreRetention, quicktest.Equals, 5*time.Minute)
+	quicktest.Check(t, entry.StoreNew, quicktest.IsTrue)
 	quicktest.Check(t, entry.RetryExtra, quicktest.Equals, 58.0)
 	quicktest.Check(t, entry.Grace, quicktest.Equals, 8*time.Second)
 	quicktest.Check(t, entry.EventDelay, quicktest.Equals, 200*time.Millisecond)
--- a/internal/admin/conf/show.go
+++ b/internal/admin/conf/show.go
@@ -30,6 +30,7 @@
 		{"Listen", "Ports"}:            fmt.Sprintf("%d-%d", entry.FirstPort, entry.LastPort),
 		{"Store", "Address"}:           address(entry.StoreAddress, entry.StoreAddress.IsValid()),
 		{"Store", "Retention"}:         entry.StoreRetention.String(),
+		{"Store", "New"}:               strconv.FormatBool(entry.StoreNew),
 		{"Log", "Level"}:               entry.LogLevel.String(),
 		{"Sizes", "Memory"}:            strconv.FormatInt(entry.MemoryBytes, 10) + "B",
 		{"Sizes", "Descriptors"}:       strconv.Itoa(entry.Descriptors),
--- a/internal/edge/entry/announce.go
+++ b/internal/edge/entry/announce.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
-	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/internal/wire/fleetv1"
 	"github.com/clementinewind/clementinewind/platform"
 )
@@ -37,8 +35,7 @@
 		wait := aloneDiscoveryInterval
 		if router.registrationLost.Swap(false) {
 			// All routers learn of it at about the same time.
-			spread := time.Second * time.Duration(router.roster.Count()) / maxStoresPerSecond
-			if err := pause.For(ctx, time.Duration(rand.Float64()*float64(spread))); err != nil {
+			if err := router.origins.spreadWrites(ctx); err != nil {
 				return err
 			}
 			registered = false
--- a/internal/edge/entry/era.go
+++ b/internal/edge/entry/era.go
@@ -25,5 +25,6 @@
 		router.registrationLost.Store(true)
 		notify(router.registrationWanted)
 		router.quarantines.storeAgain()
+		router.origins.storeAgain()
 	}
 }
--- a/internal/edge/entry/origins.go
+++ b/internal/edge/entry/origins.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,6 +28,8 @@
 	// versionKeyPrefix precedes a hash of the service and the version in the keys of versions in platform.TopicInstances, so that a router
 	// that discovers its peers reads them in the same call.
 	versionKeyPrefix = "version/"
+	// eraKey is the key of the record of the last era in which the records of versions are whole.
+	eraKey = versionKeyPrefix + "era"
 	// listInterval is how often a router looks for new versions and for those that have gone.
 	listInterval = time.Second
 	// retireAfter is how long a version must have been without upstreams before its record is deleted. No caller takes up a stream of it
@@ -50,6 +55,11 @@
 	trimAge         = 3 * restoreInterval
 	// undividedInterval is the interval at which ended streams are forgotten while each service has one version.
 	undividedInterval = 10 * time.Second
+	// confirmTime is how long after a return of the store from a copy a router that ran before confirms that its records of versions are whole. All
+	// routers notice the return within that time and write again what they know. A router that has started since confirms it after
+	// takeUpLimit, when no caller takes up a stream from before.
+	confirmTime = 2500 * time.Millisecond
+	takeUpLimit = 30 * time.Second
 	// maxStoredStreams limits the streams of one record, which is a quarter of the largest record then.
 	maxStoredStreams = 8192
 )
@@ -60,6 +70,7 @@
 	errStreamsNotRead   = errors.New("the store does not tell which version began the stream")
 	errNothingToTakeUp  = errors.New("the request does not say which stream it takes up")
 	errNoListedVersions = errors.New("the store has no version of the service")
+	errVersionsLost     = errors.New("the store came back from a copy, and may have lost the version that began the stream")
 )
 
 // origins keeps in the store at which versions of a service streams may have begun, and at which one a stream began while there are several.
@@ -74,6 +85,8 @@
 	streams  *sharedRead
 	// wanted and unstored receive when a version is to be listed, or a stream stored, without waiting for the interval.
 	wanted, unstored chan struct{}
+	// eraBegan is set until the versions were read in a new era of the store.
+	eraBegan atomic.Bool
 
 	mutex sync.Mutex
 	// versionsNext is the position up to which the versions were read; loaded is set once they were.
@@ -81,6 +94,13 @@
 	loaded       bool
 	// keys has the versions by the keys of their records.
 	keys map[string]origin.Version
+	// confirmed is the last era of which the store has a record that its records of versions are whole. eraSince is when this router first read them
+	// in the current era, ranBefore is set if it knew all of them in the one before, firstEra if it has read no other one.
+	confirmed           int64
+	eraSince            time.Time
+	ranBefore, firstEra bool
+	// lost are versions that this router knows and the store has lost.
+	lost map[origin.Version]bool
 	// seenAt is when a version last had an upstream, or was read first.
 	seenAt map[origin.Version]time.Time
 	// streamsNext is the position up to which the origins of streams were read.
@@ -100,7 +120,7 @@
 func newOrigins(router *Router) *origins {
 	created := &origins{
 		router: router, registry: origin.New(), wanted: make(chan struct{}, 1), unstored: make(chan struct{}, 1),
-		keys: map[string]origin.Version{}, seenAt: map[origin.Version]time.Time{},
+		keys: map[string]origin.Version{}, lost: map[origin.Version]bool{}, seenAt: map[origin.Version]time.Time{},
 	}
 	created.versions = &sharedRead{read: created.readVersions, interval: created.readInterval}
 	created.streams = &sharedRead{read: created.readStreams, interval: created.readInterval}
@@ -152,15 +172,20 @@
 	if err := origins.versions.Do(ctx); err != nil {
 		return origin.Version{}, errVersionsNotRead
 	}
-	if only, ok := origins.registry.Only(service); ok {
+	whole := origins.whole()
+	if only, ok := origins.registry.Only(service); ok && whole {
 		return origin.Version{Service: service, Name: only}, nil
 	}
-	if !origins.registry.Several(service) {
+	if whole && !origins.registry.Several(service) {
 		return origin.Version{}, errNoListedVersions
 	}
 	if began == "" {
 		return origin.Version{}, errNothingToTakeUp
 	}
+	unknown := errOriginUnknown
+	if !whole {
+		unknown = errVersionsLost
+	}
 	for {
 		if err := origins.streams.Do(ctx); err != nil {
 			return origin.Version{}, errStreamsNotRead
@@ -169,7 +194,7 @@
 			return version, nil
 		}
 		if pause.For(ctx, originPollInterval) != nil {
-			return origin.Version{}, errOriginUnknown
+			return origin.Version{}, unknown
 		}
 	}
 }
@@ -198,12 +223,17 @@
 
 // listOnce writes records of versions that are in service and have none, and deletes those of versions that are gone.
 func (origins *origins) listOnce(ctx context.Context) error {
+	if origins.eraBegan.Load() {
+		if err := origins.versions.Do(ctx); err != nil {
+			return err
+		}
+		origins.eraBegan.Store(false)
+	}
 	now := time.Now()
 	missing := origins.missing(now)
 	if len(missing) > 0 {
 		// The routers of a large fleet all see a new version at once. Most of them find the record of another one.
-		spread := time.Second * time.Duration(origins.router.roster.Count()) / maxStoresPerSecond
-		if err := pause.For(ctx, time.Duration(rand.Float64()*float64(spread))); err != nil {
+		if err := origins.spreadWrites(ctx); err != nil {
 			return err
 		}
 		if err := origins.versions.Do(ctx); err != nil {
@@ -218,13 +248,79 @@
 		if err := origins.router.store.Append(ctx, platform.TopicInstances, versionKey(version), value); err != nil {
 			return err
 		}
-		origins.registry.List(version)
+		origins.setListed(version)
 		origins.router.config.Logger.Info("version listed", "Service", version.Service, "Version", version.Name)
 		notify(origins.unstored)
 	}
+	if err := origins.confirm(ctx, now); err != nil {
+		return err
+	}
 	return origins.retire(ctx, now)
 }
 
+// spreadWrites waits a part of the time that one write of each router takes.
+func (origins *origins) spreadWrites(ctx context.Context) error {
+	spread := time.Second * time.Duration(origins.router.roster.Count()) / maxStoresPerSecond
+	return pause.For(ctx, time.Duration(rand.Float64()*float64(spread)))
+}
+
+func (origins *origins) setListed(version origin.Version) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	delete(origins.lost, version)
+	origins.registry.List(version)
+}
+
+// storeAgain has the versions and streams that this router knows written again, because the store may have lost them.
+func (origins *origins) storeAgain() {
+	origins.eraBegan.Store(true)
+	origins.registry.ForgetStored()
+	notify(origins.wanted)
+	notify(origins.unstored)
+}
+
+// whole reports whether the store has the records of all versions at which streams may have begun, as of the last read.
+func (origins *origins) whole() bool {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	return origins.wholeLocked()
+}
+
+func (origins *origins) wholeLocked() bool { return origins.confirmed >= origins.versionsNext.Era() }
+
+// confirm writes the record that those of versions are whole in the current era, when all routers have had the time to write what they know.
+func (origins *origins) confirm(ctx context.Context, now time.Time) error {
+	origins.mutex.Lock()
+	era, wait := origins.versionsNext.Era(), takeUpLimit
+	switch {
+	case origins.ranBefore:
+		wait = confirmTime
+	case origins.confirmed == 0 && origins.firstEra && origins.router.config.Settings.StoreNew:
+		wait = 0
+	}
+	due := origins.loaded && !origins.wholeLocked() && len(origins.lost) == 0 && now.Sub(origins.eraSince) > wait
+	origins.mutex.Unlock()
+	if !due {
+		return nil
+	}
+	value, err := proto.Marshal(&fleetv1.ServiceVersion{Version: strconv.FormatInt(era, 10)})
+	if err != nil {
+		return err
+	}
+	// Another router may have written it, or the store may have come back again.
+	if err := origins.spreadWrites(ctx); err != nil {
+		return err
+	}
+	if err := origins.versions.Do(ctx); err != nil || origins.whole() {
+		return err
+	}
+	if err := origins.router.store.Append(ctx, platform.TopicInstances, eraKey, value); err != nil {
+		return err
+	}
+	origins.router.config.Logger.Info("versions are listed again", "Era", era)
+	return origins.versions.Do(ctx)
+}
+
 // missing returns the versions of resumable routes that are in service and not listed, and notes those that are in service.
 func (origins *origins) missing(now time.Time) []origin.Version {
 	current := origins.router.view.Table()
@@ -236,11 +332,11 @@
 	if !origins.loaded {
 		origins.assumeLocked(current.ResumableServices())
 	}
-	var missing []origin.Version
+	missing := slices.Collect(maps.Keys(origins.lost))
 	for _, service := range current.ResumableServices() {
 		loads := origins.router.board.Versions(service)
 		only, ok := origins.registry.Only(service)
-		keepsOnly := ok && loads[only].Upstreams > 0 && now.Sub(origins.router.started) < takeUpTime
+		keepsOnly := ok && loads[only].Upstreams > 0 && now.Sub(origins.router.started) < takeUpTime && origins.wholeLocked()
 		for name, load := range loads {
 			version := origin.Version{Service: service, Name: name}
 			if load.Upstreams == 0 || (keepsOnly && name != only) {
@@ -250,7 +346,7 @@
 				origins.registry.Suspend(version)
 			}
 			origins.seenAt[version] = now
-			if !origins.loaded || !origins.registry.MayBegin(version) {
+			if !origins.lost[version] && (!origins.loaded || !origins.registry.MayBegin(version)) {
 				missing = append(missing, version)
 			}
 		}
@@ -311,7 +407,13 @@
 }
 
 func (origins *origins) replaceLocked(batch feed.Batch) {
-	var versions []origin.Version
+	var versions, before []origin.Version
+	if origins.loaded && batch.Next.Era() > origins.versionsNext.Era() {
+		before = origins.registry.Versions()
+		origins.eraSince, origins.ranBefore, origins.firstEra = time.Now(), origins.wholeLocked(), false
+	} else if !origins.loaded {
+		origins.eraSince, origins.firstEra = time.Now(), true
+	}
 	origins.keys = map[string]origin.Version{}
 	for _, record := range batch.Records {
 		if version, ok := origins.decodeLocked(record); ok {
@@ -319,15 +421,30 @@
 		}
 	}
 	origins.registry.SetListed(versions)
+	clear(origins.lost)
+	for _, version := range before {
+		if !slices.Contains(versions, version) {
+			origins.lost[version] = true
+			origins.registry.List(version)
+			origins.registry.Suspend(version)
+		}
+	}
 	origins.versionsNext, origins.loaded = batch.Next, true
 }
 
-// decodeLocked returns the version in a record of platform.TopicInstances, if it has one.
+// decodeLocked returns the version in a record of platform.TopicInstances, if it has one, and notes the era that is confirmed.
 func (origins *origins) decodeLocked(record feed.Record) (origin.Version, bool) {
 	if !strings.HasPrefix(record.Key, versionKeyPrefix) || record.Deleted() {
 		return origin.Version{}, false
 	}
 	var stored fleetv1.ServiceVersion
+	if record.Key == eraKey {
+		if err := proto.Unmarshal(record.Value, &stored); err == nil {
+			era, _ := strconv.ParseInt(stored.Version, 10, 64)
+			origins.confirmed = max(origins.confirmed, era)
+		}
+		return origin.Version{}, false
+	}
 	if err := proto.Unmarshal(record.Value, &stored); err != nil || stored.Service == "" {
 		origins.router.config.Logger.Warn("invalid version record ignored", "Key", record.Key, "Error", err)
 		return origin.Version{}, false
--- a/internal/route/origin/registry.go
+++ b/internal/route/origin/registry.go
@@ -277,6 +277,15 @@
 	}
 }
 
+// ForgetStored has all own streams written to the store again, because it may have lost them.
+func (registry *Registry) ForgetStored() {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	for _, known := range registry.streams {
+		known.storedAt = time.Time{}
+	}
+}
+
 // Counts returns the number of versions and of streams that are known.
 func (registry *Registry) Counts() (versions, streams int) {
 	registry.mutex.Lock()
