entry: a router that the store does not answer reads from its peers and does not wait for it

Callers got 404 for routes of a configuration that was confirmed long before, at one router: the one that had read the store for its zone until the store stopped answering it. It never got another configuration, although all others had it, and its log has no line but the first failure.

Each second the follower of a topic itself tried the store again, which takes 1.3 to 2.5 s if nothing comes back; peers were not read meanwhile. And a router that sees that its peers are ahead was made to read the store for 3 s, again every 0.3 s for as long as it lagged, so that it never came back to a peer that answers.

Now the store is tried again beside the followers, and a router that lags while the store fails reads at once from a peer, the next one if its own lags too. Class: a fallback to the part that has failed, renewed by the effect of the failure.

Evidence: TestConfigurationAtRouterThatStoreTurnsAway, three router processes; the store gives the reader of the zone no response, and fifteen versions follow each other.

--- a/cmd/clementinewind/configuration_test.go
+++ b/cmd/clementinewind/configuration_test.go
@@ -21,6 +21,10 @@
 	// applyTime is the platform's limit for a confirmed configuration, contactTime the time without a fault before it binds.
 	applyTime   = 2 * time.Second
 	contactTime = 3 * time.Second
+	// turnedAwayTime is the limit at a router that the store has just turned away.
+	turnedAwayTime = applyTime + 5*time.Second
+	// giveUpTime is how long a test waits for a configuration that should be in force after applyTime.
+	giveUpTime = 10 * time.Second
 	// maxCallsAfterReturn is far above what three routers send in contactTime: each long poll, read of upstreams and record of its own.
 	maxCallsAfterReturn = 150
 )
@@ -192,3 +196,34 @@
 		})
 	}
 }
+
+// Guards against a router that gets no configuration while the store turns it away, although the others have it. It is the one from which the others
+// of its zone have read until then.
+func TestConfigurationAtRouterThatStoreTurnsAway(t *testing.T) {
+	const reader, versions, interval = 0, 16, 700 * time.Millisecond
+	reset := func(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) }
+	for name, fault := range map[string]storeFault{"silent": silentStore, "busy": busyStore, "reset": reset} {
+		t.Run(name, func(t *testing.T) {
+			fleet := startVersionedFleet(t, 2, "old")
+			time.Sleep(contactTime)
+			fleet.setStoreFault(reader, fault)
+			first, latest := time.Duration(0), time.Duration(0)
+			for version := 2; version <= versions; version++ {
+				fleet.publish(version)
+				published := time.Now()
+				await(t, "the router has the configuration", func() bool {
+					return fleet.serves(reader, version) || time.Since(published) > giveUpTime
+				})
+				if took := time.Since(published); version == 2 {
+					first = took
+				} else {
+					latest = max(latest, took)
+				}
+				time.Sleep(interval)
+			}
+			t.Logf("in force after %v, then after %v at most", first, latest)
+			quicktest.Check(t, first < turnedAwayTime, quicktest.IsTrue)
+			quicktest.Check(t, latest < applyTime, quicktest.IsTrue)
+		})
+	}
+}
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -304,6 +304,7 @@
 	}
 	actor(router.topics.operator.follower.Run)
 	actor(router.topics.upstreams.follower.Run)
+	actor(router.topics.retryStore)
 	actor(router.joinFleet)
 	actor(router.followEras)
 	actor(router.cpu.run)
--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -12,6 +12,7 @@
 	"github.com/clementinewind/clementinewind/internal/fleet/gossip"
 	"github.com/clementinewind/clementinewind/internal/fleet/roster"
 	"github.com/clementinewind/clementinewind/internal/share/boot"
+	"github.com/clementinewind/clementinewind/internal/share/pause"
 	"github.com/clementinewind/clementinewind/internal/store/feed"
 	"github.com/clementinewind/clementinewind/internal/store/view"
 	"github.com/clementinewind/clementinewind/platform"
@@ -158,13 +159,13 @@
 		return feed.PollOptions{Interval: startupPollInterval}
 	}
 	skipped, large := topic.skippedPeer(now), topics.largeFleet()
-	reader, ok := topics.router.roster.StoreReader(now, skipped)
+	reader, ok := topics.storeReader(skipped, now)
 	_, loaded := topic.mirror.Next()
 	if starting && large && !(loaded && ok) {
 		reader, ok = topics.router.roster.StartupParent(now, skipped)
 	}
 	switch {
-	case !ok, !loaded && !large, topic.readsStore(now), topics.store.retryDue(now):
+	case !ok, !loaded && !large, topic.readsStore(now) && !topics.store.failing():
 		return storePoll
 	}
 	if skipped != "" {
@@ -178,6 +179,33 @@
 	return peerPoll
 }
 
+// storeReader returns the peer that reads the store for this router, if there is one. A router that the store does not answer reads from the peer
+// that is to be skipped rather than from nobody.
+func (topics topics) storeReader(skipped clementinewind.Instance, now time.Time) (roster.Member, bool) {
+	reader, ok := topics.router.roster.StoreReader(now, skipped)
+	if !ok && skipped != "" && topics.store.failing() {
+		return topics.router.roster.StoreReader(now, "")
+	}
+	return reader, ok
+}
+
+// retryStore calls the store from time to time while it does not answer this router and a peer reads it, until the context ends. Topics are read from
+// the peer meanwhile, and do not wait for the store.
+func (topics topics) retryStore(ctx context.Context) error {
+	for {
+		if err := pause.For(ctx, storeRetryInterval); err != nil {
+			return err
+		}
+		now := time.Now()
+		next, loaded := topics.operator.mirror.Next()
+		if _, ok := topics.storeReader("", now); !ok || !loaded || !topics.store.retryDue(now) {
+			continue
+		}
+		// Only whether it answers matters here, which Read records.
+		_, _ = topics.store.Read(ctx, platform.TopicOperator, next, 0)
+	}
+}
+
 // logSource logs where a topic is read if that has changed.
 func (topics topics) logSource(topic *topic, name string, source feed.Source) {
 	sourceName := sourceStore
@@ -290,28 +318,34 @@
 	return ""
 }
 
-// recordPeerFailure records that a read from a peer failed. In a large fleet the next reader is tried first, and the
-// store only if that one fails too: otherwise sixty routers would call the store at once when the reader of a zone dies.
-func (topic *topic) recordPeerFailure(peer clementinewind.Instance, large bool, now time.Time) {
+// recordPeerFailure records that a read from a peer failed. If peersFirst is set, the next reader is tried first, and the store only if that one
+// fails too: otherwise the sixty routers of a large zone would call the store at once when its reader dies, and a router that the store does
+// not answer would wait for it.
+func (topic *topic) recordPeerFailure(peer clementinewind.Instance, peersFirst bool, now time.Time) {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
-	if large && !now.Before(topic.skippedUntil) {
+	if peersFirst && !now.Before(topic.skippedUntil) {
 		topic.skipped, topic.skippedUntil = peer, now.Add(peerFailureBackoff)
 		return
 	}
 	topic.readStoreUntil = now.Add(peerFailureBackoff)
 }
 
-// observePeerOffset compares how far a peer has read with this router. If this router has lagged for longer than
-// tolerance, it reads the store itself for a while.
-func (topic *topic) observePeerOffset(peerOffset feed.Position, tolerance, readStoreFor time.Duration, now time.Time) {
+// observePeerOffset compares how far a peer has read with this router. If this router has lagged for longer than tolerance, it reads at once: from
+// the store for a while, or from another peer if the store does not answer.
+func (topic *topic) observePeerOffset(peerOffset feed.Position, storeFailing bool, tolerance, readStoreFor time.Duration, now time.Time) {
 	next, _ := topic.mirror.Next()
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
-	if topic.peerLag.Behind(peerOffset, next, tolerance, now) {
+	if !topic.peerLag.Behind(peerOffset, next, tolerance, now) {
+		return
+	}
+	if !storeFailing {
 		topic.readStoreUntil = now.Add(readStoreFor)
-		topic.follower.TriggerRead()
+	} else if topic.sourceName != sourceStore {
+		topic.skipped, topic.skippedUntil = clementinewind.Instance(topic.sourceName), now.Add(peerFailureBackoff)
 	}
+	topic.follower.TriggerRead()
 }
 
 // observePeerOffsets compares how far a peer has read each topic with this router.
@@ -321,8 +355,9 @@
 	if topics.largeFleet() {
 		tolerance, readStoreFor = peerLagToleranceLarge, catchUpTime
 	}
-	topics.operator.observePeerOffset(offsets.Operator, peerLagTolerance, readStoreFor, now)
-	topics.upstreams.observePeerOffset(offsets.Upstreams, tolerance, readStoreFor, now)
+	failing := topics.store.failing()
+	topics.operator.observePeerOffset(offsets.Operator, failing, peerLagTolerance, readStoreFor, now)
+	topics.upstreams.observePeerOffset(offsets.Upstreams, failing, tolerance, readStoreFor, now)
 }
 
 // peerSource reads from a peer. A failed read makes the next one use another source.
@@ -342,7 +377,7 @@
 func (source peerSource) Read(ctx context.Context, topic string, from feed.Position, wait time.Duration) (feed.Batch, error) {
 	batch, err := source.Source.Read(ctx, topic, from, wait)
 	if err != nil && !errors.Is(err, feed.ErrTruncated) && ctx.Err() == nil && !source.topics.peerMayBeStarting(source.topic) {
-		source.topic.recordPeerFailure(source.instance, source.topics.largeFleet(), time.Now())
+		source.topic.recordPeerFailure(source.instance, source.topics.largeFleet() || source.topics.store.failing(), time.Now())
 	}
 	return batch, err
 }
