soak: a connection that has lost bytes delivers none after them

The proxy dropped what an upstream sent within 34 ms and passed on what it sent afterwards on the same connection; the lost parts were whole chunks, so that the rest was a valid response. No network that speaks TCP does that: later bytes never arrive before earlier ones.

--- a/internal/tools/soak/proxy.go
+++ b/internal/tools/soak/proxy.go
@@ -18,7 +18,7 @@
 	proxyDelay
 	// proxySilent drops the bytes in both directions on connections that are open when it is set; new connections work.
 	proxySilent
-	// proxyOneWay drops the bytes sent to the client.
+	// proxyOneWay drops the bytes sent to the client. A connection that has lost some delivers none after them, as TCP does.
 	proxyOneWay
 	// proxyRefuse resets open and new connections.
 	proxyRefuse
@@ -41,8 +41,8 @@
 
 type proxyConn struct {
 	client, server net.Conn
-	// silenced connections drop all bytes, also after the mode changes.
-	silenced bool
+	// silenced connections drop all bytes, and lost ones those sent to the client, also after the mode changes.
+	silenced, lost bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -98,12 +98,16 @@
 		count, err := from.Read(buffer)
 		if count > 0 {
 			proxy.mutex.Lock()
-			mode, silenced := proxy.mode, conn.silenced
+			mode := proxy.mode
+			if mode == proxyOneWay && towardsClient {
+				conn.lost = true
+			}
+			dropped := conn.silenced || (conn.lost && towardsClient)
 			proxy.mutex.Unlock()
 			if mode == proxyDelay {
 				time.Sleep(proxyDelayTime)
 			}
-			if !silenced && (mode != proxyOneWay || !towardsClient) {
+			if !dropped {
 				if _, err := to.Write(buffer[:count]); err != nil {
 					return
 				}
