origins: a return of the store during the read of versions is not overlooked

The mark that versions are to be read again was cleared after the read, and with it the mark of a second return in between. Found in reading.

--- a/internal/edge/entry/origins.go
+++ b/internal/edge/entry/origins.go
@@ -223,11 +223,11 @@
 
 // listOnce writes records of versions that are in service and have none, and deletes those of versions that are gone.
 func (origins *origins) listOnce(ctx context.Context) error {
-	if origins.eraBegan.Load() {
+	if origins.eraBegan.Swap(false) {
 		if err := origins.versions.Do(ctx); err != nil {
+			origins.eraBegan.Store(true)
 			return err
 		}
-		origins.eraBegan.Store(false)
 	}
 	now := time.Now()
 	missing := origins.missing(now)
