entry: say when orders of operators arrive later than at other routers

In the incident nothing but the first failed read was in the log of the router that was behind for as long as the store turned it away. A router that its peers are ahead of now says how far it has read, and whether the store answers it. A test without processes fixes that such a router reads from its peers.

--- a/internal/edge/entry/readers.go
+++ b/internal/edge/entry/readers.go
@@ -332,13 +332,13 @@
 }
 
 // observePeerOffset compares how far a peer has read with this router. If this router has lagged for longer than tolerance, it reads at once: from
-// the store for a while, or from another peer if the store does not answer.
-func (topic *topic) observePeerOffset(peerOffset feed.Position, storeFailing bool, tolerance, readStoreFor time.Duration, now time.Time) {
+// the store for a while, or from another peer if the store does not answer. It reports whether it does.
+func (topic *topic) observePeerOffset(peerOffset feed.Position, storeFailing bool, tolerance, readStoreFor time.Duration, now time.Time) (behind bool) {
 	next, _ := topic.mirror.Next()
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
 	if !topic.peerLag.Behind(peerOffset, next, tolerance, now) {
-		return
+		return false
 	}
 	if !storeFailing {
 		topic.readStoreUntil = now.Add(readStoreFor)
@@ -346,6 +346,7 @@
 		topic.skipped, topic.skippedUntil = clementinewind.Instance(topic.sourceName), now.Add(peerFailureBackoff)
 	}
 	topic.follower.TriggerRead()
+	return true
 }
 
 // observePeerOffsets compares how far a peer has read each topic with this router.
@@ -356,7 +357,11 @@
 		tolerance, readStoreFor = peerLagToleranceLarge, catchUpTime
 	}
 	failing := topics.store.failing()
-	topics.operator.observePeerOffset(offsets.Operator, failing, peerLagTolerance, readStoreFor, now)
+	if topics.operator.observePeerOffset(offsets.Operator, failing, peerLagTolerance, readStoreFor, now) {
+		next, _ := topics.operator.mirror.Next()
+		topics.router.config.Logger.Warn("orders of operators arrive later than at other routers, reading at once",
+			"Read", next, "Peer", offsets.Operator, "StoreFailing", failing)
+	}
 	topics.upstreams.observePeerOffset(offsets.Upstreams, failing, tolerance, readStoreFor, now)
 }
 
--- a/internal/edge/entry/readers_test.go
+++ b/internal/edge/entry/readers_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"github.com/clementinewind/clementinewind"
 	"github.com/clementinewind/clementinewind/internal/admin/conf"
@@ -136,3 +137,27 @@
 	began = read(topic, 0, nil)
 	quicktest.Check(t, topic.stale(began+staleAfter+time.Millisecond), quicktest.IsTrue)
 }
+
+// Guards against a router that the store does not answer and that reads nothing but the store, because its peers are ahead.
+func TestLaggingRouterWithoutStoreReadsFromPeers(t *testing.T) {
+	router, now := newZoneRouter(t, 2), time.Now()
+	topic := router.topics.upstreams
+	router.topics.store.recordResult(t.Context(), errors.New("no response"))
+	router.roster.UpdateSelf(true, false, router.topics.store.reachable(), 0)
+	quicktest.Check(t, router.sourceAt(now), quicktest.Equals, "router-00")
+	// A second later the store may be tried again, but not instead of the peer.
+	now = now.Add(storeRetryInterval + time.Millisecond)
+	quicktest.Check(t, router.topics.store.retryDue(now), quicktest.IsTrue)
+	quicktest.Check(t, router.sourceAt(now), quicktest.Equals, "router-00")
+	topic.sourceName = "router-00"
+	for _, want := range []string{"router-01", "router-01"} {
+		topic.observePeerOffset(7, true, peerLagTolerance, peerFailureBackoff, now)
+		now = now.Add(peerLagTolerance + time.Millisecond)
+		topic.observePeerOffset(7, true, peerLagTolerance, peerFailureBackoff, now)
+		quicktest.Check(t, topic.readsStore(now), quicktest.IsFalse)
+		quicktest.Check(t, router.sourceAt(now), quicktest.Equals, want)
+	}
+	// With one peer left, that one is read although it lags.
+	router.roster.RecordHeartbeat(roster.Member{Instance: "router-01", Zone: "a", Incarnation: 2, PeerAddress: "10.0.0.1:1"}, now)
+	quicktest.Check(t, router.sourceAt(now), quicktest.Equals, "router-00")
+}
