soak: a router that is to restart when the run ends is not started

The stack of the run shows close waiting and the supervisor in Wait. The start now looks at whether the router is closed, under the mutex of close.

--- a/internal/tools/soak/router.go
+++ b/internal/tools/soak/router.go
@@ -91,9 +91,15 @@
 	return started, nil
 }
 
+// errClosed is the error of a start after close.
+var errClosed = errors.New("router is closed")
+
 func (router *router) start() error {
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
+	if router.closed {
+		return errClosed
+	}
 	router.command = exec.Command(router.binary, "entry", "--config", router.settings)
 	router.command.Stdout, router.command.Stderr = router.log, router.log
 	router.stopExpected = false
@@ -121,7 +127,9 @@
 		}
 		router.checker.excuseUntil(time.Now())
 		time.Sleep(restartDelay)
-		if err := router.start(); err != nil {
+		if err := router.start(); errors.Is(err, errClosed) {
+			return
+		} else if err != nil {
 			router.checker.reportf("router %d did not start: %v", router.number, err)
 			return
 		}
