--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -505,3 +505,35 @@
 		quicktest.Check(t, time.Since(killed) < noticeTime, quicktest.IsTrue, quicktest.Commentf("took %v", time.Since(killed)))
 	}
 }
+
+// Guards against a storm of calls when the store comes back from a copy: a router may use its part of what the store takes from 350 of them, which is
+// about one write and six reads a second.
+func TestReturnOfStoreLimitsCalls(t *testing.T) {
+	const size, seconds, writesPerRouter, readsPerSecond = 24, 3, 2, 5
+	fleet := newFleet(t)
+	fleet.registerAllDead(size)
+	fleet.startAll(size)
+	time.Sleep(time.Second)
+	var reads, writes atomic.Int64
+	fleet.store.SetFault(func(_ http.ResponseWriter, request *http.Request) bool {
+		if request.Method == http.MethodPost {
+			writes.Add(1)
+		} else {
+			reads.Add(1)
+		}
+		return false
+	})
+	fleet.store.ReturnFromCopy(time.Hour, platform.TopicOperator, platform.TopicUpstreams)
+	fleet.configure("other")
+	for _, router := range fleet.routers {
+		fleet.waitUntil("the new key in force", func() bool { status, _ := router.send("other"); return status == http.StatusOK })
+	}
+	time.Sleep(seconds * time.Second)
+	t.Logf("%d writes and %d reads by %d routers", writes.Load(), reads.Load(), size)
+	quicktest.Check(t, writes.Load() <= writesPerRouter*size, quicktest.IsTrue)
+	quicktest.Check(t, reads.Load() <= readsPerSecond*seconds*size, quicktest.IsTrue)
+	for number := range size {
+		name := string(fleet.settings(number + 1).Name)
+		quicktest.Check(t, fleet.store.Get(platform.TopicInstances, name), quicktest.Not(quicktest.HasLen), 0, quicktest.Commentf("%s", name))
+	}
+}
